--- /dev/null
+++ b/crates/bluebell-core/src/routing/plan.rs
@@ -0,0 +1,234 @@
+//! Which version a request should run on: allowed, not withdrawn, good enough, then cheap.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use super::rendezvous;
+use crate::{
+    ids::{BranchId, OrgId, VersionId},
+    settings::{Policy, SettingsError, State, branch::Catalog, state::Standing, tree},
+    units::{Percent, Price},
+};
+
+/// Model name with which a caller leaves the choice to the router.
+pub const ANY_MODEL: &str = "auto";
+
+/// What a caller asks for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Wanted {
+    /// Any allowed version that is good enough.
+    Any,
+    /// Any allowed version of a model.
+    Model(String),
+    /// One version.
+    Version(VersionId),
+}
+
+impl Wanted {
+    /// Reads the model field of a request.
+    #[must_use]
+    pub fn from_field(text: &str) -> Self {
+        match text.parse() {
+            Ok(version) => Self::Version(version),
+            Err(_) if text.is_empty() || text == ANY_MODEL => Self::Any,
+            Err(_) => Self::Model(text.to_owned()),
+        }
+    }
+}
+
+/// Why no version can serve a request.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu, Serialize, Deserialize)]
+pub enum PlanError {
+    /// The branch allows no such model or version.
+    #[snafu(display("{wanted} is not among the versions this organisation may use"))]
+    NotAllowed {
+        /// What was asked for.
+        wanted: String,
+    },
+    /// The version was withdrawn.
+    #[snafu(display("version {version} was withdrawn"))]
+    Withdrawn {
+        /// The version.
+        version: VersionId,
+    },
+    /// No allowed version is in use now.
+    #[snafu(display("no allowed version is in use"))]
+    NoneLeft,
+}
+
+/// Facts about a version that routing needs.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Offer {
+    price: Price,
+    quality: Percent,
+    standing: Option<Standing>,
+}
+
+/// Share of new sessions of a model that moves from one version to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Split {
+    from: VersionId,
+    to: VersionId,
+    share: Percent,
+}
+
+/// Everything a request is checked against, worked out once for each revision.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Plan {
+    policies: IndexMap<BranchId, Policy>,
+    keys: IndexMap<String, BranchId>,
+    offers: IndexMap<VersionId, Offer>,
+    splits: Vec<Split>,
+    idempotent: IndexMap<String, bool>,
+}
+
+impl Plan {
+    /// Works out the plan of a state.
+    ///
+    /// # Errors
+    /// When the settings in the state can't be read.
+    pub fn new(state: &State) -> Result<Self, SettingsError> {
+        let tree = state.tree()?;
+        let mut plan = Self::default();
+        for branch in tree.values() {
+            plan.policies.insert(branch.branch.clone(), tree::resolve(&tree, branch)?);
+            let keys = branch.keys.iter().flatten().map(|key| (key.to_lowercase(), branch.branch.clone()));
+            plan.keys.extend(keys);
+        }
+        let catalog = tree.get(&tree::root_id()).and_then(|root| root.catalog.clone());
+        plan.add_catalog(&catalog.unwrap_or_default(), state);
+        let split = |rollout: &crate::settings::state::Rollout| Split {
+            from: rollout.from.clone(),
+            to: rollout.to.clone(),
+            share: rollout.share,
+        };
+        plan.splits = state.rollouts.values().map(split).collect();
+        Ok(plan)
+    }
+
+    fn add_catalog(&mut self, catalog: &Catalog, state: &State) {
+        for id in catalog.version_ids() {
+            let Some(info) = catalog.version(&id) else { continue };
+            let standing = state.standings.get(&id).copied();
+            self.offers.insert(id, Offer { price: info.price, quality: info.quality, standing });
+        }
+        let services = catalog.services.iter().map(|(id, info)| (id.to_string(), info.idempotent));
+        self.idempotent.extend(services);
+    }
+
+    /// Policy of the callers that present a key, given the key's digest.
+    #[must_use]
+    pub fn caller(&self, digest: &str) -> Option<&Policy> {
+        self.policies.get(self.keys.get(digest)?)
+    }
+
+    /// Policy of a branch.
+    #[must_use]
+    pub fn policy(&self, branch: &BranchId) -> Option<&Policy> {
+        self.policies.get(branch)
+    }
+
+    /// Price of a version.
+    #[must_use]
+    pub fn price(&self, version: &VersionId) -> Price {
+        self.offers.get(version).map(|offer| offer.price).unwrap_or_default()
+    }
+
+    /// Whether calls of a service may be repeated.
+    #[must_use]
+    pub fn is_idempotent(&self, service: &str) -> bool {
+        self.idempotent.get(service).copied().unwrap_or(false)
+    }
+
+    /// Whether a branch may call a service.
+    #[must_use]
+    pub fn allows_service(&self, branch: &BranchId, service: &str) -> bool {
+        self.policy(branch).is_some_and(|policy| policy.services.iter().any(|id| id.as_str() == service))
+    }
+
+    /// Whether a branch of an organisation may use a version for work that begins now.
+    ///
+    /// # Errors
+    /// When the version is not allowed to the branch, or was withdrawn.
+    pub fn check_version(&self, branch: &BranchId, org: &OrgId, version: &VersionId) -> Result<(), PlanError> {
+        let not_allowed = || NotAllowedSnafu { wanted: version.as_str() }.fail();
+        let Some(policy) = self.policy(branch) else {
+            return not_allowed();
+        };
+        if policy.org.as_ref() != Some(org) || !policy.allow.contains(version) {
+            return not_allowed();
+        }
+        match self.offers.get(version).map(|offer| offer.standing) {
+            None => not_allowed(),
+            Some(Some(Standing::Withdrawn)) => WithdrawnSnafu { version: version.clone() }.fail(),
+            Some(_) => Ok(()),
+        }
+    }
+
+    /// Versions for a request that has no session yet, best first.
+    ///
+    /// # Errors
+    /// When no version that is asked for is allowed and in use.
+    pub fn candidates(&self, policy: &Policy, wanted: &Wanted, seed: &str) -> Result<Vec<VersionId>, PlanError> {
+        if let Wanted::Version(version) = wanted {
+            let org = policy.org.as_ref();
+            org.map_or(Err(PlanError::NoneLeft), |org| self.check_version(&policy.branch, org, version))?;
+            return Ok(vec![version.clone()]);
+        }
+        let asked: Vec<&VersionId> = policy.allow.iter().filter(|id| matches(wanted, id)).collect();
+        if asked.is_empty() {
+            return NotAllowedSnafu { wanted: wanted_text(wanted) }.fail();
+        }
+        let open = |id: &&VersionId| self.is_open(id) && self.split_allows(id, &asked, seed);
+        let mut found: Vec<&VersionId> = asked.iter().copied().filter(open).collect();
+        found.sort_by_key(|id| self.rank(policy, id));
+        if found.is_empty() {
+            return NoneLeftSnafu.fail();
+        }
+        Ok(found.into_iter().cloned().collect())
+    }
+
+    fn is_open(&self, id: &VersionId) -> bool {
+        self.offers.get(id).is_some_and(|offer| offer.standing.is_none())
+    }
+
+    // During a roll-out exactly one of the two versions takes a new session, decided by the session's hash.
+    fn split_allows(&self, id: &VersionId, asked: &[&VersionId], seed: &str) -> bool {
+        let Some(split) = self.splits.iter().find(|split| split.from == *id || split.to == *id) else {
+            return true;
+        };
+        let other = if split.from == *id { &split.to } else { &split.from };
+        if !asked.contains(&other) || !self.is_open(other) {
+            return true;
+        }
+        let moves = rendezvous::fraction(seed) < split.share.fraction();
+        moves == (split.to == *id)
+    }
+
+    // Versions that meet the quality target come first, by price; then the others, best quality first.
+    fn rank(&self, policy: &Policy, id: &VersionId) -> (bool, u64, u64) {
+        let Some(offer) = self.offers.get(id) else {
+            return (true, u64::MAX, 0);
+        };
+        let short = offer.quality < policy.quality;
+        let lack = (1000.0 * (1.0 - offer.quality.fraction())) as u64;
+        if short { (true, lack, offer.price.0) } else { (false, offer.price.0, lack) }
+    }
+}
+
+fn matches(wanted: &Wanted, id: &VersionId) -> bool {
+    match wanted {
+        Wanted::Any => true,
+        Wanted::Model(model) => id.model() == model,
+        Wanted::Version(version) => id == version,
+    }
+}
+
+fn wanted_text(wanted: &Wanted) -> String {
+    match wanted {
+        Wanted::Any => ANY_MODEL.to_owned(),
+        Wanted::Model(model) => model.clone(),
+        Wanted::Version(version) => version.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/bluebell-core/tests/sample_settings.rs
@@ -0,0 +1,47 @@
+//! Loads every sample of the settings tree: the valid ones are accepted whole, each invalid one is refused with the
+//! fault named in its first line.
+
+use std::path::Path;
+
+use bluebell_core::{
+    ids::Revision,
+    settings::{Action, Branch, Record, SettingsError, State},
+};
+
+type TestResult = datatest_stable::Result<()>;
+
+fn load(text: &str, state: &mut State) -> Result<(), SettingsError> {
+    let branches = Branch::file_from_yaml(text)?;
+    let texts = branches.iter().map(Branch::to_yaml).collect::<Result<Vec<_>, _>>()?;
+    let record = Record {
+        revision: state.revision.next(),
+        change: "sample".parse().unwrap(),
+        author: "test".to_owned(),
+        action: Action::Set { texts, base: Revision(u64::MAX) },
+    };
+    state.apply(&record)
+}
+
+fn valid(path: &Path) -> TestResult {
+    let mut state = State::default();
+    let base = std::fs::read_to_string(path.with_file_name("two_crews.yaml"))?;
+    load(&base, &mut state)?;
+    load(&std::fs::read_to_string(path)?, &mut state)?;
+    assert_eq!(state.revision, Revision(2));
+    Ok(())
+}
+
+fn invalid(path: &Path) -> TestResult {
+    let text = std::fs::read_to_string(path)?;
+    let expected = text.lines().next().and_then(|line| line.strip_prefix("# expect: ")).ok_or("no expectation")?;
+    let mut state = State::default();
+    let fault = load(&text, &mut state).expect_err("the sample is invalid").to_string();
+    assert!(fault.contains(expected), "expected {expected:?}, found {fault:?}");
+    assert_eq!(state, State::default(), "nothing of an invalid tree is applied");
+    Ok(())
+}
+
+datatest_stable::harness! {
+    { test = valid, root = "../../sample_configs/settings/valid", pattern = r".*\.yaml$" },
+    { test = invalid, root = "../../sample_configs/settings/invalid", pattern = r".*\.yaml$" },
+}
--- /dev/null
+++ b/crates/bluebell-platform/src/lib.rs
@@ -0,0 +1,17 @@
+//! Typed clients of the platform services that bluebellstack relies on.
+//!
+//! Every call has a timeout. A write that may have taken effect although its answer was lost is told apart from one
+//! that did not: [`PlatformError::Unknown`] against [`PlatformError::NotDone`].
+
+mod error;
+mod http;
+pub mod instances;
+pub mod intents;
+pub mod objects;
+pub mod ratings;
+pub mod settings;
+pub mod table;
+pub mod weights;
+
+pub use error::PlatformError;
+pub use http::{Endpoint, Platform};
--- /dev/null
+++ b/crates/bluebell-standins/src/load/mod.rs
@@ -0,0 +1,98 @@
+//! Load tool: open-loop arrivals, or a closed loop for saturation, with a mix of callers and hdrhistogram figures.
+
+mod mix;
+mod report;
+mod send;
+
+use std::{sync::Arc, time::Duration};
+
+use mix::Mix;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use report::Report;
+use send::{Outcome, Sender};
+use tokio::{
+    sync::{Semaphore, mpsc},
+    time::Instant,
+};
+
+use crate::{args::LoadOptions, error::StandinError};
+
+/// Makes a load run and prints its report.
+///
+/// # Errors
+/// When the mix can't be read or a histogram can't be made.
+pub async fn run(options: LoadOptions) -> Result<(), StandinError> {
+    let mix = Mix::load(&options)?;
+    let sender = Arc::new(Sender::new(&options)?);
+    let (outcomes, collected) = mpsc::unbounded_channel();
+    let begun = Instant::now();
+    match options.closed {
+        Some(senders) => closed_loop(&options, &mix, &sender, senders, outcomes).await,
+        None => open_loop(&options, &mix, &sender, outcomes).await,
+    }
+    let report = Report::collect(collected, begun.elapsed()).await?;
+    report.print(options.json);
+    Ok(())
+}
+
+// Arrivals don't wait for answers, so a slow system can't slow its own load down.
+async fn open_loop(options: &LoadOptions, mix: &Mix, sender: &Arc<Sender>, outcomes: mpsc::UnboundedSender<Outcome>) {
+    let mut random = StdRng::seed_from_u64(options.seed);
+    let bound = Arc::new(Semaphore::new(options.bound));
+    let start = Instant::now();
+    let end = start + Duration::from_secs_f64(options.seconds);
+    let mut due = start;
+    let mut number = 0;
+    while due < end {
+        tokio::time::sleep_until(due).await;
+        let caller = mix.pick(&mut random).clone();
+        let outcomes = outcomes.clone();
+        match Arc::clone(&bound).try_acquire_owned() {
+            Ok(permit) => {
+                let sender = Arc::clone(sender);
+                let scheduled = due;
+                tokio::spawn(async move {
+                    let outcome = sender.send(&caller, number, scheduled).await;
+                    drop(permit);
+                    // The collector outlives all senders.
+                    let _ = outcomes.send(outcome);
+                });
+            }
+            Err(_) => {
+                let _ = outcomes.send(Outcome::unsent(&caller));
+            }
+        }
+        number += 1;
+        let gap: f64 = -(1.0 - random.random::<f64>()).ln() / options.rate;
+        due += Duration::from_secs_f64(gap);
+    }
+}
+
+async fn closed_loop(
+    options: &LoadOptions,
+    mix: &Mix,
+    sender: &Arc<Sender>,
+    senders: usize,
+    outcomes: mpsc::UnboundedSender<Outcome>,
+) {
+    let end = Instant::now() + Duration::from_secs_f64(options.seconds);
+    let mut tasks = Vec::new();
+    for number in 0..senders as u64 {
+        let mut random = StdRng::seed_from_u64(options.seed + number);
+        let (mix, sender, outcomes) = (mix.clone(), Arc::clone(sender), outcomes.clone());
+        tasks.push(tokio::spawn(async move {
+            let mut sent = 0;
+            while Instant::now() < end {
+                let caller = mix.pick(&mut random).clone();
+                let outcome = sender.send(&caller, number + sent * senders as u64, Instant::now()).await;
+                sent += 1;
+                // The collector outlives all senders.
+                let _ = outcomes.send(outcome);
+            }
+        }));
+    }
+    for task in tasks {
+        // A sender that panicked has printed why; its earlier outcomes count.
+        let _ = task.await;
+    }
+}
--- /dev/null
+++ b/crates/bluebell-wire/src/frame.rs
@@ -0,0 +1,138 @@
+//! Length-prefixed bincode frames on the two halves of an h2 stream, with the stream's flow control.
+
+use std::{future::poll_fn, marker::PhantomData};
+
+use bytes::{Bytes, BytesMut};
+use h2::{RecvStream, SendStream};
+use serde::{Serialize, de::DeserializeOwned};
+use snafu::{OptionExt, ResultExt};
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use crate::error::{ClosedSnafu, DecodeSnafu, EncodeSnafu, WireError};
+
+/// Longest frame accepted, in bytes.
+pub const MAX_FRAME_BYTES: usize = 4 << 20;
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
+}
+
+/// Reads messages of one type from a stream.
+pub struct FrameReader<T> {
+    stream: RecvStream,
+    buffer: BytesMut,
+    codec: LengthDelimitedCodec,
+    kind: PhantomData<fn() -> T>,
+}
+
+impl<T: DeserializeOwned> FrameReader<T> {
+    pub(crate) fn new(stream: RecvStream) -> Self {
+        Self { stream, buffer: BytesMut::new(), codec: codec(), kind: PhantomData }
+    }
+
+    /// Reads the next message; none when the peer ended the stream properly.
+    ///
+    /// # Errors
+    /// When the connection broke, or the frame is too long or can't be read.
+    pub async fn next(&mut self) -> Result<Option<T>, WireError> {
+        loop {
+            let frame = self.codec.decode(&mut self.buffer).ok().context(crate::error::FrameSizeSnafu)?;
+            if let Some(frame) = frame {
+                return decode(&frame).map(Some);
+            }
+            let Some(data) = self.stream.data().await else {
+                return if self.buffer.is_empty() { Ok(None) } else { ClosedSnafu.fail() };
+            };
+            let data = data?;
+            self.stream.flow_control().release_capacity(data.len())?;
+            self.buffer.extend_from_slice(&data);
+        }
+    }
+
+    /// Reads the next message of a conversation that is not over yet.
+    ///
+    /// # Errors
+    /// As [`FrameReader::next`], and when the peer ended the stream.
+    pub async fn expect(&mut self) -> Result<T, WireError> {
+        self.next().await?.context(ClosedSnafu)
+    }
+}
+
+/// Reads one message from the bytes of a frame.
+///
+/// # Errors
+/// When the bytes are not exactly one message.
+pub fn decode<T: DeserializeOwned>(frame: &[u8]) -> Result<T, WireError> {
+    let limits = bincode::config::standard().with_limit::<MAX_FRAME_BYTES>();
+    let (message, _) = bincode::serde::decode_from_slice(frame, limits).context(DecodeSnafu)?;
+    Ok(message)
+}
+
+/// Writes messages of one type to a stream.
+pub struct FrameWriter<T> {
+    stream: SendStream<Bytes>,
+    codec: LengthDelimitedCodec,
+    kind: PhantomData<fn(T)>,
+}
+
+impl<T: Serialize> FrameWriter<T> {
+    pub(crate) fn new(stream: SendStream<Bytes>) -> Self {
+        Self { stream, codec: codec(), kind: PhantomData }
+    }
+
+    /// Sends a message.
+    ///
+    /// # Errors
+    /// When the message is too long or the connection broke.
+    pub async fn send(&mut self, message: &T) -> Result<(), WireError> {
+        self.write(message, false).await
+    }
+
+    /// Sends the last message and ends this half of the stream.
+    ///
+    /// # Errors
+    /// When the message is too long or the connection broke.
+    pub async fn finish(&mut self, message: &T) -> Result<(), WireError> {
+        self.write(message, true).await
+    }
+
+    /// Ends this half of the stream without a last message.
+    pub fn close(&mut self) {
+        if let Err(error) = self.stream.send_data(Bytes::new(), true) {
+            log::debug!("a stream was closed by the peer already: {error}");
+        }
+    }
+
+    /// Resets the stream, so that the peer sees that nobody listens.
+    pub fn reset(&mut self) {
+        self.stream.send_reset(h2::Reason::CANCEL);
+    }
+
+    async fn write(&mut self, message: &T, end: bool) -> Result<(), WireError> {
+        let bytes = bincode::serde::encode_to_vec(message, bincode::config::standard()).context(EncodeSnafu)?;
+        let mut framed = BytesMut::with_capacity(bytes.len() + 4);
+        let encoded = self.codec.encode(Bytes::from(bytes), &mut framed);
+        encoded.ok().context(crate::error::FrameSizeSnafu)?;
+        let mut rest = framed.freeze();
+        while !rest.is_empty() {
+            let room = self.capacity(rest.len()).await?;
+            let part = rest.split_to(room.min(rest.len()));
+            self.stream.send_data(part, end && rest.is_empty())?;
+        }
+        Ok(())
+    }
+
+    async fn capacity(&mut self, wanted: usize) -> Result<usize, WireError> {
+        self.stream.reserve_capacity(wanted);
+        while self.stream.capacity() == 0 {
+            poll_fn(|context| self.stream.poll_capacity(context)).await.context(ClosedSnafu)??;
+        }
+        Ok(self.stream.capacity())
+    }
+
+    /// Waits until the peer resets the stream.
+    pub async fn closed(&mut self) {
+        // Whether by reset or by a broken connection, nobody listens any more.
+        let _ = poll_fn(|context| self.stream.poll_reset(context)).await;
+    }
+}
--- /dev/null
+++ b/crates/bluebell-wire/src/lib.rs
@@ -0,0 +1,63 @@
+//! Messages between the processes of bluebellstack, and how they travel: bincode frames on h2 streams.
+//!
+//! Each kind of conversation has its own [`Route`]; each stream opens with a token that proves the sender. A frame
+//! that can't be read, or is too long, ends its connection with a typed error.
+
+mod client;
+mod error;
+mod frame;
+pub mod messages;
+mod server;
+
+pub use client::{Connection, Identity};
+pub use error::WireError;
+pub use frame::{FrameReader, FrameWriter, MAX_FRAME_BYTES};
+pub use server::{Incoming, Server};
+
+use std::{fmt, str::FromStr};
+
+/// Header with the token that proves the sender.
+pub const TOKEN_HEADER: &str = "bluebell-token";
+
+/// Kind of conversation on a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Route {
+    /// Entry to sidecar: run one attempt.
+    Run,
+    /// Entry to sidecar: what became of an attempt.
+    Resolve,
+    /// Any to entry, entry to sidecar: revisions seen, both ways, as long as the connection lasts.
+    Follow,
+    /// Any to any: settings after a revision.
+    Fetch,
+    /// Any to any: billing rows handed over or stored.
+    Bills,
+    /// Entry to entry: revisions that followers confirmed.
+    Confirmed,
+}
+
+impl Route {
+    const ALL: [Self; 6] = [Self::Run, Self::Resolve, Self::Follow, Self::Fetch, Self::Bills, Self::Confirmed];
+}
+
+impl fmt::Display for Route {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Run => "/run",
+            Self::Resolve => "/resolve",
+            Self::Follow => "/follow",
+            Self::Fetch => "/fetch",
+            Self::Bills => "/bills",
+            Self::Confirmed => "/confirmed",
+        })
+    }
+}
+
+impl FromStr for Route {
+    type Err = WireError;
+
+    fn from_str(path: &str) -> Result<Self, WireError> {
+        let found = Self::ALL.into_iter().find(|route| route.to_string() == path);
+        found.ok_or_else(|| WireError::Route { path: path.to_owned() })
+    }
+}
--- /dev/null
+++ b/crates/bluebelld/src/config/timing.rs
@@ -0,0 +1,53 @@
+//! Periods and patience.
+
+use std::time::Duration;
+
+use bluebell_core::units::HumanTime;
+use serde::Deserialize;
+use serde_with::serde_as;
+
+/// Periods and patience.
+#[serde_as]
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Timing {
+    /// Time between two looks at the settings' revision in the table.
+    #[serde_as(as = "HumanTime")]
+    pub poll: Duration,
+    /// Time between two looks at the list of instances.
+    #[serde_as(as = "HumanTime")]
+    pub list: Duration,
+    /// Time between two heartbeats of a connection.
+    #[serde_as(as = "HumanTime")]
+    pub heartbeat: Duration,
+    /// Silence after which a peer is taken for lost.
+    #[serde_as(as = "HumanTime")]
+    pub silence: Duration,
+    /// Time to connect to a peer, and to get a short answer.
+    #[serde_as(as = "HumanTime")]
+    pub connect: Duration,
+    /// Silence of a running answer after which it is continued elsewhere.
+    #[serde_as(as = "HumanTime")]
+    pub stall: Duration,
+    /// Time between being told to stop and taking no more callers.
+    #[serde_as(as = "HumanTime")]
+    pub notice: Duration,
+    /// Longest time that a planned stop may take.
+    #[serde_as(as = "HumanTime")]
+    pub drain: Duration,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Self {
+            poll: Duration::from_millis(500),
+            list: Duration::from_secs(2),
+            heartbeat: Duration::from_secs(1),
+            silence: Duration::from_millis(3500),
+            connect: Duration::from_secs(1),
+            stall: Duration::from_secs(2),
+            notice: Duration::from_secs(1),
+            drain: Duration::from_secs(60),
+        }
+    }
+}
--- /dev/null
+++ b/crates/bluebelld/src/entry/attempt.rs
@@ -0,0 +1,160 @@
+//! One attempt at one sidecar: choosing the sidecar, asking, and what came of it.
+
+use std::{sync::Arc, time::Duration};
+
+use bluebell_core::{
+    gate::{Ask, Refusal, Work},
+    ids::{BranchId, InstanceId, OrgId, RequestId},
+    retry::Ended,
+    routing::{self, Load},
+    units::Priority,
+};
+use bluebell_wire::{
+    FrameReader, FrameWriter, Route,
+    messages::{FromSidecar, Payload, Task, ToSidecar},
+};
+use tokio::time::timeout;
+
+use super::Entry;
+use crate::links::{InUse, Link};
+
+/// Time beyond the patience of an attempt that its sidecar has to say so.
+const ANSWER_MARGIN: Duration = Duration::from_millis(500);
+
+/// What all attempts of a request share.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// The request.
+    pub request: RequestId,
+    /// Organisation it is for.
+    pub org: OrgId,
+    /// Branch whose policy holds.
+    pub branch: BranchId,
+    /// Its rank.
+    pub priority: Priority,
+    /// Expected work, in tokens.
+    pub cost: u64,
+    /// Longest time that an attempt may wait for a place.
+    pub patience: Duration,
+}
+
+/// How an attempt that gave nothing ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Setback {
+    /// The sidecar refused: it did not run.
+    Refused(Refusal),
+    /// The sidecar could not be reached: it did not run.
+    Unreached,
+    /// The connection or the runner failed.
+    Failed,
+}
+
+impl Setback {
+    /// The setback as the retry policy sees it.
+    pub fn ended(&self) -> Ended {
+        match self {
+            Self::Refused(_) | Self::Unreached => Ended::Refused,
+            Self::Failed => Ended::Failed,
+        }
+    }
+}
+
+/// An open conversation about one attempt.
+pub struct Conversation {
+    /// Where it runs.
+    pub link: Arc<Link>,
+    /// From the sidecar.
+    pub reader: FrameReader<FromSidecar>,
+    /// To the sidecar.
+    pub writer: FrameWriter<ToSidecar>,
+    /// Whether the sidecar has said its last word.
+    pub over: bool,
+    _use: InUse,
+}
+
+impl Drop for Conversation {
+    // A sidecar that has not ended the attempt sees that nobody listens any more.
+    fn drop(&mut self) {
+        if self.over {
+            self.writer.close();
+        } else {
+            self.writer.reset();
+        }
+    }
+}
+
+/// Chooses a sidecar that serves a version or service and has not been tried.
+pub fn choose(entry: &Entry, work: &Work, tried: &[InstanceId]) -> Option<Arc<Link>> {
+    let now = entry.shared.clock.now();
+    let zone = &entry.shared.config.instance.zone;
+    let subset = entry.shared.subset.load();
+    let known = subset.by_target.get(work.name())?;
+    let links: Vec<Arc<Link>> = known
+        .iter()
+        .filter(|peer| !tried.contains(peer))
+        .filter_map(|peer| entry.shared.links.get(peer))
+        .filter(|link| link.is_open(now))
+        .collect();
+    let loads: Vec<Load> = links.iter().map(|link| link.load(zone)).collect();
+    routing::pick_two(&loads, &mut rand::rng()).map(|at| Arc::clone(&links[at]))
+}
+
+/// Asks a sidecar to start an attempt, or to reserve a place for it; gives the conversation and its first answer.
+///
+/// # Errors
+/// When the attempt did not start.
+pub async fn ask(
+    entry: &Entry,
+    link: Arc<Link>,
+    job: &Job,
+    work: Work,
+    request: AttemptRequest,
+) -> Result<(Conversation, FromSidecar), Setback> {
+    let attempt = entry.next_attempt(&job.request).map_err(|_| Setback::Unreached)?;
+    let connection = link.connection().ok_or(Setback::Unreached)?;
+    let in_use = link.begin();
+    let ask = Ask {
+        attempt,
+        org: job.org.clone(),
+        branch: job.branch.clone(),
+        work,
+        priority: job.priority,
+        cost: job.cost,
+        patience: job.patience,
+        two_step: request.two_step,
+    };
+    let task = Task { request: job.request.clone(), ask, deadline: request.deadline, payload: request.payload };
+    let now = entry.shared.clock.now();
+    let opened = connection.stream(Route::Run).await;
+    let (writer, reader) = opened.map_err(|error| {
+        log::debug!("{} can't be asked: {error}", link.peer());
+        link.eject(now);
+        Setback::Unreached
+    })?;
+    let mut talk = Conversation { link, reader, writer, over: false, _use: in_use };
+    if talk.writer.send(&ToSidecar::Ask(Box::new(task))).await.is_err() {
+        return Err(Setback::Failed);
+    }
+    let first = match timeout(job.patience + ANSWER_MARGIN, talk.reader.expect()).await {
+        Ok(Ok(first)) => first,
+        _ => {
+            talk.link.eject(now);
+            return Err(Setback::Failed);
+        }
+    };
+    match first {
+        FromSidecar::Refused(refusal) => Err(Setback::Refused(refusal)),
+        FromSidecar::Failed => Err(Setback::Failed),
+        other => Ok((talk, other)),
+    }
+}
+
+/// What differs between attempts of one request.
+pub struct AttemptRequest {
+    /// Whether it runs only on a second order.
+    pub two_step: bool,
+    /// Time left.
+    pub deadline: Duration,
+    /// What to send to the runner.
+    pub payload: Payload,
+}
--- /dev/null
+++ b/crates/bluebelld/src/entry/models.rs
@@ -0,0 +1,39 @@
+//! List of the versions that a caller may use.
+
+use std::sync::Arc;
+
+use poem::{Request, Response, handler, web::Data};
+use serde::Serialize;
+
+use super::{Entry, auth, fault::Fault};
+
+#[derive(Debug, Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelItem>,
+}
+
+#[derive(Debug, Serialize)]
+struct ModelItem {
+    id: String,
+    object: &'static str,
+}
+
+/// Lists the versions that a caller may use now.
+#[handler]
+pub fn list(entry: Data<&Arc<Entry>>, request: &Request) -> Response {
+    match items(&entry, request) {
+        Ok(data) => {
+            let body = serde_json::to_vec(&ModelList { object: "list", data }).unwrap_or_default();
+            Response::builder().content_type("application/json").body(body)
+        }
+        Err(fault) => fault.response(),
+    }
+}
+
+fn items(entry: &Entry, request: &Request) -> Result<Vec<ModelItem>, Fault> {
+    let caller = auth::caller(entry, request)?;
+    let policy = &caller.policy;
+    let usable = policy.allow.iter().filter(|id| caller.plan.check_version(&policy.branch, &caller.org, id).is_ok());
+    Ok(usable.map(|id| ModelItem { id: id.to_string(), object: "model" }).collect())
+}
--- /dev/null
+++ b/crates/bluebelld/src/lib.rs
@@ -0,0 +1,55 @@
+//! The bluebellstack daemon: an entry that takes callers' requests, or a sidecar beside one runner.
+//!
+//! One thread keeps the control state in the kernel of `bluebell-core`; the others carry traffic and read what the
+//! control thread publishes.
+
+pub mod args;
+pub mod config;
+mod control;
+mod entry;
+mod error;
+mod links;
+mod logs;
+mod metrics;
+mod peers;
+mod probe;
+mod shared;
+mod shutdown;
+mod sidecar;
+
+use std::sync::Arc;
+
+use bluebell_core::{
+    clock::{Clock, SystemClock},
+    members::Role,
+};
+pub use error::DaemonError;
+use snafu::ResultExt;
+
+use crate::{args::Options, config::Config, error::RuntimeSnafu, shared::Shared};
+
+/// Runs the daemon until it is told to stop.
+///
+/// # Errors
+/// When the settings are wrong, or the daemon can't start.
+pub fn run(options: &Options) -> Result<(), DaemonError> {
+    let config = Config::load(&options.config)?;
+    if options.check {
+        return Ok(());
+    }
+    logs::start(&config);
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(config.threads.traffic)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    runtime.block_on(async {
+        let shared = Shared::new(config, clock)?;
+        match shared.config.instance.role {
+            Role::Entry => entry::run(shared).await,
+            Role::Sidecar => sidecar::run(shared).await,
+        }
+    })
+}
--- /dev/null
+++ b/crates/bluebelld/src/peers.rs
@@ -0,0 +1,168 @@
+//! Conversations that every instance has with its peers: heartbeats with revisions, settings, and billing rows.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bluebell_core::{
+    billing::BillingEvent,
+    ids::{InstanceId, Revision},
+    kernel::Input,
+    members::MembersEvent,
+    settings::{FollowerEvent, follower::Origin},
+};
+use bluebell_wire::{
+    FrameReader, FrameWriter, Incoming, Route, WireError,
+    messages::{Beat, BillsAsk, BillsReply, Confirmation, ConfirmedAsk, ConfirmedReply, FetchAsk, FetchReply},
+};
+use indexmap::IndexMap;
+use tokio::time::{Instant, interval, timeout_at};
+
+use crate::{control::ControlHandle, shared::Shared};
+
+/// Instances that follow this one, with the revision that each confirmed.
+#[derive(Default)]
+pub struct Followers(Mutex<IndexMap<InstanceId, Revision>>);
+
+impl Followers {
+    fn lock(&self) -> MutexGuard<'_, IndexMap<InstanceId, Revision>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What each follower confirmed.
+    pub fn confirmations(&self) -> Vec<Confirmation> {
+        let confirm = |(instance, revision): (&InstanceId, &Revision)| Confirmation {
+            instance: instance.clone(),
+            revision: *revision,
+        };
+        self.lock().iter().map(confirm).collect()
+    }
+}
+
+/// Both ends of an exchange of heartbeats.
+pub struct Exchange<'a> {
+    /// What the process shares.
+    pub shared: &'a Arc<Shared>,
+    /// The control thread.
+    pub control: &'a ControlHandle,
+    /// The peer.
+    pub peer: &'a InstanceId,
+}
+
+/// Exchanges heartbeats until the connection breaks or the peer falls silent.
+///
+/// # Errors
+/// When the connection broke or the peer was silent for too long.
+pub async fn exchange(
+    seen: &Exchange<'_>,
+    mut reader: FrameReader<Beat>,
+    mut writer: FrameWriter<Beat>,
+    mut heard: impl FnMut(&Beat),
+) -> Result<(), WireError> {
+    let shared = seen.shared;
+    let timing = &shared.config.timing;
+    let mut beats = interval(timing.heartbeat);
+    let mut revision = shared.revision.subscribe();
+    let mut leaving = shared.leaving.subscribe();
+    let mut deadline = Instant::now() + timing.silence;
+    let mut left = false;
+    loop {
+        tokio::select! {
+            beat = timeout_at(deadline, reader.next()) => {
+                let Ok(beat) = beat else { return Err(silent(seen.peer, timing.silence)) };
+                let Some(beat) = beat? else { return Ok(()) };
+                deadline = Instant::now() + timing.silence;
+                note(seen, &beat);
+                heard(&beat);
+            }
+            _ = beats.tick() => writer.send(&own_beat(shared)).await?,
+            _ = revision.changed() => writer.send(&own_beat(shared)).await?,
+            _ = leaving.changed(), if !left => {
+                left = true;
+                writer.send(&own_beat(shared)).await?;
+            }
+        }
+    }
+}
+
+fn silent(peer: &InstanceId, patience: Duration) -> WireError {
+    WireError::Timeout { address: peer.to_string(), patience }
+}
+
+fn own_beat(shared: &Shared) -> Beat {
+    Beat { revision: Revision(*shared.revision.borrow()), load: **shared.load.load(), leaving: shared.is_leaving() }
+}
+
+fn note(seen: &Exchange<'_>, beat: &Beat) {
+    let own = *seen.shared.revision.borrow();
+    let current = seen.shared.current.load(std::sync::atomic::Ordering::Relaxed);
+    if beat.revision.0 > own || !current {
+        let origin = Origin::Peer(seen.peer.clone());
+        seen.control.input(Input::Settings(FollowerEvent::Seen { origin, revision: beat.revision }));
+    }
+    if beat.leaving {
+        seen.control.input(Input::Members(MembersEvent::Leaving(seen.peer.clone())));
+    }
+}
+
+/// Serves one of the conversations that every instance has.
+///
+/// # Errors
+/// When the connection broke or the peer sent what can't be read.
+pub async fn serve(shared: &Arc<Shared>, control: &ControlHandle, incoming: Incoming) -> Result<(), WireError> {
+    match incoming.route {
+        Route::Follow => serve_follow(shared, control, incoming).await,
+        Route::Fetch => serve_fetch(control, incoming).await,
+        Route::Bills => serve_bills(shared, control, incoming).await,
+        Route::Confirmed => serve_confirmed(shared, incoming).await,
+        Route::Run | Route::Resolve => Err(WireError::Route { path: incoming.route.to_string() }),
+    }
+}
+
+async fn serve_follow(shared: &Arc<Shared>, control: &ControlHandle, incoming: Incoming) -> Result<(), WireError> {
+    let peer = incoming.from.clone();
+    let (reader, writer) = incoming.accept()?;
+    let seen = Exchange { shared, control, peer: &peer };
+    let result = exchange(&seen, reader, writer, |beat| {
+        shared.followers.lock().insert(peer.clone(), beat.revision);
+    })
+    .await;
+    shared.followers.lock().swap_remove(&peer);
+    result
+}
+
+async fn serve_fetch(control: &ControlHandle, incoming: Incoming) -> Result<(), WireError> {
+    let (mut reader, mut writer) = incoming.accept::<FetchAsk, FetchReply>()?;
+    let after = reader.expect().await?.after;
+    let snapshot = control.query(move |kernel| kernel.settings().map(|follower| follower.since(after))).await;
+    match snapshot.flatten() {
+        Some(snapshot) => writer.finish(&snapshot).await,
+        None => Err(WireError::Closed),
+    }
+}
+
+async fn serve_bills(shared: &Shared, control: &ControlHandle, incoming: Incoming) -> Result<(), WireError> {
+    let (mut reader, mut writer) = incoming.accept::<BillsAsk, BillsReply>()?;
+    let reply = match reader.expect().await? {
+        BillsAsk::Take(_) if shared.is_leaving() => BillsReply::Declined,
+        BillsAsk::Take(rows) => {
+            for row in rows {
+                control.input(Input::Billing(BillingEvent::Add(row)));
+            }
+            BillsReply::Taken
+        }
+        BillsAsk::Settled(requests) => {
+            control.input(Input::Billing(BillingEvent::Settled(requests)));
+            BillsReply::Taken
+        }
+    };
+    writer.finish(&reply).await
+}
+
+async fn serve_confirmed(shared: &Shared, incoming: Incoming) -> Result<(), WireError> {
+    let (mut reader, mut writer) = incoming.accept::<ConfirmedAsk, ConfirmedReply>()?;
+    reader.expect().await?;
+    let own = Revision(*shared.revision.borrow());
+    writer.finish(&ConfirmedReply { own, followers: shared.followers.confirmations() }).await
+}
--- /dev/null
+++ b/crates/bluebelld/src/shared.rs
@@ -0,0 +1,109 @@
+//! What all threads of the process share.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::UNIX_EPOCH,
+};
+
+use arc_swap::ArcSwap;
+use bluebell_core::{
+    clock::Clock,
+    ids::Incarnation,
+    keys::KeyRing,
+    members::Members,
+    routing::{Plan, Subset},
+    settings::State,
+};
+use bluebell_platform::Platform;
+use bluebell_wire::Identity;
+use tokio::sync::watch;
+
+use crate::{config::Config, error::DaemonError, links::Links, metrics::Metrics, peers::Followers};
+
+/// Settings in force, with what they allow.
+#[derive(Debug, Default)]
+pub struct Published {
+    /// The state.
+    pub state: Arc<State>,
+    /// What it allows.
+    pub plan: Arc<Plan>,
+}
+
+/// What all threads of the process share.
+pub struct Shared {
+    /// Settings of the daemon.
+    pub config: Config,
+    /// Source of time.
+    pub clock: Arc<dyn Clock>,
+    /// Who this process is.
+    pub identity: Arc<Identity>,
+    /// Start of this process.
+    pub incarnation: Incarnation,
+    /// Client of the platform.
+    pub platform: Platform,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Settings in force.
+    pub published: ArcSwap<Published>,
+    /// Instances known.
+    pub members: ArcSwap<Members>,
+    /// Sidecars that this entry knows.
+    pub subset: ArcSwap<Subset>,
+    /// Connections to peers.
+    pub links: Links,
+    /// Instances that follow this one.
+    pub followers: Followers,
+    /// Number of attempts and load of the gate, for heartbeats.
+    pub load: ArcSwap<f32>,
+    /// Whether billing rows can be taken.
+    pub billing_full: AtomicBool,
+    /// Whether settings are known to be current.
+    pub current: AtomicBool,
+    /// Tells that the process is leaving.
+    pub leaving: watch::Sender<bool>,
+    /// Tells the revision in force.
+    pub revision: watch::Sender<u64>,
+}
+
+impl Shared {
+    /// Sets up what is shared.
+    ///
+    /// # Errors
+    /// When the keys are wrong, or a client or the metrics can't be set up.
+    pub fn new(config: Config, clock: Arc<dyn Clock>) -> Result<Arc<Self>, DaemonError> {
+        let keys = Arc::new(KeyRing::new(&config.keys)?);
+        let identity = Arc::new(Identity::new(config.instance.id.clone(), keys, Arc::clone(&clock)));
+        let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Ok(Arc::new(Self {
+            platform: Platform::new(config.platform.clone())?,
+            metrics: Metrics::new()?,
+            incarnation: Incarnation(started.as_millis() as u64),
+            config,
+            clock,
+            identity,
+            published: ArcSwap::default(),
+            members: ArcSwap::default(),
+            subset: ArcSwap::default(),
+            links: Links::default(),
+            followers: Followers::default(),
+            load: ArcSwap::default(),
+            billing_full: AtomicBool::new(false),
+            current: AtomicBool::new(false),
+            leaving: watch::Sender::new(false),
+            revision: watch::Sender::new(0),
+        }))
+    }
+
+    /// Whether the process is leaving.
+    pub fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+
+    /// Whether new work may be given to this process.
+    pub fn is_ready(&self) -> bool {
+        self.current.load(Ordering::Relaxed) && !self.is_leaving() && self.published.load().state.revision.0 > 0
+    }
+}
--- /dev/null
+++ b/crates/bluebelld/src/shutdown.rs
@@ -0,0 +1,19 @@
+//! Waiting for the order to stop.
+
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Waits for SIGTERM or SIGINT.
+pub async fn ordered() {
+    let term = signal(SignalKind::terminate());
+    let interrupt = signal(SignalKind::interrupt());
+    match (term, interrupt) {
+        (Ok(mut term), Ok(mut interrupt)) => {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        }
+        // Without handlers the system's default ends the process, so there is nothing to wait for.
+        _ => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/bluebelld/src/sidecar/attempt.rs
@@ -0,0 +1,148 @@
+//! One attempt at the runner: the gate decides whether and when it starts.
+
+use std::sync::Arc;
+
+use bluebell_core::{
+    gate::{GateEffect, GateEvent, Refusal, RefusalReason},
+    ids::{AttemptId, Permit},
+    intent::Reservation,
+    kernel::Input,
+};
+use bluebell_wire::{
+    FrameReader, FrameWriter, Incoming, WireError,
+    messages::{FromSidecar, Payload, Task, ToSidecar},
+};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+use super::{Sidecar, engine, service};
+
+/// An attempt with its conversation.
+pub struct Attempt {
+    /// The sidecar.
+    pub sidecar: Arc<Sidecar>,
+    /// What to do.
+    pub task: Task,
+    /// To the entry.
+    pub writer: FrameWriter<FromSidecar>,
+    reader: FrameReader<ToSidecar>,
+    effects: UnboundedReceiver<GateEffect>,
+}
+
+/// Serves one attempt.
+///
+/// # Errors
+/// When the connection broke.
+pub async fn serve(sidecar: &Arc<Sidecar>, incoming: Incoming) -> Result<(), WireError> {
+    let _work = sidecar.work();
+    let (mut reader, writer) = incoming.accept::<ToSidecar, FromSidecar>()?;
+    let ToSidecar::Ask(task) = reader.expect().await? else {
+        return Err(WireError::Closed);
+    };
+    let effects = sidecar.control.ask(task.ask.clone());
+    let attempt = Attempt { sidecar: Arc::clone(sidecar), task: *task, writer, reader, effects };
+    attempt.admit().await
+}
+
+impl Attempt {
+    /// Id of the attempt.
+    pub fn id(&self) -> &AttemptId {
+        &self.task.ask.attempt
+    }
+
+    /// Tells the gate about this attempt.
+    pub fn tell(&self, event: GateEvent) {
+        self.sidecar.control.input(Input::Gate(event));
+    }
+
+    /// Tells the gate that the runner is done.
+    pub fn finish(&self) {
+        self.tell(GateEvent::Finish { attempt: self.id().clone() });
+    }
+
+    /// Tells the gate that nobody waits for the attempt.
+    pub fn abandon(&self) {
+        self.tell(GateEvent::Abandon { attempt: self.id().clone() });
+    }
+
+    async fn admit(mut self) -> Result<(), WireError> {
+        let effect = tokio::select! {
+            effect = self.effects.recv() => effect,
+            () = self.writer.closed() => None,
+        };
+        match effect {
+            Some(GateEffect::Start { .. }) => self.run().await,
+            Some(GateEffect::Reserve { permit, .. }) => self.reserved(permit).await,
+            Some(GateEffect::Refuse { refusal, .. }) => self.refuse(refusal).await,
+            Some(GateEffect::Stop { .. }) | None => {
+                self.abandon();
+                Ok(())
+            }
+        }
+    }
+
+    /// Says that the attempt did not run.
+    pub async fn refuse(mut self, refusal: Refusal) -> Result<(), WireError> {
+        self.writer.finish(&FromSidecar::Refused(refusal)).await
+    }
+
+    async fn run(mut self) -> Result<(), WireError> {
+        let payload = self.task.payload.clone();
+        if self.writer.send(&FromSidecar::Started).await.is_err() {
+            self.abandon();
+            return Ok(());
+        }
+        match payload {
+            Payload::Chat(chat) => engine::run(self, chat).await,
+            Payload::Call(call) => service::run(self, call).await,
+        }
+    }
+
+    async fn reserved(mut self, permit: Permit) -> Result<(), WireError> {
+        let now = self.sidecar.shared.clock.now();
+        self.sidecar.calls.reserve(self.id(), now);
+        let reservation = Reservation {
+            attempt: self.id().clone(),
+            sidecar: self.sidecar.shared.config.instance.id.clone(),
+            incarnation: self.sidecar.shared.incarnation,
+            permit,
+        };
+        if self.writer.send(&FromSidecar::Reserved(reservation)).await.is_err() {
+            return self.close();
+        }
+        // The gate may take the place back while the order is awaited.
+        let order = tokio::select! {
+            order = self.reader.next() => order,
+            effect = self.effects.recv() => return self.taken_back(effect).await,
+        };
+        match order {
+            Ok(Some(ToSidecar::Go(order))) => self.go(order).await,
+            _ => self.close(),
+        }
+    }
+
+    async fn go(mut self, order: Permit) -> Result<(), WireError> {
+        if !self.sidecar.calls.start(self.id()) {
+            self.abandon();
+            return self.refuse(Refusal::new(RefusalReason::NoReservation, std::time::Duration::ZERO)).await;
+        }
+        self.tell(GateEvent::Go { attempt: self.id().clone(), permit: order });
+        match self.effects.recv().await {
+            Some(GateEffect::Start { .. }) => self.run().await,
+            effect => self.taken_back(effect).await,
+        }
+    }
+
+    async fn taken_back(self, effect: Option<GateEffect>) -> Result<(), WireError> {
+        self.sidecar.calls.close(self.id(), self.sidecar.shared.clock.now());
+        match effect {
+            Some(GateEffect::Refuse { refusal, .. }) => self.refuse(refusal).await,
+            _ => self.close(),
+        }
+    }
+
+    fn close(self) -> Result<(), WireError> {
+        self.sidecar.calls.close(self.id(), self.sidecar.shared.clock.now());
+        self.abandon();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/bluebelld/src/sidecar/engine.rs
@@ -0,0 +1,222 @@
+//! A chat completion at a model engine: always streamed, continued from what the caller has already.
+
+use std::time::Duration;
+
+use bluebell_core::{
+    billing::{BillRow, BillingEvent, HOLD_PERIOD},
+    gate::{Refusal, RefusalReason, Work},
+    kernel::Input,
+    retry::DEFAULT_PAUSE,
+    units::Tokens,
+};
+use bluebell_wire::{
+    WireError,
+    messages::{Chat, Delta, FromSidecar, Usage},
+};
+use eventsource_stream::{Event, Eventsource};
+use futures_util::{Stream, StreamExt};
+use serde::Deserialize;
+
+use super::attempt::Attempt;
+
+/// Events of an engine that are passed on together when they are there together.
+const MERGED_EVENTS: usize = 64;
+/// Data of the event that ends a stream.
+const DONE: &str = "[DONE]";
+
+#[derive(Debug, Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<Choice>,
+    usage: Option<EngineUsage>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Choice {
+    delta: Option<DeltaBody>,
+    finish_reason: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct DeltaBody {
+    content: Option<String>,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+struct EngineUsage {
+    prompt_tokens: u64,
+}
+
+/// What an engine has given so far.
+#[derive(Debug, Default)]
+struct Progress {
+    output: u64,
+    prompt: u64,
+    reason: Option<String>,
+    done: bool,
+}
+
+/// How an engine's stream went on.
+enum Step {
+    Text(Delta),
+    End,
+    Broken,
+}
+
+/// Runs a chat completion.
+///
+/// # Errors
+/// When the connection to the entry broke.
+pub async fn run(mut attempt: Attempt, chat: Chat) -> Result<(), WireError> {
+    let Some(body) = engine_body(&attempt, &chat) else {
+        attempt.finish();
+        let refusal = Refusal::new(RefusalReason::NotServed, Duration::ZERO);
+        return attempt.refuse(refusal).await;
+    };
+    let url = format!("{}/v1/chat/completions", attempt.sidecar.runner.url);
+    let sent = attempt.sidecar.client.post(url).header("content-type", "application/json").body(body).send();
+    let response = tokio::select! {
+        response = sent => response,
+        () = attempt.writer.closed() => {
+            attempt.abandon();
+            return Ok(());
+        }
+    };
+    match response {
+        Ok(response) if response.status().is_success() => {
+            let events = response.bytes_stream().eventsource().map(Result::ok);
+            pass_on(attempt, &chat, events).await
+        }
+        Ok(response) => {
+            log::warn!(status = response.status().as_u16(); "the engine refused an attempt");
+            attempt.finish();
+            attempt.refuse(Refusal::new(RefusalReason::NotServed, DEFAULT_PAUSE)).await
+        }
+        Err(error) if error.is_connect() => {
+            attempt.finish();
+            attempt.refuse(Refusal::new(RefusalReason::RunnerDown, DEFAULT_PAUSE)).await
+        }
+        Err(error) => {
+            log::warn!("the engine failed under an attempt: {error}");
+            attempt.finish();
+            attempt.writer.finish(&FromSidecar::Failed).await
+        }
+    }
+}
+
+// The caller's body with the router's own fields put in; none when the body is not a JSON object.
+fn engine_body(attempt: &Attempt, chat: &Chat) -> Option<String> {
+    let mut fields: serde_json::Map<String, serde_json::Value> = serde_json::from_str(&chat.body).ok()?;
+    let ask = &attempt.task.ask;
+    let version = ask.work.name();
+    let own = [
+        ("model", version.into()),
+        ("version", version.into()),
+        ("stream", true.into()),
+        ("max_tokens", chat.max_tokens.0.into()),
+        ("resume_tokens", chat.prior.output.0.into()),
+        ("priority", ask.priority.index().into()),
+        ("attempt", ask.attempt.as_str().into()),
+    ];
+    fields.extend(own.into_iter().map(|(name, value)| (name.to_owned(), value)));
+    serde_json::to_string(&fields).ok()
+}
+
+async fn pass_on(
+    mut attempt: Attempt,
+    chat: &Chat,
+    events: impl Stream<Item = Option<Event>> + Unpin,
+) -> Result<(), WireError> {
+    let mut events = events.ready_chunks(MERGED_EVENTS);
+    let mut progress = Progress::default();
+    loop {
+        let batch = tokio::select! {
+            batch = events.next() => batch,
+            () = attempt.writer.closed() => return abandon(&attempt, chat, &progress),
+        };
+        let step = batch.map_or(Step::Broken, |batch| progress.take(batch));
+        let sent = match step {
+            Step::Text(delta) => attempt.writer.send(&FromSidecar::Delta(delta)).await,
+            Step::End => return end(attempt, chat, &progress).await,
+            Step::Broken => {
+                attempt.finish();
+                return attempt.writer.finish(&FromSidecar::Failed).await;
+            }
+        };
+        if sent.is_err() {
+            return abandon(&attempt, chat, &progress);
+        }
+        if progress.done {
+            return end(attempt, chat, &progress).await;
+        }
+    }
+}
+
+impl Progress {
+    fn take(&mut self, batch: Vec<Option<Event>>) -> Step {
+        let mut text = String::new();
+        let mut tokens = 0;
+        for event in batch {
+            let Some(event) = event else { return Step::Broken };
+            if event.data == DONE {
+                self.done = true;
+                break;
+            }
+            let Ok(chunk) = serde_json::from_str::<Chunk>(&event.data) else { return Step::Broken };
+            tokens += self.read(chunk, &mut text);
+        }
+        self.output += tokens;
+        if tokens == 0 && self.done { Step::End } else { Step::Text(Delta { text, tokens: Tokens(tokens) }) }
+    }
+
+    // Gives the number of tokens read.
+    fn read(&mut self, chunk: Chunk, text: &mut String) -> u64 {
+        if let Some(usage) = chunk.usage {
+            self.prompt = usage.prompt_tokens;
+        }
+        let Some(choice) = chunk.choices.into_iter().next() else { return 0 };
+        if choice.finish_reason.is_some() {
+            self.reason = choice.finish_reason;
+        }
+        let Some(content) = choice.delta.and_then(|delta| delta.content) else { return 0 };
+        text.push_str(&content);
+        1
+    }
+}
+
+async fn end(mut attempt: Attempt, chat: &Chat, progress: &Progress) -> Result<(), WireError> {
+    hold_row(&attempt, chat, progress, HOLD_PERIOD);
+    attempt.finish();
+    let usage = Usage {
+        prompt: Tokens(progress.prompt),
+        output: Tokens(progress.output),
+        reason: progress.reason.clone().unwrap_or_else(|| "stop".to_owned()),
+    };
+    attempt.writer.finish(&FromSidecar::Finished(usage)).await
+}
+
+// Nobody listens: the engine's stream is dropped, which cancels it there. The entry may only be cut off and go on
+// elsewhere, so the row of what was generated here waits until that would be over.
+fn abandon(attempt: &Attempt, chat: &Chat, progress: &Progress) -> Result<(), WireError> {
+    attempt.abandon();
+    hold_row(attempt, chat, progress, attempt.task.deadline + HOLD_PERIOD);
+    Ok(())
+}
+
+fn hold_row(attempt: &Attempt, chat: &Chat, progress: &Progress, period: Duration) {
+    let ask = &attempt.task.ask;
+    let Work::Version(version) = &ask.work else { return };
+    let output = chat.prior.output + Tokens(progress.output);
+    let prompt = Tokens(progress.prompt);
+    let row = BillRow {
+        request: attempt.task.request.clone(),
+        org: ask.org.clone(),
+        version: version.clone(),
+        priority: ask.priority,
+        prompt,
+        output,
+        cost: chat.price.of(prompt + output),
+        attempts: chat.prior.attempts + 1,
+    };
+    attempt.sidecar.control.input(Input::Billing(BillingEvent::Hold { row, period }));
+}
--- /dev/null
+++ b/crates/bluebelld/src/sidecar/mod.rs
@@ -0,0 +1,143 @@
+//! The sidecar: stands before one runner, admits attempts through the gate, and passes the runner's answers on.
+
+mod attempt;
+mod calls;
+mod engine;
+mod service;
+
+use std::sync::Arc;
+
+use bluebell_core::{
+    billing::Outbox,
+    gate::{Gate, GateEvent},
+    kernel::{Input, Kernel, Service},
+    members::Members,
+    settings::Follower,
+};
+use bluebell_wire::{Incoming, Route as Kind, Server as PeerServer, WireError};
+use calls::Calls;
+use poem::{EndpointExt, Route, Server, get, listener::TcpListener};
+use snafu::ResultExt;
+use tokio::sync::{mpsc, watch};
+
+use crate::{
+    config::Runner,
+    control::{self, ControlHandle},
+    entry,
+    error::{ConfigValueSnafu, DaemonError, ListenSnafu},
+    peers, probe,
+    shared::Shared,
+    shutdown,
+};
+
+/// Streams of peers that wait to be looked at.
+const PEER_BACKLOG: usize = 256;
+
+/// State of a sidecar.
+pub struct Sidecar {
+    shared: Arc<Shared>,
+    control: ControlHandle,
+    runner: Runner,
+    client: reqwest::Client,
+    calls: Calls,
+    working: watch::Sender<u64>,
+}
+
+/// Counts as work in progress until dropped, so that a planned stop waits for it.
+struct Work(Arc<Sidecar>);
+
+impl Sidecar {
+    fn work(self: &Arc<Self>) -> Work {
+        self.working.send_modify(|count| *count += 1);
+        Work(Arc::clone(self))
+    }
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        self.0.working.send_modify(|count| *count -= 1);
+    }
+}
+
+/// Runs a sidecar until it is told to stop.
+///
+/// # Errors
+/// When it can't listen or start its threads.
+pub async fn run(shared: Arc<Shared>) -> Result<(), DaemonError> {
+    let Some(runner) = shared.config.runner.clone() else {
+        return ConfigValueSnafu { path: "", key: "runner", reason: "a sidecar has a runner" }.fail();
+    };
+    let kernel = Kernel::default()
+        .with(Service::Settings(Box::<Follower>::default()))
+        .with(Service::Members(Box::<Members>::default()))
+        .with(Service::Billing(Box::<Outbox>::default()))
+        .with(Service::Gate(Box::new(Gate::new(runner.slots, runner.serves.clone()))));
+    let address = shared.config.listen.peers;
+    let context = ListenSnafu { address: address.to_string() };
+    let listener = tokio::net::TcpListener::bind(address).await.context(context)?;
+    let (control, _thread) = control::start(Arc::clone(&shared), kernel)?;
+    let (streams, incoming) = mpsc::channel(PEER_BACKLOG);
+    let (closing, closed) = watch::channel(false);
+    let server = PeerServer::new(Arc::clone(&shared.identity), streams, closed);
+    tokio::spawn(server.run(listener));
+    let client = reqwest::Client::builder().tcp_nodelay(true).pool_max_idle_per_host(runner.slots).build()?;
+    let sidecar = Arc::new(Sidecar {
+        shared: Arc::clone(&shared),
+        control,
+        runner,
+        client,
+        calls: Calls::default(),
+        working: watch::Sender::new(0),
+    });
+    tokio::spawn(serve_peers(Arc::clone(&sidecar), incoming));
+    tokio::spawn(serve_public(Arc::clone(&shared)));
+    log::info!(address = address.to_string().as_str(); "sidecar listens");
+    shutdown::ordered().await;
+    leave(&sidecar, &closing).await;
+    Ok(())
+}
+
+async fn leave(sidecar: &Arc<Sidecar>, closing: &watch::Sender<bool>) {
+    log::info!("leaving");
+    sidecar.control.input(Input::Gate(GateEvent::Leave));
+    sidecar.shared.leaving.send_replace(true);
+    let mut working = sidecar.working.subscribe();
+    let idle = working.wait_for(|count| *count == 0);
+    if tokio::time::timeout(sidecar.shared.config.timing.drain, idle).await.is_err() {
+        log::error!("attempts were still running at the end of the drain time");
+    }
+    entry::settle_rows(&sidecar.shared, &sidecar.control).await;
+    closing.send_replace(true);
+    log::info!("left");
+}
+
+async fn serve_public(shared: Arc<Shared>) {
+    let app = Route::new()
+        .at("/healthz", get(probe::health))
+        .at("/readyz", get(probe::ready))
+        .at("/metrics", get(probe::metrics))
+        .data(Arc::clone(&shared));
+    let listener = TcpListener::bind(shared.config.listen.public);
+    if let Err(error) = Server::new(listener).run(app).await {
+        log::error!("health and metrics can't be served: {error}");
+    }
+}
+
+async fn serve_peers(sidecar: Arc<Sidecar>, mut incoming: mpsc::Receiver<Incoming>) {
+    while let Some(stream) = incoming.recv().await {
+        let sidecar = Arc::clone(&sidecar);
+        tokio::spawn(async move {
+            if let Err(error) = serve(&sidecar, stream).await {
+                log::debug!("a peer's conversation ended: {error}");
+            }
+        });
+    }
+}
+
+async fn serve(sidecar: &Arc<Sidecar>, incoming: Incoming) -> Result<(), WireError> {
+    match incoming.route {
+        Kind::Run => attempt::serve(sidecar, incoming).await,
+        Kind::Resolve => calls::resolve(sidecar, incoming).await,
+        _ => peers::serve(&sidecar.shared, &sidecar.control, incoming).await,
+    }
+}
--- /dev/null
+++ b/crates/bluebelld/tests/integration/main.rs
@@ -0,0 +1,5 @@
+//! Integration tests with real processes on loopback.
+
+mod util;
+
+mod path;
--- /dev/null
+++ b/crates/bluebelld/tests/integration/util/process.rs
@@ -0,0 +1,113 @@
+//! A process that a test started, ended by its id when the test is over.
+
+use std::{
+    fs::File,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+
+use super::until;
+
+/// A process that a test started.
+pub struct Process {
+    name: String,
+    program: PathBuf,
+    args: Vec<String>,
+    log: PathBuf,
+    child: Child,
+}
+
+/// A program of this workspace, built beside the test.
+pub fn program(name: &str) -> PathBuf {
+    let test = std::env::current_exe().expect("a test has a path");
+    let folder = test.parent().and_then(Path::parent).expect("a test stands in deps");
+    let program = folder.join(name);
+    assert!(program.exists(), "{name} is not built: run `cargo test --workspace` or `cargo build --workspace`");
+    program
+}
+
+impl Process {
+    /// Starts a program; its standard error goes to a file in the folder.
+    pub fn start(name: &str, program_name: &str, args: &[String], folder: &Path) -> Self {
+        let program = program(program_name);
+        let log = folder.join(format!("{name}.log"));
+        let child = spawn(&program, args, &log);
+        Self { name: name.to_owned(), program, args: args.to_vec(), log, child }
+    }
+
+    /// Starts the same program again.
+    pub fn restart(&mut self) {
+        self.kill();
+        self.child = spawn(&self.program, &self.args, &self.log);
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32);
+        kill(pid, signal).unwrap_or_else(|error| panic!("signal to {}: {error}", self.name));
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("a child can be killed");
+        self.child.wait().expect("a killed child ends");
+    }
+
+    /// Freezes the process.
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Tells the process to stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Waits for the process to end; gives its exit code.
+    pub async fn ended(&mut self) -> Option<i32> {
+        let name = self.name.clone();
+        let mut code = None;
+        let child = std::cell::RefCell::new(&mut self.child);
+        until(&format!("{name} to end"), || {
+            let status = child.borrow_mut().try_wait().expect("a child can be waited for");
+            code = status.and_then(|status| status.code());
+            async move { status.is_some() }
+        })
+        .await;
+        code
+    }
+
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// What the process logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+fn spawn(program: &Path, args: &[String], log: &Path) -> Child {
+    let file = File::options().create(true).append(true).open(log).expect("the log can be opened");
+    let mut command = Command::new(program);
+    command.args(args).stdin(Stdio::null()).stdout(Stdio::null()).stderr(file);
+    command.spawn().unwrap_or_else(|error| panic!("{}: {error}", program.display()))
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // The process may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
