Proofs under failure with real processes: 48 integration tests

Found and mended: - Entries gave work to sidecars whose settings were not current yet (503 'no settings yet'). A heartbeat now says starting, open or leaving, and only open ones get work. - An innocent request died of two crashes caused by a poisonous one beside it. A request under which a runner failed before it gave anything now runs isolated next. - A failure before the runner had the request counted as a crash of the request; it is told apart now (lost against failed). - A sidecar replaced under the same id stayed 'leaving' for 60 s, so that after three replacements no runner was left. The connection is kept, and its word 'open' counts. - An entry was ready before it was connected to any runner.

Ruled out: raising the number of crashes a request may survive (the poison would then kill a third runner).

--- a/crates/bluebell-core/src/gate/mod.rs
+++ b/crates/bluebell-core/src/gate/mod.rs
@@ -7,7 +7,7 @@
 pub mod queue;
 mod types;
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
 pub use types::{Ask, GateEffect, GateEvent, Refusal, RefusalReason, Work};
@@ -49,6 +49,8 @@
     plan: Option<(Revision, Arc<Plan>)>,
     leaving: bool,
     queue: Queue,
+    isolated: VecDeque<AttemptId>,
+    alone: Option<AttemptId>,
     held: IndexMap<AttemptId, Held>,
     ended: IndexMap<AttemptId, Duration>,
     permits: Permit,
@@ -65,6 +67,8 @@
             plan: None,
             leaving: false,
             queue: Queue::default(),
+            isolated: VecDeque::new(),
+            alone: None,
             held: IndexMap::new(),
             ended: IndexMap::new(),
             permits: Permit::default(),
@@ -74,7 +78,7 @@
     /// Share of places in use, queue included.
     #[must_use]
     pub fn load(&self) -> f32 {
-        (self.busy + self.queue.len()) as f32 / self.slots.max(1) as f32
+        (self.busy + self.queue.len() + self.isolated.len()) as f32 / self.slots.max(1) as f32
     }
 
     /// Attempts queued, reserved or running.
@@ -110,7 +114,11 @@
             effects.push(GateEffect::Refuse { attempt: ask.attempt, refusal });
             return;
         }
-        self.queue.push(&ask);
+        if ask.isolated {
+            self.isolated.push_back(ask.attempt.clone());
+        } else {
+            self.queue.push(&ask);
+        }
         let held = Held { stage: Stage::Queued, started: now, ask };
         self.held.insert(held.ask.attempt.clone(), held);
     }
@@ -125,7 +133,8 @@
         if let Some(reason) = self.rule_against(ask) {
             return Some(Refusal::new(reason, ELSEWHERE_PAUSE));
         }
-        if self.busy < self.slots && self.queue.is_empty() {
+        let idle = self.busy < self.slots && self.queue.is_empty();
+        if ask.isolated || idle && self.alone.is_none() && self.isolated.is_empty() {
             return None;
         }
         let wait = self.queue.expected_wait(ask.priority, self.slots);
@@ -154,8 +163,7 @@
     }
 
     fn fill(&mut self, now: Duration, effects: &mut Vec<GateEffect>) {
-        while self.busy < self.slots {
-            let Some(attempt) = self.queue.pop() else { return };
+        while let Some(attempt) = self.next_attempt() {
             let Some(held) = self.held.get_mut(&attempt) else { continue };
             self.busy += 1;
             held.started = now;
@@ -170,6 +178,21 @@
         }
     }
 
+    // While an isolated attempt waits nothing else starts, so that the runner becomes free for it alone.
+    fn next_attempt(&mut self) -> Option<AttemptId> {
+        if self.alone.is_some() {
+            return None;
+        }
+        if self.isolated.is_empty() {
+            return if self.busy < self.slots { self.queue.pop() } else { None };
+        }
+        if self.busy > 0 {
+            return None;
+        }
+        self.alone = self.isolated.pop_front();
+        self.alone.clone()
+    }
+
     fn go(&mut self, now: Duration, attempt: &AttemptId, order: Permit, effects: &mut Vec<GateEffect>) {
         let stage = self.held.get(attempt).map(|held| held.stage.clone());
         match stage {
@@ -207,10 +230,13 @@
 
     fn release(&mut self, now: Duration, attempt: &AttemptId) {
         let Some(held) = self.held.swap_remove(attempt) else { return };
-        if held.stage == Stage::Queued {
-            self.queue.remove(attempt);
-        } else {
-            self.busy -= 1;
+        match held.stage {
+            Stage::Queued if held.ask.isolated => self.isolated.retain(|other| other != attempt),
+            Stage::Queued => self.queue.remove(attempt),
+            Stage::Reserved { .. } | Stage::Running => self.busy -= 1,
+        }
+        if self.alone.as_ref() == Some(attempt) {
+            self.alone = None;
         }
         self.ended.insert(attempt.clone(), now);
     }
--- a/crates/bluebell-core/src/gate/types.rs
+++ b/crates/bluebell-core/src/gate/types.rs
@@ -49,6 +49,8 @@
     pub patience: Duration,
     /// Whether it runs only on a second order.
     pub two_step: bool,
+    /// Whether it runs with nothing beside it, since a runner failed under it before it gave anything.
+    pub isolated: bool,
 }
 
 /// Why an attempt did not run.
--- a/crates/bluebell-core/src/members.rs
+++ b/crates/bluebell-core/src/members.rs
@@ -65,6 +65,8 @@
     List(Vec<Listed>),
     /// An instance said that it leaves.
     Leaving(InstanceId),
+    /// An instance said that it takes work, so one of its id has come back.
+    Open(InstanceId),
 }
 
 /// All instances known here.
@@ -80,6 +82,7 @@
         match event {
             MembersEvent::List(list) => self.replace(now, list),
             MembersEvent::Leaving(instance) => self.leaving.insert(instance, now).is_none(),
+            MembersEvent::Open(instance) => self.leaving.shift_remove(&instance).is_some(),
         }
     }
 
@@ -99,6 +102,12 @@
         listed || self.leaving.contains_key(instance)
     }
 
+    /// Whether an instance itself said that it is on its way out.
+    #[must_use]
+    pub fn said_leaving(&self, instance: &InstanceId) -> bool {
+        self.leaving.contains_key(instance)
+    }
+
     /// An instance as listed.
     #[must_use]
     pub fn get(&self, instance: &InstanceId) -> Option<&Listed> {
@@ -110,10 +119,11 @@
         self.listed.values()
     }
 
-    /// Sidecars that may take new work.
+    /// Sidecars that the platform means to stay. One that said it leaves is among them: the connection to it is kept,
+    /// since only there is it heard when it comes back.
     #[must_use]
-    pub fn open_sidecars(&self) -> Vec<Node> {
-        let open = |item: &&Listed| item.role == Role::Sidecar && !self.is_leaving(&item.instance);
+    pub fn listed_sidecars(&self) -> Vec<Node> {
+        let open = |item: &&Listed| item.role == Role::Sidecar && item.phase == Phase::Live;
         let node = |item: &Listed| Node {
             instance: item.instance.clone(),
             zone: item.zone.clone(),
@@ -143,7 +153,7 @@
     /// own zone where there are some.
     #[must_use]
     pub fn followed(&self, own: &InstanceId, zone: &ZoneId, role: Role) -> Vec<&Listed> {
-        let other = |item: &&Listed| item.instance != *own && !self.is_leaving(&item.instance);
+        let other = |item: &&Listed| item.instance != *own && item.phase == Phase::Live;
         let near: Vec<&Listed> = match role {
             Role::Entry => self.pollers(zone).into_iter().filter(other).collect(),
             Role::Sidecar => self.entries(Some(zone)).filter(other).collect(),
--- a/crates/bluebell-core/src/retry.rs
+++ b/crates/bluebell-core/src/retry.rs
@@ -18,7 +18,9 @@
 pub enum Ended {
     /// The sidecar refused it: it did not run.
     Refused,
-    /// The connection or the runner failed; it may have run.
+    /// The connection failed before the runner was known to have it; it may have run.
+    Lost,
+    /// The runner had it and failed.
     Failed,
 }
 
@@ -38,13 +40,23 @@
     pub begun: u32,
     /// Attempts whose runner failed.
     pub crashes: u32,
+    /// Attempts of which nobody knows whether they ran.
+    pub lost: u32,
 }
 
 impl Tries {
+    /// Whether it is certain that no attempt ran.
+    #[must_use]
+    pub fn none_ran(&self) -> bool {
+        self.crashes == 0 && self.lost == 0
+    }
+
     /// Decides what follows an attempt of idempotent work.
     pub fn next_step(&mut self, ended: Ended, budget: &mut Budget) -> RetryStep {
-        if ended == Ended::Failed {
-            self.crashes += 1;
+        match ended {
+            Ended::Refused => {}
+            Ended::Lost => self.lost += 1,
+            Ended::Failed => self.crashes += 1,
         }
         if self.crashes >= MAX_CRASHES || !budget.take() {
             return RetryStep::GiveUp;
--- a/crates/bluebell-wire/src/client.rs
+++ b/crates/bluebell-wire/src/client.rs
@@ -10,12 +10,12 @@
 use h2::client::SendRequest;
 use http::Request;
 use serde::{Serialize, de::DeserializeOwned};
-use snafu::{ResultExt, ensure};
+use snafu::ResultExt;
 use tokio::{net::TcpStream, sync::watch, time::timeout};
 
 use crate::{
     Route, TOKEN_HEADER,
-    error::{ConnectSnafu, RequestSnafu, StatusSnafu, TimeoutSnafu, WireError},
+    error::{ConnectSnafu, RequestSnafu, TimeoutSnafu, WireError},
     frame::{FrameReader, FrameWriter},
 };
 
@@ -124,10 +124,10 @@
         *self.lost.borrow()
     }
 
-    /// Opens a stream.
+    /// Opens a stream, without waiting for the peer to accept it.
     ///
     /// # Errors
-    /// When the connection broke, the peer refuses, or it doesn't answer in time.
+    /// When the connection broke or carries too many streams.
     pub async fn stream<S, R>(&self, route: Route) -> Result<(FrameWriter<S>, FrameReader<R>), WireError>
     where
         S: Serialize,
@@ -140,11 +140,8 @@
         let late = TimeoutSnafu { address: self.address.as_str(), patience: self.patience };
         let opening = async {
             let mut sender = self.sender.clone().ready().await?;
-            let (response, stream) = sender.send_request(request, false)?;
-            let response = response.await?;
-            let status = response.status().as_u16();
-            ensure!(status == 200, StatusSnafu { status });
-            Ok((FrameWriter::new(stream), FrameReader::new(response.into_body())))
+            let (head, stream) = sender.send_request(request, false)?;
+            Ok((FrameWriter::new(stream), FrameReader::awaiting(head)))
         };
         timeout(self.patience, opening).await.unwrap_or_else(|_| late.fail())
     }
--- a/crates/bluebell-wire/src/frame.rs
+++ b/crates/bluebell-wire/src/frame.rs
@@ -3,23 +3,47 @@
 use std::{future::poll_fn, marker::PhantomData};
 
 use bytes::{Bytes, BytesMut};
-use h2::{RecvStream, SendStream};
+use h2::{RecvStream, SendStream, client::ResponseFuture};
 use serde::{Serialize, de::DeserializeOwned};
-use snafu::{OptionExt, ResultExt};
+use snafu::{OptionExt, ResultExt, ensure};
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
-use crate::error::{ClosedSnafu, DecodeSnafu, EncodeSnafu, WireError};
+use crate::error::{ClosedSnafu, DecodeSnafu, EncodeSnafu, StatusSnafu, WireError};
 
 /// Longest frame accepted, in bytes.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
+const OK: u16 = 200;
+
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
 }
 
+// The peer's half of a stream: its head is awaited only when the first message is read, so that the first message
+// of one's own need not wait for it.
+enum Source {
+    Head(ResponseFuture),
+    Body(RecvStream),
+}
+
+impl Source {
+    async fn body(&mut self) -> Result<&mut RecvStream, WireError> {
+        if let Self::Head(head) = self {
+            let response = head.await?;
+            let status = response.status().as_u16();
+            ensure!(status == OK, StatusSnafu { status });
+            *self = Self::Body(response.into_body());
+        }
+        match self {
+            Self::Body(stream) => Ok(stream),
+            Self::Head(_) => ClosedSnafu.fail(),
+        }
+    }
+}
+
 /// Reads messages of one type from a stream.
 pub struct FrameReader<T> {
-    stream: RecvStream,
+    source: Source,
     buffer: BytesMut,
     codec: LengthDelimitedCodec,
     kind: PhantomData<fn() -> T>,
@@ -27,7 +51,15 @@
 
 impl<T: DeserializeOwned> FrameReader<T> {
     pub(crate) fn new(stream: RecvStream) -> Self {
-        Self { stream, buffer: BytesMut::new(), codec: codec(), kind: PhantomData }
+        Self::from_source(Source::Body(stream))
+    }
+
+    pub(crate) fn awaiting(head: ResponseFuture) -> Self {
+        Self::from_source(Source::Head(head))
+    }
+
+    fn from_source(source: Source) -> Self {
+        Self { source, buffer: BytesMut::new(), codec: codec(), kind: PhantomData }
     }
 
     /// Reads the next message; none when the peer ended the stream properly.
@@ -40,11 +72,12 @@
             if let Some(frame) = frame {
                 return decode(&frame).map(Some);
             }
-            let Some(data) = self.stream.data().await else {
+            let stream = self.source.body().await?;
+            let Some(data) = stream.data().await else {
                 return if self.buffer.is_empty() { Ok(None) } else { ClosedSnafu.fail() };
             };
             let data = data?;
-            self.stream.flow_control().release_capacity(data.len())?;
+            stream.flow_control().release_capacity(data.len())?;
             self.buffer.extend_from_slice(&data);
         }
     }
--- a/crates/bluebell-wire/src/messages.rs
+++ b/crates/bluebell-wire/src/messages.rs
@@ -142,8 +142,19 @@
     pub revision: Revision,
     /// Share of the runner's places in use; zero from an entry.
     pub load: f32,
-    /// Whether the sender is leaving.
-    pub leaving: bool,
+    /// Whether the sender takes new work.
+    pub standing: Standing,
+}
+
+/// Whether an instance takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Standing {
+    /// Not yet: its settings are not known to be current.
+    Starting,
+    /// It does.
+    Open,
+    /// Not any more.
+    Leaving,
 }
 
 /// Question on [`Route::Fetch`](crate::Route::Fetch).
--- a/crates/bluebelld/src/control/effects.rs
+++ b/crates/bluebelld/src/control/effects.rs
@@ -53,7 +53,7 @@
         let own = &self.shared.config.instance;
         self.shared.members.store(Arc::new(members.clone()));
         if own.role == Role::Entry {
-            let subset = Subset::choose(&own.id, &own.zone, &members.open_sidecars());
+            let subset = Subset::choose(&own.id, &own.zone, &members.listed_sidecars());
             self.shared.subset.store(Arc::new(subset));
         }
         links::adopt(&self.shared, &self.handle, members);
--- a/crates/bluebelld/src/entry/admin.rs
+++ b/crates/bluebelld/src/entry/admin.rs
@@ -143,10 +143,11 @@
 pub fn members(entry: Data<&Arc<Entry>>, request: &Request) -> Response {
     guarded(&entry, request, |_| {
         let members = entry.shared.members.load();
+        let now = entry.shared.clock.now();
         let member = |listed: &Listed| Member {
             listed: listed.clone(),
             leaving: members.is_leaving(&listed.instance),
-            connected: entry.shared.links.open_connection(&listed.instance).is_some(),
+            connected: entry.shared.links.get(&listed.instance).is_some_and(|link| link.is_open(now)),
         };
         json(StatusCode::OK, &members.all().map(member).collect::<Vec<_>>())
     })
--- a/crates/bluebelld/src/entry/answer.rs
+++ b/crates/bluebelld/src/entry/answer.rs
@@ -65,6 +65,8 @@
     prior: Prior,
     prompt: Tokens,
     billed: bool,
+    suspect: bool,
+    progress: bool,
 }
 
 impl Answer {
@@ -82,6 +84,8 @@
             prior: Prior::default(),
             prompt: Tokens::default(),
             billed: false,
+            suspect: false,
+            progress: false,
         }
     }
 
@@ -109,6 +113,7 @@
                 Some(FromSidecar::Delta(delta)) => {
                     self.prior.text.push_str(&delta.text);
                     self.prior.output = self.prior.output + delta.tokens;
+                    self.progress = true;
                     return Ok(Piece::Delta(delta));
                 }
                 Some(FromSidecar::Finished(usage)) => {
@@ -154,10 +159,11 @@
             };
             self.tried.push(link.peer().clone());
             self.tries.begun += 1;
-            let request = AttemptRequest { two_step: false, deadline, payload: self.payload() };
+            let request = AttemptRequest { two_step: false, isolated: self.suspect, deadline, payload: self.payload() };
             match attempt::ask(entry, link, &self.question.job, work, request).await {
                 Ok((talk, _)) => {
                     self.prior.attempts += 1;
+                    self.progress = false;
                     self.talk = Some(talk);
                     return Ok(());
                 }
@@ -179,6 +185,8 @@
         if let Some(talk) = self.talk.take() {
             talk.link.eject(self.flow.entry().shared.clock.now());
         }
+        // Those that had given something are likely innocent of the failure, and those that had not are few.
+        self.suspect |= !self.progress;
         self.retry(Setback::Failed)
     }
 
@@ -213,7 +221,7 @@
             return Fault::RunnerFailed { ran: Ran::Yes };
         }
         // Where a runner failed under it once, no later refusal makes it certain that it did not run.
-        if self.tries.crashes > 0 {
+        if !self.tries.none_ran() {
             return Fault::RunnerFailed { ran: Ran::Unknown };
         }
         match &self.setback {
--- a/crates/bluebelld/src/entry/attempt.rs
+++ b/crates/bluebelld/src/entry/attempt.rs
@@ -45,7 +45,9 @@
     Refused(Refusal),
     /// The sidecar could not be reached: it did not run.
     Unreached,
-    /// The connection or the runner failed.
+    /// The connection failed before the sidecar said that the runner has it.
+    Lost,
+    /// The runner failed under it.
     Failed,
 }
 
@@ -54,6 +56,7 @@
     pub fn ended(&self) -> Ended {
         match self {
             Self::Refused(_) | Self::Unreached => Ended::Refused,
+            Self::Lost => Ended::Lost,
             Self::Failed => Ended::Failed,
         }
     }
@@ -122,6 +125,7 @@
         cost: job.cost,
         patience: job.patience,
         two_step: request.two_step,
+        isolated: request.isolated,
     };
     let task = Task { request: job.request.clone(), ask, deadline: request.deadline, payload: request.payload };
     let now = entry.shared.clock.now();
@@ -133,11 +137,12 @@
     })?;
     let mut talk = Conversation { link, reader, writer, over: false, _use: in_use };
     if talk.writer.send(&ToSidecar::Ask(Box::new(task))).await.is_err() {
-        return Err(Setback::Failed);
+        talk.link.eject(now);
+        return Err(Setback::Lost);
     }
     let Ok(Ok(first)) = timeout(job.patience + ANSWER_MARGIN, talk.reader.expect()).await else {
         talk.link.eject(now);
-        return Err(Setback::Failed);
+        return Err(Setback::Lost);
     };
     match first {
         FromSidecar::Refused(refusal) => Err(Setback::Refused(refusal)),
@@ -150,6 +155,8 @@
 pub struct AttemptRequest {
     /// Whether it runs only on a second order.
     pub two_step: bool,
+    /// Whether it runs with nothing beside it.
+    pub isolated: bool,
     /// Time left.
     pub deadline: Duration,
     /// What to send to the runner.
--- a/crates/bluebelld/src/entry/service.rs
+++ b/crates/bluebelld/src/entry/service.rs
@@ -141,7 +141,7 @@
     while let Some(link) = attempt::choose(entry, &served.work, &tried) {
         tried.push(link.peer().clone());
         let payload = Payload::Call(served.call.clone());
-        let request = AttemptRequest { two_step, deadline: served.deadline, payload };
+        let request = AttemptRequest { two_step, isolated: false, deadline: served.deadline, payload };
         match attempt::ask(entry, link, &served.job, served.work.clone(), request).await {
             Ok(found) => return Ok(found),
             Err(setback) => last = Some(setback),
@@ -154,7 +154,7 @@
     Err(match last {
         Some(Setback::Refused(refusal)) => Fault::Refused { refusal },
         // A reservation that failed ran nothing, whatever became of it.
-        Some(Setback::Failed) if !two_step => Fault::RunnerFailed { ran: Ran::Unknown },
+        Some(Setback::Failed | Setback::Lost) if !two_step => Fault::RunnerFailed { ran: Ran::Unknown },
         _ => Fault::NoRunner { work: served.work.name().to_owned() },
     })
 }
--- a/crates/bluebelld/src/links/keep.rs
+++ b/crates/bluebelld/src/links/keep.rs
@@ -6,7 +6,7 @@
     kernel::Input,
     members::{Listed, MembersEvent},
 };
-use bluebell_wire::{Connection, Route, WireError};
+use bluebell_wire::{Connection, Route, WireError, messages::Standing};
 use tokio::task::spawn_local;
 
 use super::Link;
@@ -58,7 +58,7 @@
     let seen = Exchange { shared, control, peer: link.peer() };
     let mut first = Some(connection);
     let result = exchange(&seen, reader, writer, |beat| {
-        link.report(beat.load, beat.leaving);
+        link.report(beat.load, beat.standing == Standing::Open);
         // Work is given only to a peer that has spoken.
         if let Some(connection) = first.take() {
             link.set_connection(Some(connection));
--- a/crates/bluebelld/src/links/link.rs
+++ b/crates/bluebelld/src/links/link.rs
@@ -27,7 +27,7 @@
     connection: ArcSwapOption<Connection>,
     own: AtomicU32,
     reported: AtomicU32,
-    leaving: AtomicBool,
+    open: AtomicBool,
     ejected: AtomicU64,
     dropped: watch::Sender<bool>,
 }
@@ -50,7 +50,7 @@
             connection: ArcSwapOption::empty(),
             own: AtomicU32::new(0),
             reported: AtomicU32::new(0),
-            leaving: AtomicBool::new(false),
+            open: AtomicBool::new(false),
             ejected: AtomicU64::new(0),
             dropped: watch::Sender::new(false),
         }
@@ -81,7 +81,7 @@
         let ejected = Duration::from_millis(self.ejected.load(Ordering::Relaxed));
         let connection = self.connection.load();
         let connected = connection.as_ref().is_some_and(|connection| !connection.is_lost());
-        connected && !self.leaving.load(Ordering::Relaxed) && now >= ejected
+        connected && self.open.load(Ordering::Relaxed) && now >= ejected
     }
 
     /// Gives the peer no work for a while, since it failed.
@@ -90,9 +90,9 @@
     }
 
     /// Takes note of the peer's word.
-    pub fn report(&self, load: f32, leaving: bool) {
+    pub fn report(&self, load: f32, open: bool) {
         self.reported.store(load.to_bits(), Ordering::Relaxed);
-        self.leaving.store(leaving, Ordering::Relaxed);
+        self.open.store(open, Ordering::Relaxed);
     }
 
     /// Load as seen from a zone.
--- a/crates/bluebelld/src/peers.rs
+++ b/crates/bluebelld/src/peers.rs
@@ -14,7 +14,9 @@
 };
 use bluebell_wire::{
     FrameReader, FrameWriter, Incoming, Route, WireError,
-    messages::{Beat, BillsAsk, BillsReply, Confirmation, ConfirmedAsk, ConfirmedReply, FetchAsk, FetchReply},
+    messages::{
+        Beat, BillsAsk, BillsReply, Confirmation, ConfirmedAsk, ConfirmedReply, FetchAsk, FetchReply, Standing,
+    },
 };
 use indexmap::IndexMap;
 use tokio::time::{Instant, interval, timeout_at};
@@ -91,7 +93,17 @@
 }
 
 fn own_beat(shared: &Shared) -> Beat {
-    Beat { revision: Revision(*shared.revision.borrow()), load: **shared.load.load(), leaving: shared.is_leaving() }
+    Beat { revision: Revision(*shared.revision.borrow()), load: **shared.load.load(), standing: standing(shared) }
+}
+
+fn standing(shared: &Shared) -> Standing {
+    if shared.is_leaving() {
+        Standing::Leaving
+    } else if shared.is_ready() {
+        Standing::Open
+    } else {
+        Standing::Starting
+    }
 }
 
 fn note(seen: &Exchange<'_>, beat: &Beat) {
@@ -101,8 +113,13 @@
         let origin = Origin::Peer(seen.peer.clone());
         seen.control.input(Input::Settings(FollowerEvent::Seen { origin, revision: beat.revision }));
     }
-    if beat.leaving {
-        seen.control.input(Input::Members(MembersEvent::Leaving(seen.peer.clone())));
+    let known = seen.shared.members.load().said_leaving(seen.peer);
+    match beat.standing {
+        Standing::Leaving if !known => {
+            seen.control.input(Input::Members(MembersEvent::Leaving(seen.peer.clone())));
+        }
+        Standing::Open if known => seen.control.input(Input::Members(MembersEvent::Open(seen.peer.clone()))),
+        _ => {}
     }
 }
 
--- a/crates/bluebelld/src/shared.rs
+++ b/crates/bluebelld/src/shared.rs
@@ -5,15 +5,15 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::UNIX_EPOCH,
+    time::{Duration, UNIX_EPOCH},
 };
 
 use arc_swap::ArcSwap;
 use bluebell_core::{
     clock::Clock,
-    ids::Incarnation,
+    ids::{Incarnation, InstanceId},
     keys::KeyRing,
-    members::Members,
+    members::{Members, Role},
     routing::{Plan, Subset},
     settings::State,
 };
@@ -23,6 +23,9 @@
 
 use crate::{config::Config, error::DaemonError, links::Links, metrics::Metrics, peers::Followers};
 
+/// Time after its start for which an entry waits for connections before it is ready.
+const LINK_TIME: Duration = Duration::from_secs(5);
+
 /// Settings in force, with what they allow.
 #[derive(Debug, Default)]
 pub struct Published {
@@ -62,6 +65,7 @@
     pub billing_full: AtomicBool,
     /// Whether settings are known to be current.
     pub current: AtomicBool,
+    linked: AtomicBool,
     /// Tells that the process is leaving.
     pub leaving: watch::Sender<bool>,
     /// Tells the revision in force.
@@ -92,6 +96,7 @@
             load: ArcSwap::default(),
             billing_full: AtomicBool::new(false),
             current: AtomicBool::new(false),
+            linked: AtomicBool::new(false),
             leaving: watch::Sender::new(false),
             revision: watch::Sender::new(0),
         }))
@@ -104,6 +109,23 @@
 
     /// Whether new work may be given to this process.
     pub fn is_ready(&self) -> bool {
-        self.current.load(Ordering::Relaxed) && !self.is_leaving() && self.published.load().state.revision.0 > 0
+        let current = self.current.load(Ordering::Relaxed) && self.published.load().state.revision.0 > 0;
+        current && !self.is_leaving() && (self.config.instance.role == Role::Sidecar || self.is_linked())
+    }
+
+    // A new entry first connects to a runner of everything that is served; what can't be reached by then is not
+    // waited for, and once connected the entry stays so.
+    fn is_linked(&self) -> bool {
+        if self.linked.load(Ordering::Relaxed) {
+            return true;
+        }
+        let now = self.clock.now();
+        let open = |peer: &InstanceId| self.links.get(peer).is_some_and(|link| link.is_open(now));
+        let subset = self.subset.load();
+        let reached = |peers: &Vec<InstanceId>| peers.iter().any(open);
+        let listed = self.members.load().all().next().is_some();
+        let linked = listed && (now > LINK_TIME || subset.by_target.values().all(reached));
+        self.linked.store(linked, Ordering::Relaxed);
+        linked
     }
 }
--- a/crates/bluebelld/src/sidecar/attempt.rs
+++ b/crates/bluebelld/src/sidecar/attempt.rs
@@ -86,12 +86,11 @@
     }
 
     async fn run(mut self) -> Result<(), WireError> {
-        let payload = self.task.payload.clone();
         if self.writer.send(&FromSidecar::Started).await.is_err() {
             self.abandon();
             return Ok(());
         }
-        match payload {
+        match self.task.payload.clone() {
             Payload::Chat(chat) => engine::run(self, chat).await,
             Payload::Call(call) => service::run(self, call).await,
         }
--- /dev/null
+++ b/crates/bluebelld/tests/integration/answers.rs
@@ -0,0 +1,171 @@
+//! Every caller receives the whole answer to its own request; a refusal that says "not run" is true.
+
+use std::{collections::HashSet, time::Duration};
+
+use bluebell_core::keys::digest;
+use bluebell_standins::{
+    engine::POISON,
+    proxy::{Harm, Harms},
+};
+
+use crate::{
+    path::expected,
+    util::{ATLAS_VAN, Ask, Fleet, FleetBuilder, KOVACS_BENCH, until},
+};
+
+const LONG: Ask<'_> = Ask { model: "auto", prompt: "tell me all", tokens: 200, stream: true, session: None, key: None };
+
+/// Starts a long answer, and gives the number of the engine that runs it.
+async fn engine_at_work(fleet: &Fleet) -> usize {
+    until("an engine to start", || async { !fleet.engine_runs().is_empty() }).await;
+    fleet.engines.iter().position(|engine| !Fleet::runs(engine).is_empty()).expect("one has started")
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Victim {
+    Sidecar,
+    Engine,
+    FrozenSidecar,
+    FrozenEngine,
+}
+
+async fn survives(victim: Victim) {
+    let mut fleet = FleetBuilder::default().step(10_000).start().await;
+    let caller = fleet.caller(0, ATLAS_VAN);
+    let asking = tokio::spawn(async move { caller.ask(&LONG).await });
+    let at = engine_at_work(&fleet).await;
+    Fleet::pause(Duration::from_millis(300)).await;
+    match victim {
+        Victim::Sidecar => fleet.engines[at].sidecar.kill(),
+        Victim::Engine => fleet.engines[at].runner.kill(),
+        Victim::FrozenSidecar => fleet.engines[at].sidecar.freeze(),
+        Victim::FrozenEngine => fleet.engines[at].runner.freeze(),
+    }
+    let answer = asking.await.expect("the caller ends");
+    assert!(answer.whole, "{victim:?}: {answer:?}");
+    assert_eq!(answer.text, expected(&answer.version, &LONG), "{victim:?}");
+    let runs = fleet.engine_runs();
+    assert_eq!(runs.len(), 2, "{victim:?}: it went on at another engine: {runs:?}");
+    assert!(runs.iter().any(|run| run["from"].as_u64() > Some(0)), "it went on where it broke off: {runs:?}");
+    let rows = fleet.wait_bills(1).await;
+    assert_eq!(rows[0].value["output"], 200, "all tokens stand in one row");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_survives_the_kill_of_its_sidecar() {
+    survives(Victim::Sidecar).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_survives_the_kill_of_its_engine() {
+    survives(Victim::Engine).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_survives_a_frozen_sidecar() {
+    survives(Victim::FrozenSidecar).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_survives_a_frozen_engine() {
+    survives(Victim::FrozenEngine).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_survives_a_connection_that_is_cut_or_one_way() {
+    for harm in [Harm::Cut, Harm::Swallow, Harm::Freeze, Harm::CutAfter(500)] {
+        let mut fleet = FleetBuilder::default().entries(1).step(10_000).start().await;
+        let mut proxies = Vec::new();
+        for at in 0..fleet.engines.len() {
+            let name = fleet.engines[at].name.clone();
+            proxies.push(fleet.proxy(&name).await);
+        }
+        let caller = fleet.caller(0, ATLAS_VAN);
+        let asking = tokio::spawn(async move { caller.ask(&LONG).await });
+        let at = engine_at_work(&fleet).await;
+        Fleet::pause(Duration::from_millis(300)).await;
+        proxies[at].set(Harms { up: Harm::None, down: harm });
+        let answer = asking.await.expect("the caller ends");
+        assert!(answer.whole, "{harm:?}: {answer:?}");
+        assert_eq!(answer.text, expected(&answer.version, &LONG), "{harm:?}");
+        let rows = fleet.wait_bills(1).await;
+        assert_eq!(rows[0].value["output"], 200, "{harm:?}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn without_another_runner_an_answer_ends_with_a_typed_error() {
+    let mut fleet = FleetBuilder::default().engines(vec![vec!["atlas-small@1"]]).step(10_000).start().await;
+    let caller = fleet.caller(0, ATLAS_VAN);
+    let asking = tokio::spawn(async move { caller.ask(&LONG).await });
+    engine_at_work(&fleet).await;
+    Fleet::pause(Duration::from_millis(300)).await;
+    fleet.engines[0].runner.kill();
+    let answer = asking.await.expect("the caller ends");
+    assert!(!answer.whole, "{answer:?}");
+    assert_eq!((answer.code(), answer.ran()), ("runner_failed", "yes"), "{answer:?}");
+    fleet.wait_bills(1).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_requests_did_not_run() {
+    let engines = vec![vec!["atlas-small@1"]; 2];
+    let fleet = FleetBuilder::default().engines(engines).slots(2).step(20_000).start().await;
+    let mut tasks = Vec::new();
+    for number in 0..200 {
+        let caller = fleet.caller(number % 2, ATLAS_VAN);
+        tasks.push(tokio::spawn(async move {
+            let key = format!("flood-{number}");
+            let ask = Ask { tokens: 20, key: Some(&key), ..Ask::default() };
+            (digest(&format!("maktabat {key}"))[..32].to_owned(), caller.ask(&ask).await)
+        }));
+    }
+    let mut refused = HashSet::new();
+    let mut served = 0;
+    for task in tasks {
+        let (request, answer) = task.await.expect("the caller ends");
+        if answer.status == 200 {
+            assert!(answer.whole, "{answer:?}");
+            served += 1;
+            continue;
+        }
+        assert_eq!(answer.ran(), "no", "{answer:?}");
+        assert!(answer.retry_after.is_some(), "{answer:?}");
+        refused.insert(request);
+    }
+    assert!(served > 0 && !refused.is_empty(), "{served} served, {} refused", refused.len());
+    for run in fleet.engine_runs() {
+        let attempt = run["attempt"].as_str().unwrap_or_default();
+        let request = attempt.split('.').next().unwrap_or_default();
+        assert!(!refused.contains(request), "{attempt} was refused as not run, but ran");
+    }
+    fleet.wait_bills(served).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_engines_stops_after_two_and_spares_the_others() {
+    let mut fleet =
+        FleetBuilder::default().engines(vec![vec!["atlas-small@1"]; 4]).entries(1).step(10_000).start().await;
+    let mut innocent = Vec::new();
+    for number in 0..12 {
+        let caller = fleet.caller(0, KOVACS_BENCH);
+        innocent.push(tokio::spawn(async move {
+            let prompt = format!("innocent question {number}");
+            let ask = Ask { prompt: &prompt, tokens: 100, ..Ask::default() };
+            (caller.ask(&ask).await, expected("atlas-small@1", &ask))
+        }));
+    }
+    until("the innocent to run", || async { fleet.engine_runs().len() >= 12 }).await;
+    let poison = fleet.caller(0, ATLAS_VAN).ask(&Ask { prompt: POISON, tokens: 50, ..Ask::default() }).await;
+    assert_eq!(poison.code(), "runner_failed", "{poison:?}");
+    let mut crashed = 0;
+    for engine in &mut fleet.engines {
+        crashed += usize::from(!engine.runner.is_running());
+    }
+    assert!((1..=2).contains(&crashed), "{crashed} engines crashed");
+    for task in innocent {
+        let (answer, expected) = task.await.expect("the caller ends");
+        assert!(answer.whole, "{answer:?}");
+        assert_eq!(answer.text, expected);
+    }
+}
--- a/crates/bluebelld/tests/integration/main.rs
+++ b/crates/bluebelld/tests/integration/main.rs
@@ -2,4 +2,14 @@
 
 mod util;
 
+mod answers;
+mod billing;
+mod callers;
+mod leaving;
+mod once;
+mod operators;
 mod path;
+mod rollouts;
+mod sessions;
+mod settings;
+mod withdrawal;
--- a/crates/bluebelld/tests/integration/util/fleet.rs
+++ b/crates/bluebelld/tests/integration/util/fleet.rs
@@ -9,6 +9,7 @@
 
 use bluebell_core::members::{Listed, Phase, Role};
 use bluebell_platform::{Endpoint, Platform, table::Row};
+use bluebell_standins::proxy::Proxy;
 use serde_json::{Value, json};
 
 use super::{
@@ -284,6 +285,30 @@
         });
     }
 
+    /// Puts a fault proxy before a sidecar, for all who find it by the platform's list.
+    pub async fn proxy(&mut self, sidecar: &str) -> Proxy {
+        let listen = self.address();
+        let listed = self.listed.iter_mut().find(|item| item.instance.as_str() == sidecar);
+        let listed = listed.expect("the sidecar is listed");
+        let proxy = Proxy::start(&listen, &listed.address).await.expect("a proxy can listen");
+        listed.address = listen;
+        self.list().await;
+        until("the entries to go through the proxy", || async { proxy.connections() >= self.entries.len() as u64 })
+            .await;
+        self.wait_ready().await;
+        proxy
+    }
+
+    /// Changes what the platform says of an instance.
+    pub async fn set_phase(&mut self, instance: &str, phase: Phase) {
+        for item in &mut self.listed {
+            if item.instance.as_str() == instance {
+                item.phase = phase;
+            }
+        }
+        self.list().await;
+    }
+
     /// Client of the platform.
     pub fn platform_client(&self) -> Platform {
         let url = format!("http://{}", self.platform_address);
--- a/crates/bluebelld/tests/integration/util/mod.rs
+++ b/crates/bluebelld/tests/integration/util/mod.rs
@@ -10,8 +10,7 @@
 use std::{future::Future, time::Duration};
 
 pub use caller::{ATLAS_DESK, ATLAS_VAN, Answer, Ask, Caller, KOVACS_BENCH, KOVACS_COUNTER};
-pub use fleet::{Fleet, FleetBuilder, Runner};
-pub use process::Process;
+pub use fleet::{Fleet, FleetBuilder};
 use tokio::time::Instant;
 
 /// Time that anything a test waits for may take.
