Versions are judged by their ratings; the gate left the control thread

Change: the lease holder reads ratings, runs a cumulative sum test against the declared quality and withdraws a bad version; steps of a roll-out may demand a number of ratings (rollout.rated); entries read the estimates from the object store and rank versions by quality held with confidence.

Change: the gate stands under a lock of the traffic threads; the control thread tells it of settings before it confirms them. Billing events wait for the next tick.

Change: refused ids are remembered like ended ones, at most 100,000 for at most 10 minutes. Ruled out as a fault: asks delivered to a later life of a sidecar (connections end with the process; the model now knows that).

--- a/crates/bluebell-core/src/gate/mod.rs
+++ b/crates/bluebell-core/src/gate/mod.rs
@@ -4,6 +4,7 @@
 //! Work that may not be repeated first reserves a place and runs only on the order that carries its permit, so a
 //! late or repeated message can't make it run.
 
+mod ended;
 pub mod queue;
 mod types;
 
@@ -12,7 +13,7 @@
 use indexmap::IndexMap;
 pub use types::{Ask, GateEffect, GateEvent, Refusal, RefusalReason, Work};
 
-use self::queue::Queue;
+use self::{ended::Ended, queue::Queue};
 use crate::{
     ids::{AttemptId, Permit, Revision},
     routing::{Plan, PlanError},
@@ -21,8 +22,6 @@
 
 /// Time for which a reserved place waits for its order.
 pub const RESERVATION_LIFE: Duration = Duration::from_secs(10);
-/// Time for which the ids of ended attempts are remembered.
-pub const ENDED_MEMORY: Duration = Duration::from_secs(600);
 /// Pause suggested when a sidecar is leaving or has other settings.
 pub const ELSEWHERE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -53,7 +52,7 @@
     isolated: VecDeque<AttemptId>,
     alone: Option<AttemptId>,
     held: IndexMap<AttemptId, Held>,
-    ended: IndexMap<AttemptId, Duration>,
+    ended: Ended,
     permits: Permit,
 }
 
@@ -72,7 +71,7 @@
             isolated: VecDeque::new(),
             alone: None,
             held: IndexMap::new(),
-            ended: IndexMap::new(),
+            ended: Ended::default(),
             permits: Permit::default(),
         }
     }
@@ -115,6 +114,10 @@
 
     fn ask(&mut self, now: Duration, ask: Ask, effects: &mut Vec<GateEffect>) {
         if let Some(refusal) = self.objection(&ask) {
+            // A refusal is final for the attempt: the same message, late or twice, must not start it.
+            if !self.held.contains_key(&ask.attempt) {
+                self.ended.insert(&ask.attempt, now);
+            }
             effects.push(GateEffect::Refuse { attempt: ask.attempt, refusal });
             return;
         }
@@ -128,7 +131,7 @@
     }
 
     fn objection(&self, ask: &Ask) -> Option<Refusal> {
-        if self.held.contains_key(&ask.attempt) || self.ended.contains_key(&ask.attempt) {
+        if self.held.contains_key(&ask.attempt) || self.ended.contains(&ask.attempt) {
             return Some(Refusal::new(RefusalReason::Repeated, Duration::ZERO));
         }
         if self.leaving {
@@ -215,7 +218,7 @@
             Some(Stage::Running) => {}
             _ => {
                 // An order for an attempt that has ended tells nothing about whether that ran.
-                let ended = self.ended.contains_key(attempt);
+                let ended = self.ended.contains(attempt);
                 let reason = if ended { RefusalReason::Repeated } else { RefusalReason::NoReservation };
                 let refusal = Refusal::new(reason, ELSEWHERE_PAUSE);
                 effects.push(GateEffect::Refuse { attempt: attempt.clone(), refusal });
@@ -248,7 +251,7 @@
         if self.alone.as_ref() == Some(attempt) {
             self.alone = None;
         }
-        self.ended.insert(attempt.clone(), now);
+        self.ended.insert(attempt, now);
     }
 
     fn refuse_held(
@@ -309,8 +312,6 @@
         for attempt in expired {
             self.refuse_held(now, &attempt, RefusalReason::Expired, effects);
         }
-        let old = self.ended.values().take_while(|since| now > **since + ENDED_MEMORY).count();
-        self.ended.drain(..old);
     }
 
     /// Attempts waiting by rank, highest first.
--- a/crates/bluebell-core/src/lib.rs
+++ b/crates/bluebell-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod keys;
 pub mod lease;
 pub mod members;
+pub mod quality;
 pub mod retry;
 pub mod rollout;
 pub mod routing;
--- a/crates/bluebell-core/src/rollout.rs
+++ b/crates/bluebell-core/src/rollout.rs
@@ -5,45 +5,60 @@
 use indexmap::IndexMap;
 
 use crate::{
-    ids::{ModelId, Revision},
+    ids::ModelId,
+    quality::Quality,
     settings::{Action, SettingsError, State},
     units::Percent,
 };
 
-/// Steps seen by the instance that drives the roll-outs, with the time each was first seen.
+/// Where a roll-out stood when its step was first seen.
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    step: usize,
+    since: Duration,
+    ratings: u64,
+}
+
+/// Steps seen by the instance that drives the roll-outs.
 #[derive(Debug, Default)]
 pub struct Driver {
-    seen: IndexMap<ModelId, (usize, Duration)>,
+    seen: IndexMap<ModelId, Seen>,
 }
 
 impl Driver {
-    /// The next step that is due, if any, with the revision it was decided against.
+    /// The next step that is due, if any: its time is over and enough answers of the new version were rated.
     ///
     /// # Errors
     /// When the settings in force can't be read.
-    pub fn due_step(&mut self, now: Duration, state: &State) -> Result<Option<(Action, Revision)>, SettingsError> {
+    pub fn due_step(
+        &mut self,
+        now: Duration,
+        state: &State,
+        quality: &Quality,
+    ) -> Result<Option<Action>, SettingsError> {
         self.seen.retain(|model, _| state.rollouts.contains_key(model));
         for (model, rollout) in &state.rollouts {
-            let since = self.since(now, model, rollout.step);
+            let ratings = quality.ratings(&rollout.to);
+            let seen = self.see(model, Seen { step: rollout.step, since: now, ratings });
             if rollout.paused || rollout.share >= Percent::FULL {
                 continue;
             }
             let plan = state.plan(&rollout.branch)?;
             let step = rollout.step + 1;
-            if now < since + plan.hold || step >= plan.steps.len() {
+            let rated = ratings.saturating_sub(seen.ratings) >= plan.rated;
+            if now < seen.since + plan.hold || !rated || step >= plan.steps.len() {
                 continue;
             }
-            let action = Action::Step { model: model.clone(), step, share: plan.steps[step] };
-            return Ok(Some((action, state.revision)));
+            return Ok(Some(Action::Step { model: model.clone(), step, share: plan.steps[step] }));
         }
         Ok(None)
     }
 
-    fn since(&mut self, now: Duration, model: &ModelId, step: usize) -> Duration {
-        let entry = self.seen.entry(model.clone()).or_insert((step, now));
-        if entry.0 != step {
-            *entry = (step, now);
+    fn see(&mut self, model: &ModelId, seen: Seen) -> Seen {
+        let known = self.seen.entry(model.clone()).or_insert(seen);
+        if known.step != seen.step {
+            *known = seen;
         }
-        entry.1
+        *known
     }
 }
--- a/crates/bluebell-core/src/routing/plan.rs
+++ b/crates/bluebell-core/src/routing/plan.rs
@@ -1,5 +1,7 @@
 //! Which version a request should run on: allowed, not withdrawn, good enough, then cheap.
 
+use std::sync::Arc;
+
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -7,6 +9,7 @@
 use super::rendezvous;
 use crate::{
     ids::{BranchId, OrgId, VersionId},
+    quality::Quality,
     settings::{Policy, SettingsError, State, branch::Catalog, state::Standing, tree},
     units::{Percent, Price},
 };
@@ -76,7 +79,7 @@
 /// Everything a request is checked against, worked out once for each revision.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
-    policies: IndexMap<BranchId, Policy>,
+    policies: IndexMap<BranchId, Arc<Policy>>,
     keys: IndexMap<String, BranchId>,
     offers: IndexMap<VersionId, Offer>,
     splits: Vec<Split>,
@@ -92,7 +95,7 @@
         let tree = state.tree()?;
         let mut plan = Self::default();
         for branch in tree.values() {
-            plan.policies.insert(branch.branch.clone(), tree::resolve(&tree, branch)?);
+            plan.policies.insert(branch.branch.clone(), Arc::new(tree::resolve(&tree, branch)?));
             let keys = branch.keys.iter().flatten().map(|key| (key.to_lowercase(), branch.branch.clone()));
             plan.keys.extend(keys);
         }
@@ -119,13 +122,13 @@
 
     /// Policy of the callers that present a key, given the key's digest.
     #[must_use]
-    pub fn caller(&self, digest: &str) -> Option<&Policy> {
+    pub fn caller(&self, digest: &str) -> Option<&Arc<Policy>> {
         self.policies.get(self.keys.get(digest)?)
     }
 
     /// Policy of a branch.
     #[must_use]
-    pub fn policy(&self, branch: &BranchId) -> Option<&Policy> {
+    pub fn policy(&self, branch: &BranchId) -> Option<&Arc<Policy>> {
         self.policies.get(branch)
     }
 
@@ -135,6 +138,12 @@
         self.offers.get(version).map(|offer| offer.price).unwrap_or_default()
     }
 
+    /// Quality that operators declared for a version.
+    #[must_use]
+    pub fn declared_quality(&self, version: &VersionId) -> Option<Percent> {
+        self.offers.get(version).map(|offer| offer.quality)
+    }
+
     /// Whether calls of a service may be repeated.
     #[must_use]
     pub fn is_idempotent(&self, service: &str) -> bool {
@@ -170,7 +179,13 @@
     ///
     /// # Errors
     /// When no version that is asked for is allowed and in use.
-    pub fn candidates(&self, policy: &Policy, wanted: &Wanted, seed: &str) -> Result<Vec<VersionId>, PlanError> {
+    pub fn candidates(
+        &self,
+        policy: &Policy,
+        wanted: &Wanted,
+        quality: &Quality,
+        seed: &str,
+    ) -> Result<Vec<VersionId>, PlanError> {
         if let Wanted::Version(version) = wanted {
             let org = policy.org.as_ref();
             org.map_or(Err(PlanError::NoneLeft), |org| self.check_version(&policy.branch, org, version))?;
@@ -182,7 +197,7 @@
         }
         let open = |id: &&VersionId| self.is_open(id) && self.split_allows(id, &asked, seed);
         let mut found: Vec<&VersionId> = asked.iter().copied().filter(open).collect();
-        found.sort_by_key(|id| self.rank(policy, id));
+        found.sort_by_key(|id| self.rank(policy, quality, id));
         if found.is_empty() {
             return NoneLeftSnafu.fail();
         }
@@ -207,12 +222,13 @@
     }
 
     // Versions that meet the quality target come first, by price; then the others, best quality first.
-    fn rank(&self, policy: &Policy, id: &VersionId) -> (bool, u64, u64) {
+    fn rank(&self, policy: &Policy, quality: &Quality, id: &VersionId) -> (bool, u64, u64) {
         let Some(offer) = self.offers.get(id) else {
             return (true, u64::MAX, 0);
         };
-        let short = offer.quality < policy.quality;
-        let lack = (1000.0 * (1.0 - offer.quality.fraction())) as u64;
+        let known = quality.sure(id).unwrap_or_else(|| offer.quality.fraction());
+        let short = known < policy.quality.fraction();
+        let lack = (1000.0 * (1.0 - known)) as u64;
         if short { (true, lack, offer.price.0) } else { (false, offer.price.0, lack) }
     }
 }
--- a/crates/bluebell-core/src/settings/branch.rs
+++ b/crates/bluebell-core/src/settings/branch.rs
@@ -136,6 +136,9 @@
     /// Time spent on each step.
     #[serde_as(as = "crate::units::HumanTime")]
     pub hold: Duration,
+    /// Ratings of the new version that each step needs before the next, so that few answers go out unrated.
+    #[serde(default)]
+    pub rated: u64,
 }
 
 /// A file with several branches.
--- a/crates/bluebell-core/tests/fuzz/world.rs
+++ b/crates/bluebell-core/tests/fuzz/world.rs
@@ -55,7 +55,7 @@
 enum Message {
     Seen { to: usize, from: usize, revision: Revision },
     Snapshot { to: usize, snapshot: Snapshot },
-    Ask { from: usize, to: usize, request: RequestId, ask: Ask },
+    Ask { from: usize, to: usize, life: u64, request: RequestId, ask: Ask },
     Go { to: usize, attempt: AttemptId, permit: Permit },
     Effect { to: usize, effect: GateEffect, sidecar: usize, life: u64 },
     Finished { to: usize, row: BillRow, sidecar: usize, life: u64 },
@@ -344,7 +344,8 @@
             two_step,
             isolated: self.count.is_multiple_of(7),
         };
-        self.net.push(Message::Ask { from: entry, to: sidecar, request: id(request), ask });
+        let life = self.nodes[sidecar].life;
+        self.net.push(Message::Ask { from: entry, to: sidecar, life, request: id(request), ask });
     }
 
     fn chat(&mut self, entry: usize, sidecar: usize, version: u8) {
@@ -415,6 +416,8 @@
             Message::Snapshot { snapshot, .. } => {
                 self.input(to, Input::Settings(FollowerEvent::Fetched(snapshot)));
             }
+            // A connection doesn't outlive the process at its end.
+            Message::Ask { life, .. } if life != self.nodes[to].life => {}
             Message::Ask { from, request, ask, .. } => self.take_ask(to, from, request, ask),
             Message::Go { attempt, permit, .. } => self.take_go(to, attempt, permit),
             Message::Effect { effect, sidecar, life, .. } => self.take_effect(to, effect, sidecar, life),
--- a/crates/bluebelld/src/control/effects.rs
+++ b/crates/bluebelld/src/control/effects.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{
     billing::{BillRow, BillingEffect, BillingEvent},
-    gate::GateEffect,
+    gate::GateEvent,
     ids::{InstanceId, RequestId, Revision},
     kernel::{Effect, Input},
     members::Role,
@@ -36,13 +36,18 @@
             Effect::Billing(BillingEffect::Insert(rows)) => {
                 spawn_local(insert(Arc::clone(&self.shared), self.handle.clone(), rows));
             }
-            Effect::Gate(effect) => self.tell_attempt(effect),
+            // The gate is not a service of this kernel: traffic threads reach it without a turn.
+            Effect::Gate(_) => {}
         }
     }
 
     fn publish(&self, state: Arc<State>, plan: Arc<Plan>) {
         let revision = state.revision.0;
         log::info!(revision; "settings in force");
+        // The gate obeys the settings before anybody is told that they are in force here.
+        if let Some(admission) = &self.shared.admission {
+            admission.tell(GateEvent::Plan { revision: state.revision, plan: Arc::clone(&plan) });
+        }
         self.shared.published.store(Arc::new(Published { state, plan }));
         self.shared.metrics.set_revision(revision);
         self.shared.revision.send_replace(revision);
@@ -60,22 +65,6 @@
         let followed = members.followed(&own.id, &own.zone, own.role).len();
         self.handle.input(Input::Settings(FollowerEvent::Peers(followed)));
     }
-
-    fn tell_attempt(&mut self, effect: GateEffect) {
-        let (attempt, last) = match &effect {
-            GateEffect::Refuse { attempt, .. } => (attempt.clone(), true),
-            GateEffect::Reserve { attempt, .. } | GateEffect::Start { attempt } | GateEffect::Stop { attempt } => {
-                (attempt.clone(), false)
-            }
-        };
-        if let Some(channel) = self.attempts.get(&attempt) {
-            // The task of the attempt may be gone; its end reaches the gate by itself.
-            let _ = channel.send(effect);
-        }
-        if last {
-            self.attempts.remove(&attempt);
-        }
-    }
 }
 
 async fn fetch(shared: Arc<Shared>, control: ControlHandle, origin: Origin, after: Revision) {
--- a/crates/bluebelld/src/control/handle.rs
+++ b/crates/bluebelld/src/control/handle.rs
@@ -1,9 +1,8 @@
 //! How other threads reach the control thread.
 
-use bluebell_core::{
-    gate::{Ask, GateEffect},
-    kernel::{Input, Kernel},
-};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use bluebell_core::kernel::{Input, Kernel};
 use tokio::sync::{mpsc, oneshot};
 
 type Query = Box<dyn FnOnce(&Kernel) + Send>;
@@ -12,13 +11,6 @@
 pub enum Command {
     /// An input of the kernel.
     Input(Input),
-    /// An attempt asks to start; what the gate says of it goes to the channel.
-    Ask {
-        /// The attempt.
-        ask: Ask,
-        /// Gets the gate's effects.
-        effects: mpsc::UnboundedSender<GateEffect>,
-    },
     /// A short question.
     Query(Query),
 }
@@ -27,11 +19,12 @@
 #[derive(Clone)]
 pub struct ControlHandle {
     commands: mpsc::UnboundedSender<Command>,
+    deferred: Arc<Mutex<Vec<Input>>>,
 }
 
 pub(super) fn channel() -> (ControlHandle, mpsc::UnboundedReceiver<Command>) {
     let (commands, receiver) = mpsc::unbounded_channel();
-    (ControlHandle { commands }, receiver)
+    (ControlHandle { commands, deferred: Arc::default() }, receiver)
 }
 
 impl ControlHandle {
@@ -40,11 +33,17 @@
         self.command(Command::Input(input));
     }
 
-    /// Asks the gate to start an attempt.
-    pub fn ask(&self, ask: Ask) -> mpsc::UnboundedReceiver<GateEffect> {
-        let (effects, receiver) = mpsc::unbounded_channel();
-        self.command(Command::Ask { ask, effects });
-        receiver
+    /// Gives an input to the kernel at its next turn, without waking the control thread for it.
+    pub fn defer(&self, input: Input) {
+        self.deferred().push(input);
+    }
+
+    pub(super) fn take_deferred(&self) -> Vec<Input> {
+        std::mem::take(&mut *self.deferred())
+    }
+
+    fn deferred(&self) -> MutexGuard<'_, Vec<Input>> {
+        self.deferred.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Asks the kernel; none when the control thread has ended.
--- a/crates/bluebelld/src/control/mod.rs
+++ b/crates/bluebelld/src/control/mod.rs
@@ -5,13 +5,9 @@
 mod handle;
 mod timers;
 
-use std::{collections::HashMap, sync::Arc, thread::JoinHandle};
+use std::{sync::Arc, thread::JoinHandle};
 
-use bluebell_core::{
-    gate::{GateEffect, GateEvent},
-    ids::AttemptId,
-    kernel::{Effect, Input, Kernel},
-};
+use bluebell_core::kernel::{Effect, Input, Kernel};
 pub use handle::{Command, ControlHandle};
 use snafu::ResultExt;
 use tokio::{
@@ -32,7 +28,6 @@
     shared: Arc<Shared>,
     handle: ControlHandle,
     kernel: Kernel,
-    attempts: HashMap<AttemptId, mpsc::UnboundedSender<GateEffect>>,
 }
 
 /// Starts the control thread.
@@ -42,7 +37,7 @@
 pub fn start(shared: Arc<Shared>, kernel: Kernel) -> Result<(ControlHandle, JoinHandle<()>), DaemonError> {
     let (handle, commands) = handle::channel();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
-    let control = Control { shared, handle: handle.clone(), kernel, attempts: HashMap::new() };
+    let control = Control { shared, handle: handle.clone(), kernel };
     let work = move || LocalSet::new().block_on(&runtime, control.run(commands));
     let thread = std::thread::Builder::new().name("control".to_owned()).spawn(work).context(RuntimeSnafu)?;
     Ok((handle, thread))
@@ -53,6 +48,9 @@
         spawn_local(timers::run(Arc::clone(&self.shared), self.handle.clone()));
         let mut batch = Vec::with_capacity(BATCH);
         while commands.recv_many(&mut batch, BATCH).await > 0 {
+            for input in self.handle.take_deferred() {
+                self.turn(input);
+            }
             for command in batch.drain(..) {
                 self.take(command);
             }
@@ -63,43 +61,14 @@
     fn take(&mut self, command: Command) {
         match command {
             Command::Input(input) => self.turn(input),
-            Command::Ask { ask, effects } => {
-                // A repeated id must not take the channel of the attempt that is here already.
-                self.attempts.entry(ask.attempt.clone()).or_insert_with(|| effects.clone());
-                let attempt = ask.attempt.clone();
-                let out = self.turn_effects(Input::Gate(GateEvent::Ask(ask)));
-                for effect in out {
-                    match effect {
-                        Effect::Gate(GateEffect::Refuse { attempt: refused, refusal }) if refused == attempt => {
-                            // The asker may be gone, then nobody needs the answer.
-                            let _ = effects.send(GateEffect::Refuse { attempt: refused, refusal });
-                            self.forget(&attempt, &effects);
-                        }
-                        other => self.perform(other),
-                    }
-                }
-            }
             Command::Query(query) => query(&self.kernel),
         }
     }
 
-    fn forget(&mut self, attempt: &AttemptId, effects: &mpsc::UnboundedSender<GateEffect>) {
-        if self.attempts.get(attempt).is_some_and(|known| known.same_channel(effects)) {
-            self.attempts.remove(attempt);
-        }
-    }
-
     fn turn(&mut self, input: Input) {
-        let finished = match &input {
-            Input::Gate(GateEvent::Finish { attempt } | GateEvent::Abandon { attempt }) => Some(attempt.clone()),
-            _ => None,
-        };
         for effect in self.turn_effects(input) {
             self.perform(effect);
         }
-        if let Some(attempt) = finished {
-            self.attempts.remove(&attempt);
-        }
     }
 
     fn turn_effects(&mut self, input: Input) -> Vec<Effect> {
@@ -112,9 +81,6 @@
     }
 
     fn show_load(&self) {
-        if let Some(gate) = self.kernel.gate() {
-            self.shared.load.store(Arc::new(gate.load()));
-        }
         if let Some(outbox) = self.kernel.billing() {
             self.shared.billing_full.store(outbox.is_full(), std::sync::atomic::Ordering::Relaxed);
         }
--- a/crates/bluebelld/src/entry/answer.rs
+++ b/crates/bluebelld/src/entry/answer.rs
@@ -269,7 +269,7 @@
             cost: self.question.price.of(self.prompt + self.prior.output),
             attempts: self.prior.attempts,
         };
-        self.flow.entry().control.input(Input::Billing(BillingEvent::Add(row)));
+        self.flow.entry().control.defer(Input::Billing(BillingEvent::Add(row)));
     }
 }
 
--- a/crates/bluebelld/src/entry/auth.rs
+++ b/crates/bluebelld/src/entry/auth.rs
@@ -19,7 +19,7 @@
     /// Organisation it belongs to.
     pub org: OrgId,
     /// What holds for it.
-    pub policy: Policy,
+    pub policy: Arc<Policy>,
     /// Settings under which it was recognised.
     pub plan: Arc<Plan>,
 }
@@ -40,7 +40,7 @@
     let key = bearer(request).context(UnauthorisedSnafu)?;
     let policy = published.plan.caller(&digest(key)).context(UnauthorisedSnafu)?;
     let org = policy.org.clone().context(UnauthorisedSnafu)?;
-    Ok(Caller { org, policy: policy.clone(), plan: Arc::clone(&published.plan) })
+    Ok(Caller { org, policy: Arc::clone(policy), plan: Arc::clone(&published.plan) })
 }
 
 /// Recognises an operator; gives the name.
--- a/crates/bluebelld/src/entry/mod.rs
+++ b/crates/bluebelld/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod fault;
 mod flow;
 mod force;
+mod judge;
 mod models;
 mod rollouts;
 mod service;
@@ -108,6 +109,7 @@
     tokio::spawn(server.run(listener));
     tokio::spawn(serve_peers(Arc::clone(&shared), control, incoming));
     tokio::spawn(rollouts::drive(Arc::clone(&entry)));
+    tokio::spawn(judge::follow(Arc::clone(&entry)));
     serve_public(&entry).await?;
     stop::settle(&entry).await;
     Ok(())
--- a/crates/bluebelld/src/entry/rollouts.rs
+++ b/crates/bluebelld/src/entry/rollouts.rs
@@ -1,4 +1,4 @@
-//! Driving roll-outs: one entry holds the lease and commits the steps as they fall due.
+//! Driving roll-outs: one entry holds the lease, commits the steps as they fall due, and judges versions.
 
 use std::{sync::Arc, time::Duration};
 
@@ -6,36 +6,40 @@
     ids::ChangeId,
     lease::{self, LeaseStep},
     rollout::Driver,
-    settings::{Action, State},
+    settings::Action,
     units::Percent,
 };
 use bluebell_platform::settings::{HeldLease, Proposal};
 
-use super::Entry;
+use super::{Entry, judge::Judge};
 
 /// Time between two looks at the roll-outs.
 const PERIOD: Duration = Duration::from_millis(1000);
 /// Author of the steps in the history.
 const AUTHOR: &str = "roll-out";
 
-/// Drives roll-outs until the process ends.
+/// Drives roll-outs and judges versions until the process ends, while this entry holds the lease.
 pub async fn drive(entry: Arc<Entry>) {
     let mut driver = Driver::default();
+    let mut judge = Judge::default();
     loop {
         tokio::time::sleep(PERIOD).await;
-        let state = Arc::clone(&entry.shared.published.load().state);
-        let under_way = state.rollouts.values().any(|rollout| rollout.share < Percent::FULL);
-        if !under_way || !may_drive(&entry) {
+        let lease = if may_drive(&entry) { hold(&entry).await } else { None };
+        let Some(lease) = lease else {
+            judge.rest();
             continue;
+        };
+        let state = Arc::clone(&entry.shared.published.load().state);
+        judge.work(&entry, &state, &lease).await;
+        if state.rollouts.values().any(|rollout| rollout.share < Percent::FULL) {
+            step(&entry, &mut driver, &judge, &lease).await;
         }
-        let Some(lease) = hold(&entry).await else { continue };
-        step(&entry, &mut driver, &state, &lease).await;
     }
 }
 
 fn may_drive(entry: &Entry) -> bool {
     let own = &entry.shared.config.instance;
-    !entry.shared.is_leaving() && entry.shared.members.load().is_poller(&own.id, &own.zone)
+    entry.shared.is_ready() && entry.shared.members.load().is_poller(&own.id, &own.zone)
 }
 
 async fn hold(entry: &Entry) -> Option<HeldLease> {
@@ -54,20 +58,21 @@
     platform.rollout_lease().await.ok()?.filter(|held| held.row.holder == *own)
 }
 
-async fn step(entry: &Entry, driver: &mut Driver, state: &State, lease: &HeldLease) {
-    let due = match driver.due_step(entry.shared.clock.now(), state) {
+async fn step(entry: &Entry, driver: &mut Driver, judge: &Judge, lease: &HeldLease) {
+    let state = Arc::clone(&entry.shared.published.load().state);
+    let due = match driver.due_step(entry.shared.clock.now(), &state, judge.quality()) {
         Ok(due) => due,
         Err(error) => {
             log::error!("a roll-out can't go on: {error}");
             return;
         }
     };
-    let Some((action, revision)) = due else { return };
+    let Some(action) = due else { return };
     let Action::Step { model, step, .. } = &action else { return };
     // The id makes a step that was committed, but whose answer was lost, apply once.
-    let Ok(change) = format!("step-{model}-{step}-{revision}").parse::<ChangeId>() else { return };
+    let Ok(change) = format!("step-{model}-{step}-{}", state.revision).parse::<ChangeId>() else { return };
     let proposal = Proposal { change, author: AUTHOR.to_owned(), action };
-    match entry.shared.platform.commit(state, &proposal, Some(lease)).await {
+    match entry.shared.platform.commit(&state, &proposal, Some(lease)).await {
         Ok(revision) => log::info!(revision = revision.0, fence = lease.row.fence.0; "roll-out moved on"),
         Err(error) => log::warn!("a roll-out did not move on: {error}"),
     }
--- a/crates/bluebelld/src/entry/session.rs
+++ b/crates/bluebelld/src/entry/session.rs
@@ -40,7 +40,8 @@
         }
         Some(text) => pinned(entry, caller, text, wanted).await?,
         None => {
-            let versions = caller.plan.candidates(&caller.policy, wanted, &format!("{nonce:x}"));
+            let quality = entry.shared.quality.load();
+            let versions = caller.plan.candidates(&caller.policy, wanted, &quality, &format!("{nonce:x}"));
             let versions = versions.context(PlanSnafu)?;
             let token = session::make_token(keys, &caller.org, &versions[0], nonce);
             return Ok(Placed { versions, token });
@@ -58,7 +59,8 @@
     if let Some(version) = entry.shared.platform.session(&caller.org, session.as_str()).await.map_err(down)? {
         return Ok(version);
     }
-    let versions = caller.plan.candidates(&caller.policy, wanted, session.as_str()).context(PlanSnafu)?;
+    let quality = entry.shared.quality.load_full();
+    let versions = caller.plan.candidates(&caller.policy, wanted, &quality, session.as_str()).context(PlanSnafu)?;
     let pinned = entry.shared.platform.pin_session(&caller.org, session.as_str(), &versions[0]).await;
     pinned.map_err(down)
 }
--- a/crates/bluebelld/src/peers.rs
+++ b/crates/bluebelld/src/peers.rs
@@ -21,7 +21,7 @@
 use indexmap::IndexMap;
 use tokio::time::{Instant, interval, timeout_at};
 
-use crate::{control::ControlHandle, shared::Shared};
+use crate::{control::ControlHandle, shared::Shared, sidecar::Admission};
 
 /// Instances that follow this one, with the revision that each confirmed.
 #[derive(Default)]
@@ -93,7 +93,11 @@
 }
 
 fn own_beat(shared: &Shared) -> Beat {
-    Beat { revision: Revision(*shared.revision.borrow()), load: **shared.load.load(), standing: standing(shared) }
+    Beat {
+        revision: Revision(*shared.revision.borrow()),
+        load: shared.admission.as_ref().map_or(0.0, Admission::load),
+        standing: standing(shared),
+    }
 }
 
 fn standing(shared: &Shared) -> Standing {
--- a/crates/bluebelld/src/shared.rs
+++ b/crates/bluebelld/src/shared.rs
@@ -11,9 +11,11 @@
 use arc_swap::ArcSwap;
 use bluebell_core::{
     clock::Clock,
+    gate::Gate,
     ids::{Incarnation, InstanceId},
     keys::KeyRing,
     members::{Members, Role},
+    quality::Quality,
     routing::{Plan, Subset},
     settings::State,
 };
@@ -21,7 +23,7 @@
 use bluebell_wire::Identity;
 use tokio::sync::watch;
 
-use crate::{config::Config, error::DaemonError, links::Links, metrics::Metrics, peers::Followers};
+use crate::{config::Config, error::DaemonError, links::Links, metrics::Metrics, peers::Followers, sidecar::Admission};
 
 /// Time after its start for which an entry waits for connections before it is ready.
 const LINK_TIME: Duration = Duration::from_secs(5);
@@ -55,12 +57,14 @@
     pub members: ArcSwap<Members>,
     /// Sidecars that this entry knows.
     pub subset: ArcSwap<Subset>,
+    /// Quality of versions by their ratings.
+    pub quality: ArcSwap<Quality>,
     /// Connections to peers.
     pub links: Links,
     /// Instances that follow this one.
     pub followers: Followers,
-    /// Number of attempts and load of the gate, for heartbeats.
-    pub load: ArcSwap<f32>,
+    /// The gate before this sidecar's runner.
+    pub admission: Option<Admission>,
     /// Whether billing rows can be taken.
     pub billing_full: AtomicBool,
     /// Whether settings are known to be current.
@@ -80,12 +84,14 @@
     /// # Errors
     /// When the keys are wrong, or a client or the metrics can't be set up.
     pub fn new(config: Config, clock: Arc<dyn Clock>) -> Result<Arc<Self>, DaemonError> {
+        let gate = config.runner.as_ref().map(|runner| Gate::new(runner.slots, runner.serves.clone()));
         let keys = Arc::new(KeyRing::new(&config.keys)?);
         let identity = Arc::new(Identity::new(config.instance.id.clone(), keys, Arc::clone(&clock)));
         let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         Ok(Arc::new(Self {
             platform: Platform::new(config.platform.clone())?,
             metrics: Metrics::new()?,
+            admission: gate.map(|gate| Admission::new(Arc::clone(&clock), gate)),
             incarnation: Incarnation(started.as_millis() as u64),
             config,
             clock,
@@ -93,9 +99,9 @@
             published: ArcSwap::default(),
             members: ArcSwap::default(),
             subset: ArcSwap::default(),
+            quality: ArcSwap::default(),
             links: Links::default(),
             followers: Followers::default(),
-            load: ArcSwap::default(),
             billing_full: AtomicBool::new(false),
             current: AtomicBool::new(false),
             linked: AtomicBool::new(false),
--- a/crates/bluebelld/src/sidecar/attempt.rs
+++ b/crates/bluebelld/src/sidecar/attempt.rs
@@ -6,7 +6,6 @@
     gate::{GateEffect, GateEvent, Refusal, RefusalReason},
     ids::{AttemptId, Permit},
     intent::Reservation,
-    kernel::Input,
 };
 use bluebell_wire::{
     FrameReader, FrameWriter, Incoming, WireError,
@@ -38,7 +37,10 @@
     let ToSidecar::Ask(task) = reader.expect().await? else {
         return Err(WireError::Closed);
     };
-    let effects = sidecar.control.ask(task.ask.clone());
+    let Some(admission) = &sidecar.shared.admission else {
+        return Err(WireError::Closed);
+    };
+    let effects = admission.ask(task.ask.clone());
     let attempt = Attempt { sidecar: Arc::clone(sidecar), task: *task, writer, reader, effects };
     attempt.admit().await
 }
@@ -51,7 +53,7 @@
 
     /// Tells the gate about this attempt.
     pub fn tell(&self, event: GateEvent) {
-        self.sidecar.control.input(Input::Gate(event));
+        self.sidecar.tell(event);
     }
 
     /// Tells the gate that the runner is done.
--- a/crates/bluebelld/src/sidecar/engine.rs
+++ b/crates/bluebelld/src/sidecar/engine.rs
@@ -1,6 +1,6 @@
 //! A chat completion at a model engine: always streamed, continued from what the caller has already.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use bluebell_core::{
     billing::{BillRow, BillingEvent, HOLD_PERIOD},
@@ -15,7 +15,8 @@
 };
 use eventsource_stream::{Event, Eventsource};
 use futures_util::{Stream, StreamExt};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
+use serde_json::value::{RawValue, to_raw_value};
 
 use super::attempt::Attempt;
 
@@ -106,22 +107,26 @@
 
 // The caller's body with the router's own fields put in; none when the body is not a JSON object.
 fn engine_body(attempt: &Attempt, chat: &Chat) -> Option<String> {
-    let mut fields: serde_json::Map<String, serde_json::Value> = serde_json::from_str(&chat.body).ok()?;
+    let mut fields: BTreeMap<&str, &RawValue> = serde_json::from_str(&chat.body).ok()?;
     let ask = &attempt.task.ask;
     let version = ask.work.name();
     let own = [
-        ("model", version.into()),
-        ("version", version.into()),
-        ("stream", true.into()),
-        ("max_tokens", chat.max_tokens.0.into()),
-        ("resume_tokens", chat.prior.output.0.into()),
-        ("priority", ask.priority.index().into()),
-        ("attempt", ask.attempt.as_str().into()),
+        ("model", raw(version)?),
+        ("version", raw(version)?),
+        ("stream", raw(&true)?),
+        ("max_tokens", raw(&chat.max_tokens)?),
+        ("resume_tokens", raw(&chat.prior.output)?),
+        ("priority", raw(&ask.priority.index())?),
+        ("attempt", raw(&ask.attempt)?),
     ];
-    fields.extend(own.into_iter().map(|(name, value)| (name.to_owned(), value)));
+    fields.extend(own.iter().map(|(name, value)| (*name, &**value)));
     serde_json::to_string(&fields).ok()
 }
 
+fn raw<T: Serialize + ?Sized>(value: &T) -> Option<Box<RawValue>> {
+    to_raw_value(value).ok()
+}
+
 async fn pass_on(
     mut attempt: Attempt,
     chat: &Chat,
@@ -218,5 +223,5 @@
         cost: chat.price.of(prompt + output),
         attempts: chat.prior.attempts + 1,
     };
-    attempt.sidecar.control.input(Input::Billing(BillingEvent::Hold { row, period }));
+    attempt.sidecar.control.defer(Input::Billing(BillingEvent::Hold { row, period }));
 }
--- a/crates/bluebelld/src/sidecar/health.rs
+++ b/crates/bluebelld/src/sidecar/health.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use bluebell_core::{gate::GateEvent, kernel::Input};
+use bluebell_core::gate::GateEvent;
 use tokio::{net::TcpStream, time::timeout};
 
 use super::Sidecar;
@@ -19,7 +19,7 @@
 
 /// Keeps work from a runner that failed, and looks for its return.
 pub fn runner_failed(sidecar: &Arc<Sidecar>) {
-    sidecar.control.input(Input::Gate(GateEvent::RunnerDown));
+    sidecar.tell(GateEvent::RunnerDown);
     if sidecar.shared.runner_up.swap(false, Ordering::Relaxed) {
         log::warn!(runner = sidecar.runner.id.as_str(); "the runner failed");
         tokio::spawn(wait_for_return(Arc::clone(sidecar)));
@@ -35,6 +35,6 @@
         }
     }
     sidecar.shared.runner_up.store(true, Ordering::Relaxed);
-    sidecar.control.input(Input::Gate(GateEvent::RunnerUp));
+    sidecar.tell(GateEvent::RunnerUp);
     log::info!(runner = sidecar.runner.id.as_str(); "the runner is back");
 }
--- a/crates/bluebelld/src/sidecar/mod.rs
+++ b/crates/bluebelld/src/sidecar/mod.rs
@@ -1,24 +1,33 @@
 //! The sidecar: stands before one runner, admits attempts through the gate, and passes the runner's answers on.
 
+mod admission;
 mod attempt;
 mod calls;
 mod engine;
 mod health;
 mod service;
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+pub use admission::Admission;
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use bluebell_core::{
     billing::Outbox,
     calls::Calls,
-    gate::{Gate, GateEvent},
-    kernel::{Input, Kernel, Service},
+    gate::GateEvent,
+    kernel::{Kernel, Service},
     members::Members,
     settings::Follower,
 };
 use bluebell_wire::{Incoming, Route as Kind, Server as PeerServer, WireError};
 use poem::{EndpointExt, Route, Server, get, listener::TcpAcceptor};
-use tokio::sync::{mpsc, watch};
+use tokio::{
+    sync::{mpsc, watch},
+    time::MissedTickBehavior,
+};
 
 use crate::{
     config::Runner,
@@ -33,6 +42,8 @@
 
 /// Streams of peers that wait to be looked at.
 const PEER_BACKLOG: usize = 256;
+/// Time between two ticks of the gate.
+const TICK: Duration = Duration::from_millis(100);
 
 /// State of a sidecar.
 pub struct Sidecar {
@@ -52,6 +63,12 @@
         self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn tell(&self, event: GateEvent) {
+        if let Some(admission) = &self.shared.admission {
+            admission.tell(event);
+        }
+    }
+
     fn work(self: &Arc<Self>) -> Work {
         self.working.send_modify(|count| *count += 1);
         Work(Arc::clone(self))
@@ -75,8 +92,7 @@
     let kernel = Kernel::default()
         .with(Service::Settings(Box::<Follower>::default()))
         .with(Service::Members(Box::<Members>::default()))
-        .with(Service::Billing(Box::<Outbox>::default()))
-        .with(Service::Gate(Box::new(Gate::new(runner.slots, runner.serves.clone()))));
+        .with(Service::Billing(Box::<Outbox>::default()));
     let address = shared.config.listen.peers;
     let listener = listen(address)?;
     let probes = public_acceptor(shared.config.listen.public)?;
@@ -95,6 +111,7 @@
         working: watch::Sender::new(0),
     });
     tokio::spawn(serve_peers(Arc::clone(&sidecar), incoming));
+    tokio::spawn(tick(Arc::clone(&sidecar)));
     tokio::spawn(serve_public(Arc::clone(&shared), probes));
     log::info!(address = address.to_string().as_str(); "sidecar listens");
     shutdown::ordered().await;
@@ -102,9 +119,19 @@
     Ok(())
 }
 
+// Lets the gate see that time has passed.
+async fn tick(sidecar: Arc<Sidecar>) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
+    loop {
+        ticks.tick().await;
+        sidecar.tell(GateEvent::Tick);
+    }
+}
+
 async fn leave(sidecar: &Arc<Sidecar>, closing: &watch::Sender<bool>) {
     log::info!("leaving");
-    sidecar.control.input(Input::Gate(GateEvent::Leave));
+    sidecar.tell(GateEvent::Leave);
     sidecar.shared.leaving.send_replace(true);
     let mut working = sidecar.working.subscribe();
     let idle = working.wait_for(|count| *count == 0);
--- a/crates/bluebelld/tests/integration/rollouts.rs
+++ b/crates/bluebelld/tests/integration/rollouts.rs
@@ -1,12 +1,16 @@
 //! A roll-out goes on whoever drives it dies, and each of its steps is taken once.
 
-use std::time::Duration;
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
 
-use crate::util::{ATLAS_VAN, Ask, Fleet, FleetBuilder, until};
+use crate::util::{ATLAS_VAN, Answer, Ask, Fleet, FleetBuilder, until};
 
-async fn fast_plan(fleet: &Fleet) {
-    let path = std::env::temp_dir().join(format!("bluebell-{}-plan.yaml", std::process::id()));
-    let text = "# base: 1\nbranch: trial\nparent: maktabat\nrollout: { steps: [20%, 60%, 100%], hold: 1500ms }\n";
+async fn fast_plan(fleet: &Fleet, rated: u64) {
+    let path = std::env::temp_dir().join(format!("bluebell-{}-plan-{rated}.yaml", std::process::id()));
+    let plan = format!("{{ steps: [20%, 60%, 100%], hold: 1500ms, rated: {rated} }}");
+    let text = format!("# base: 1\nbranch: trial\nparent: maktabat\nrollout: {plan}\n");
     std::fs::write(&path, text).expect("a file can be written");
     let (code, text) = fleet.ctl(0, &["--wait", "settings", "set", &path.display().to_string()]).await;
     assert_eq!(code, 0, "{text}");
@@ -35,7 +39,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_roll_out_goes_through_its_steps_and_moves_new_sessions() {
     let fleet = Fleet::start().await;
-    fast_plan(&fleet).await;
+    fast_plan(&fleet, 0).await;
     let before = fleet.caller(0, ATLAS_VAN).ask(&Ask { model: "atlas-small", ..Ask::default() }).await;
     assert_eq!(before.version, "atlas-small@1");
     start(&fleet).await;
@@ -53,7 +57,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn another_entry_goes_on_when_the_driver_is_killed_or_frozen() {
     let fleet = FleetBuilder::default().entries(3).start().await;
-    fast_plan(&fleet).await;
+    fast_plan(&fleet, 0).await;
     start(&fleet).await;
     until("the second step", || async { share(&fleet, 0).await.contains("60%") }).await;
     let at = driver(&fleet);
@@ -67,10 +71,48 @@
     assert!(share(&fleet, at).await.contains("100%"), "the old driver did not move it back");
 }
 
+/// Lateness of ratings.
+const RATING_LAG: Duration = Duration::from_secs(5);
+/// Bad answers after which a version must be stopped.
+const MOST_BAD: usize = 50;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_version_that_turns_bad_is_stopped_and_rolled_back() {
+    let fleet = Fleet::start().await;
+    fast_plan(&fleet, 8).await;
+    fleet.turn_bad("atlas-small@2").await;
+    start(&fleet).await;
+    let mut bad = 0;
+    let mut ratings = VecDeque::new();
+    let begun = Instant::now();
+    loop {
+        assert!(begun.elapsed() < Duration::from_secs(60), "it was not stopped; {bad} bad answers");
+        let answer = fleet.caller(bad % 2, ATLAS_VAN).ask(&Ask { model: "atlas-small", ..Ask::default() }).await;
+        let good = !answer.text.contains("bad-");
+        bad += usize::from(!good);
+        ratings.push_back((Instant::now(), answer, good));
+        while ratings.front().is_some_and(|(at, ..)| at.elapsed() >= RATING_LAG) {
+            let (_, answer, good) = ratings.pop_front().expect("it is there");
+            fleet.rate(&answer.request, &answer.version, good).await;
+        }
+        if answered_by_old(&ratings) && steps(&fleet, 0).await.iter().any(|line| line.contains("aborted")) {
+            break;
+        }
+        Fleet::pause(Duration::from_millis(100)).await;
+    }
+    assert!(bad <= MOST_BAD, "{bad} bad answers");
+    let (_, history) = fleet.ctl(0, &["settings", "history"]).await;
+    assert!(history.contains("judge        withdraw atlas-small@2"), "{history}");
+}
+
+fn answered_by_old(ratings: &VecDeque<(Instant, Answer, bool)>) -> bool {
+    ratings.back().is_some_and(|(_, answer, _)| answer.version == "atlas-small@1")
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_aborted_roll_out_gives_new_sessions_to_the_old_version() {
     let fleet = Fleet::start().await;
-    fast_plan(&fleet).await;
+    fast_plan(&fleet, 0).await;
     start(&fleet).await;
     until("the second step", || async { share(&fleet, 0).await.contains("60%") }).await;
     let (code, text) = fleet.ctl(1, &["--wait", "rollout", "abort", "atlas-small"]).await;
--- a/crates/bluebelld/tests/integration/util/fleet.rs
+++ b/crates/bluebelld/tests/integration/util/fleet.rs
@@ -338,6 +338,22 @@
         assert!(reply.status().is_success(), "faults {faults} are not known");
     }
 
+    /// Makes a version give bad answers at all engines.
+    pub async fn turn_bad(&self, version: &str) {
+        for engine in &self.engines {
+            let reply = self.client.post(format!("{}/bad", engine.url)).json(version).send().await;
+            assert!(reply.expect("the engine answers").status().is_success());
+        }
+    }
+
+    /// Rates an answer.
+    pub async fn rate(&self, request: &str, version: &str, good: bool) {
+        let rating = json!({"number": 0, "request": request, "version": version, "good": good});
+        let url = format!("http://{}/ratings", self.platform_address);
+        let reply = self.client.post(url).json(&rating).send().await.expect("the platform answers");
+        assert!(reply.status().is_success());
+    }
+
     /// Rows of the table whose keys begin with a prefix.
     pub async fn rows(&self, prefix: &str) -> Vec<Row> {
         let url = format!("http://{}/table/scan?prefix={prefix}", self.platform_address);
