--- a/crates/bluebell-core/src/calls.rs
+++ b/crates/bluebell-core/src/calls.rs
@@ -54,8 +54,16 @@
         may
     }
 
-    /// The call did not run, and will not.
+    /// Nobody waits for the order any more; a call that got it already is left as it is.
     pub fn close(&mut self, attempt: &AttemptId, now: Duration) {
+        let ordered = |known: &Known| !matches!(known.fate, Fate::Reserved | Fate::Closed);
+        if !self.0.get(attempt).is_some_and(ordered) {
+            self.set(attempt, Fate::Closed, now);
+        }
+    }
+
+    /// It is certain that the call did not run, although it may have got its order.
+    pub fn not_run(&mut self, attempt: &AttemptId, now: Duration) {
         self.set(attempt, Fate::Closed, now);
     }
 
--- a/crates/bluebelld/src/sidecar/attempt.rs
+++ b/crates/bluebelld/src/sidecar/attempt.rs
@@ -140,7 +140,7 @@
     }
 
     async fn taken_back(self, effect: Option<GateEffect>) -> Result<(), WireError> {
-        self.sidecar.calls().close(self.id(), self.sidecar.shared.clock.now());
+        self.sidecar.calls().not_run(self.id(), self.sidecar.shared.clock.now());
         match effect {
             Some(GateEffect::Refuse { refusal, .. }) => self.refuse(refusal).await,
             _ => self.close(),
--- a/crates/bluebelld/src/sidecar/service.rs
+++ b/crates/bluebelld/src/sidecar/service.rs
@@ -46,7 +46,7 @@
             told
         }
         Err(Missing::NotRun) => {
-            attempt.sidecar.calls().close(attempt.id(), now);
+            attempt.sidecar.calls().not_run(attempt.id(), now);
             attempt.fail();
             attempt.refuse(Refusal::new(RefusalReason::RunnerDown, DEFAULT_PAUSE)).await
         }
