--- a/crates/bluebelld/src/main.rs
+++ b/crates/bluebelld/src/main.rs
@@ -4,6 +4,10 @@
 
 use bluebelld::{args, run};
 
+/// Requests allocate many small pieces on one thread and free them on another.
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
 fn main() -> ExitCode {
     match run(&args::options().run()) {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/bluebelld/src/sidecar/attempt.rs
+++ b/crates/bluebelld/src/sidecar/attempt.rs
@@ -1,10 +1,10 @@
 //! One attempt at the runner: the gate decides whether and when it starts.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
-    gate::{GateEffect, GateEvent, Refusal, RefusalReason},
-    ids::{AttemptId, Permit},
+    gate::{Ask, GateEffect, GateEvent, Refusal, RefusalReason},
+    ids::{AttemptId, Permit, RequestId},
     intent::Reservation,
 };
 use bluebell_wire::{
@@ -19,8 +19,12 @@
 pub struct Attempt {
     /// The sidecar.
     pub sidecar: Arc<Sidecar>,
-    /// What to do.
-    pub task: Task,
+    /// The request it belongs to.
+    pub request: RequestId,
+    /// What the gate decided on.
+    pub ask: Ask,
+    /// Time left for the whole attempt.
+    pub deadline: Duration,
     /// To the entry.
     pub writer: FrameWriter<FromSidecar>,
     reader: FrameReader<ToSidecar>,
@@ -40,15 +44,16 @@
     let Some(admission) = &sidecar.shared.admission else {
         return Err(WireError::Closed);
     };
-    let effects = admission.ask(task.ask.clone());
-    let attempt = Attempt { sidecar: Arc::clone(sidecar), task: *task, writer, reader, effects };
-    attempt.admit().await
+    let Task { request, ask, deadline, payload } = *task;
+    let effects = admission.ask(ask.clone());
+    let attempt = Attempt { sidecar: Arc::clone(sidecar), request, ask, deadline, writer, reader, effects };
+    Box::new(attempt).admit(payload).await
 }
 
 impl Attempt {
     /// Id of the attempt.
     pub fn id(&self) -> &AttemptId {
-        &self.task.ask.attempt
+        &self.ask.attempt
     }
 
     /// Tells the gate about this attempt.
@@ -72,14 +77,14 @@
         self.tell(GateEvent::Abandon { attempt: self.id().clone() });
     }
 
-    async fn admit(mut self) -> Result<(), WireError> {
+    async fn admit(mut self: Box<Self>, payload: Payload) -> Result<(), WireError> {
         let effect = tokio::select! {
             effect = self.effects.recv() => effect,
             () = self.writer.closed() => None,
         };
         match effect {
-            Some(GateEffect::Start { .. }) => self.run().await,
-            Some(GateEffect::Reserve { permit, .. }) => self.reserved(permit).await,
+            Some(GateEffect::Start { .. }) => self.run(payload).await,
+            Some(GateEffect::Reserve { permit, .. }) => self.reserved(permit, payload).await,
             Some(GateEffect::Refuse { refusal, .. }) => self.refuse(refusal).await,
             Some(GateEffect::Stop { .. }) | None => {
                 self.abandon();
@@ -89,22 +94,22 @@
     }
 
     /// Says that the attempt did not run.
-    pub async fn refuse(mut self, refusal: Refusal) -> Result<(), WireError> {
+    pub async fn refuse(mut self: Box<Self>, refusal: Refusal) -> Result<(), WireError> {
         self.writer.finish(&FromSidecar::Refused(refusal)).await
     }
 
-    async fn run(mut self) -> Result<(), WireError> {
+    async fn run(mut self: Box<Self>, payload: Payload) -> Result<(), WireError> {
         if self.writer.send(&FromSidecar::Started).await.is_err() {
             self.abandon();
             return Ok(());
         }
-        match self.task.payload.clone() {
+        match payload {
             Payload::Chat(chat) => engine::run(self, chat).await,
             Payload::Call(call) => service::run(self, call).await,
         }
     }
 
-    async fn reserved(mut self, permit: Permit) -> Result<(), WireError> {
+    async fn reserved(mut self: Box<Self>, permit: Permit, payload: Payload) -> Result<(), WireError> {
         let now = self.sidecar.shared.clock.now();
         self.sidecar.calls().reserve(self.id(), now);
         let reservation = Reservation {
@@ -122,24 +127,24 @@
             effect = self.effects.recv() => return self.taken_back(effect).await,
         };
         match order {
-            Ok(Some(ToSidecar::Go(order))) => self.go(order).await,
+            Ok(Some(ToSidecar::Go(order))) => self.go(order, payload).await,
             _ => self.close(),
         }
     }
 
-    async fn go(mut self, order: Permit) -> Result<(), WireError> {
+    async fn go(mut self: Box<Self>, order: Permit, payload: Payload) -> Result<(), WireError> {
         if !self.sidecar.calls().start(self.id()) {
             self.abandon();
-            return self.refuse(Refusal::new(RefusalReason::NoReservation, std::time::Duration::ZERO)).await;
+            return self.refuse(Refusal::new(RefusalReason::NoReservation, Duration::ZERO)).await;
         }
         self.tell(GateEvent::Go { attempt: self.id().clone(), permit: order });
         match self.effects.recv().await {
-            Some(GateEffect::Start { .. }) => self.run().await,
+            Some(GateEffect::Start { .. }) => self.run(payload).await,
             effect => self.taken_back(effect).await,
         }
     }
 
-    async fn taken_back(self, effect: Option<GateEffect>) -> Result<(), WireError> {
+    async fn taken_back(self: Box<Self>, effect: Option<GateEffect>) -> Result<(), WireError> {
         self.sidecar.calls().not_run(self.id(), self.sidecar.shared.clock.now());
         match effect {
             Some(GateEffect::Refuse { refusal, .. }) => self.refuse(refusal).await,
@@ -147,7 +152,7 @@
         }
     }
 
-    fn close(self) -> Result<(), WireError> {
+    fn close(self: Box<Self>) -> Result<(), WireError> {
         self.sidecar.calls().close(self.id(), self.sidecar.shared.clock.now());
         self.abandon();
         Ok(())
--- a/crates/bluebelld/src/sidecar/engine.rs
+++ b/crates/bluebelld/src/sidecar/engine.rs
@@ -68,7 +68,7 @@
 ///
 /// # Errors
 /// When the connection to the entry broke.
-pub async fn run(mut attempt: Attempt, chat: Chat) -> Result<(), WireError> {
+pub async fn run(mut attempt: Box<Attempt>, chat: Chat) -> Result<(), WireError> {
     let Some(body) = engine_body(&attempt, &chat) else {
         attempt.finish();
         let refusal = Refusal::new(RefusalReason::NotServed, Duration::ZERO);
@@ -108,7 +108,7 @@
 // The caller's body with the router's own fields put in; none when the body is not a JSON object.
 fn engine_body(attempt: &Attempt, chat: &Chat) -> Option<String> {
     let mut fields: BTreeMap<&str, &RawValue> = serde_json::from_str(&chat.body).ok()?;
-    let ask = &attempt.task.ask;
+    let ask = &attempt.ask;
     let version = ask.work.name();
     let own = [
         ("model", raw(version)?),
@@ -128,7 +128,7 @@
 }
 
 async fn pass_on(
-    mut attempt: Attempt,
+    mut attempt: Box<Attempt>,
     chat: &Chat,
     events: impl Stream<Item = Option<Event>> + Unpin,
 ) -> Result<(), WireError> {
@@ -189,7 +189,7 @@
     }
 }
 
-async fn end(mut attempt: Attempt, chat: &Chat, progress: &Progress) -> Result<(), WireError> {
+async fn end(mut attempt: Box<Attempt>, chat: &Chat, progress: &Progress) -> Result<(), WireError> {
     hold_row(&attempt, chat, progress, HOLD_PERIOD);
     attempt.finish();
     let usage = Usage {
@@ -204,17 +204,17 @@
 // elsewhere, so the row of what was generated here waits until that would be over.
 fn abandon(attempt: &Attempt, chat: &Chat, progress: &Progress) -> Result<(), WireError> {
     attempt.abandon();
-    hold_row(attempt, chat, progress, attempt.task.deadline + HOLD_PERIOD);
+    hold_row(attempt, chat, progress, attempt.deadline + HOLD_PERIOD);
     Ok(())
 }
 
 fn hold_row(attempt: &Attempt, chat: &Chat, progress: &Progress, period: Duration) {
-    let ask = &attempt.task.ask;
+    let ask = &attempt.ask;
     let Work::Version(version) = &ask.work else { return };
     let output = chat.prior.output + Tokens(progress.output);
     let prompt = Tokens(progress.prompt);
     let row = BillRow {
-        request: attempt.task.request.clone(),
+        request: attempt.request.clone(),
         org: ask.org.clone(),
         version: version.clone(),
         priority: ask.priority,
--- a/crates/bluebelld/src/sidecar/service.rs
+++ b/crates/bluebelld/src/sidecar/service.rs
@@ -32,7 +32,7 @@
 ///
 /// # Errors
 /// When the connection to the entry broke.
-pub async fn run(mut attempt: Attempt, call: Call) -> Result<(), WireError> {
+pub async fn run(mut attempt: Box<Attempt>, call: Call) -> Result<(), WireError> {
     let outcome = perform(&attempt, &call).await;
     let now = attempt.sidecar.shared.clock.now();
     match outcome {
@@ -61,7 +61,7 @@
 async fn perform(attempt: &Attempt, call: &Call) -> Result<StoredReply, Missing> {
     let url = format!("{}{}", attempt.sidecar.runner.url, call.path);
     let method = reqwest::Method::from_bytes(call.method.as_bytes()).map_err(|_| Missing::NotRun)?;
-    let mut request = attempt.sidecar.client.request(method, url).timeout(attempt.task.deadline);
+    let mut request = attempt.sidecar.client.request(method, url).timeout(attempt.deadline);
     request = request.header("content-type", &call.content).body(call.body.clone());
     if let Some(key) = &call.key {
         request = request.header("idempotency-key", key);
@@ -88,7 +88,7 @@
     let Some(key) = &call.key else { return };
     for _ in 0..STORE_TRIES {
         let platform = &attempt.sidecar.shared.platform;
-        let stored = platform.complete_intent(&attempt.task.ask.org, key, attempt.id(), reply).await;
+        let stored = platform.complete_intent(&attempt.ask.org, key, attempt.id(), reply).await;
         let Err(error) = stored else { return };
         log::debug!("a reply is not stored yet: {error}");
         tokio::time::sleep(STORE_PAUSE).await;
