--- a/crates/bluebell-core/src/members.rs
+++ b/crates/bluebell-core/src/members.rs
@@ -63,6 +63,13 @@
 pub enum MembersEvent {
     /// The platform's list, whole.
     List(Vec<Listed>),
+    /// What changed in the platform's list.
+    Changes {
+        /// Instances that came or changed.
+        set: Vec<Listed>,
+        /// Instances that went.
+        gone: Vec<InstanceId>,
+    },
     /// An instance said that it leaves.
     Leaving(InstanceId),
     /// An instance said that it takes work, so one of its id has come back.
@@ -80,19 +87,28 @@
     /// Takes an event; tells whether anything changed.
     pub fn handle(&mut self, now: Duration, event: MembersEvent) -> bool {
         match event {
-            MembersEvent::List(list) => self.replace(now, list),
+            MembersEvent::List(list) => {
+                let listed: IndexMap<_, _> = list.into_iter().map(|item| (item.instance.clone(), item)).collect();
+                let changed = listed != self.listed;
+                self.listed = listed;
+                self.forget_old(now) || changed
+            }
+            MembersEvent::Changes { set, gone } => {
+                let changed = !set.is_empty() || !gone.is_empty();
+                self.listed.extend(set.into_iter().map(|item| (item.instance.clone(), item)));
+                gone.iter().for_each(|instance| drop(self.listed.shift_remove(instance)));
+                self.forget_old(now) || changed
+            }
             MembersEvent::Leaving(instance) => self.leaving.insert(instance, now).is_none(),
             MembersEvent::Open(instance) => self.leaving.shift_remove(&instance).is_some(),
         }
     }
 
-    fn replace(&mut self, now: Duration, list: Vec<Listed>) -> bool {
-        let listed: IndexMap<_, _> = list.into_iter().map(|item| (item.instance.clone(), item)).collect();
+    // Tells whether a word of leaving was forgotten.
+    fn forget_old(&mut self, now: Duration) -> bool {
         let before = self.leaving.len();
         self.leaving.retain(|_, since| now < *since + LEAVING_MEMORY);
-        let changed = listed != self.listed || before != self.leaving.len();
-        self.listed = listed;
-        changed
+        before != self.leaving.len()
     }
 
     /// Whether an instance is on its way out.
--- a/crates/bluebell-standins/src/platform/mod.rs
+++ b/crates/bluebell-standins/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's services in one process: table, object store, instance list, ratings and weights.
 
 mod faults;
+mod instances;
 mod store;
 mod table;
 
@@ -98,20 +99,20 @@
 }
 
 #[handler]
-async fn list_instances(store: Data<&Arc<Store>>) -> Response {
+async fn list_instances(store: Data<&Arc<Store>>, Query(query): Query<After>) -> Response {
     if store.faults().instances.before().await {
         return refused();
     }
-    json(&store.instances())
+    json(&store.instances(|instances| instances.after(query.after)))
 }
 
 #[handler]
 fn set_instances(store: Data<&Arc<Store>>, Json(list): Json<Vec<Listed>>) -> Response {
-    store.set_instances(list);
+    store.instances(|instances| instances.replace(list));
     json(&())
 }
 
-/// Position after which ratings are asked for.
+/// Position after which ratings or changes of the list are asked for.
 #[derive(Debug, Deserialize)]
 struct After {
     after: u64,
--- a/crates/bluebell-standins/src/platform/store.rs
+++ b/crates/bluebell-standins/src/platform/store.rs
@@ -6,10 +6,9 @@
     time::{Duration, Instant},
 };
 
-use bluebell_core::members::Listed;
 use bluebell_platform::ratings::Rating;
 
-use super::{faults::Faults, table::Table};
+use super::{faults::Faults, instances::Instances, table::Table};
 
 /// Least time between two answers of the weight store.
 const WEIGHTS_PAUSE: Duration = Duration::from_millis(200);
@@ -19,7 +18,7 @@
 pub struct Store {
     table: Mutex<Table>,
     objects: Mutex<HashMap<String, serde_json::Value>>,
-    instances: Mutex<Vec<Listed>>,
+    instances: Mutex<Instances>,
     ratings: Mutex<Vec<Rating>>,
     faults: Mutex<Faults>,
     weights: Mutex<Option<Instant>>,
@@ -55,14 +54,9 @@
         lock(&self.objects).insert(key, value);
     }
 
-    /// Instances listed.
-    pub fn instances(&self) -> Vec<Listed> {
-        lock(&self.instances).clone()
-    }
-
-    /// Replaces the list of instances.
-    pub fn set_instances(&self, list: Vec<Listed>) {
-        *lock(&self.instances) = list;
+    /// Works on the list of instances.
+    pub fn instances<T>(&self, work: impl FnOnce(&mut Instances) -> T) -> T {
+        work(&mut lock(&self.instances))
     }
 
     /// Ratings after a position.
--- a/crates/bluebelld/src/control/timers.rs
+++ b/crates/bluebelld/src/control/timers.rs
@@ -5,7 +5,7 @@
 use bluebell_core::{
     ids::InstanceId,
     kernel::Input,
-    members::{MembersEvent, Role},
+    members::Role,
     settings::{FollowerEvent, follower::Origin},
 };
 use tokio::{
@@ -19,6 +19,9 @@
 /// Time between two ticks of the kernel.
 const TICK: Duration = Duration::from_millis(100);
 
+/// A sidecar needs the list only to find entries to follow, so it looks this many times less often than an entry.
+const SIDECAR_LIST_PERIODS: u32 = 5;
+
 /// Runs the timers until the process ends.
 pub async fn run(shared: Arc<Shared>, control: ControlHandle) {
     spawn_local(list_instances(Arc::clone(&shared), control.clone()));
@@ -34,12 +37,21 @@
 }
 
 async fn list_instances(shared: Arc<Shared>, control: ControlHandle) {
+    let period = match shared.config.instance.role {
+        Role::Entry => shared.config.timing.list,
+        Role::Sidecar => shared.config.timing.list * SIDECAR_LIST_PERIODS,
+    };
+    let mut version = 0;
     loop {
-        match shared.platform.instances().await {
-            Ok(list) => control.input(Input::Members(MembersEvent::List(list))),
+        match shared.platform.instances(version).await {
+            Ok(changes) => {
+                version = changes.version;
+                control.input(Input::Members(changes.into_event()));
+            }
             Err(error) => log::warn!("instances can't be listed: {error}"),
         }
-        tokio::time::sleep(shared.config.timing.list).await;
+        let known = version > 0;
+        tokio::time::sleep(if known { period } else { shared.config.timing.poll }).await;
     }
 }
 
