Work connections beat every 10 s; load rides on answers; ejection doubles

Cause: working out docs/CAPACITY.md: an entry keeps up to 16 connections for each version and a sidecar is known to about 26 entries; beats each second in both directions would alone pass 3 KB/s a node. Ruled out: smaller subsets (fewer than 16 leave less to choose from when a zone is lost). Change: connections between entries and the sidecars they give work to beat every 10 s; changes of standing and settings are still sent at once, answers carry the runner's load, and a runner that keeps failing is left alone for 2, 4, ... 32 s.

--- a/crates/bluebell-wire/src/lib.rs
+++ b/crates/bluebell-wire/src/lib.rs
@@ -28,8 +28,10 @@
     Run,
     /// Entry to sidecar: what became of an attempt.
     Resolve,
-    /// Any to entry, entry to sidecar: revisions seen, both ways, as long as the connection lasts.
+    /// Any to entry: revisions seen, both ways, as long as the connection lasts.
     Follow,
+    /// Entry to sidecar: standing, load and revisions, both ways and at a slow pace, as long as the connection lasts.
+    Watch,
     /// Any to any: settings after a revision.
     Fetch,
     /// Any to any: billing rows handed over or stored.
@@ -39,7 +41,8 @@
 }
 
 impl Route {
-    const ALL: [Self; 6] = [Self::Run, Self::Resolve, Self::Follow, Self::Fetch, Self::Bills, Self::Confirmed];
+    const ALL: [Self; 7] =
+        [Self::Run, Self::Resolve, Self::Follow, Self::Watch, Self::Fetch, Self::Bills, Self::Confirmed];
 }
 
 impl fmt::Display for Route {
@@ -48,6 +51,7 @@
             Self::Run => "/run",
             Self::Resolve => "/resolve",
             Self::Follow => "/follow",
+            Self::Watch => "/watch",
             Self::Fetch => "/fetch",
             Self::Bills => "/bills",
             Self::Confirmed => "/confirmed",
--- a/crates/bluebell-wire/src/messages.rs
+++ b/crates/bluebell-wire/src/messages.rs
@@ -123,6 +123,8 @@
     pub output: Tokens,
     /// Why the answer ended.
     pub reason: String,
+    /// Share of the runner's places in use.
+    pub load: f32,
 }
 
 /// Question on [`Route::Resolve`](crate::Route::Resolve); the asker's own attempt takes over if this one never ran.
@@ -137,7 +139,7 @@
 /// Answer on [`Route::Resolve`](crate::Route::Resolve).
 pub type ResolveReply = Resolution;
 
-/// What both sides of [`Route::Follow`](crate::Route::Follow) send, at changes and as a heartbeat.
+/// What both sides of [`Route::Follow`](crate::Route::Follow) and [`Route::Watch`](crate::Route::Watch) send, at changes and as a heartbeat.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Beat {
     /// Revision in force at the sender.
--- a/crates/bluebelld/src/config/timing.rs
+++ b/crates/bluebelld/src/config/timing.rs
@@ -23,6 +23,10 @@
     /// Silence after which a peer is taken for lost.
     #[serde_as(as = "HumanTime")]
     pub silence: Duration,
+    /// Time between two heartbeats between an entry and the sidecars it gives work to. There are many of these
+    /// connections; changes of standing and settings don't wait for it, and work that stalls shows a loss sooner.
+    #[serde_as(as = "HumanTime")]
+    pub watch: Duration,
     /// Time to connect to a peer, and to get a short answer.
     #[serde_as(as = "HumanTime")]
     pub connect: Duration,
@@ -44,6 +48,7 @@
             list: Duration::from_secs(2),
             heartbeat: Duration::from_secs(1),
             silence: Duration::from_millis(3500),
+            watch: Duration::from_secs(10),
             connect: Duration::from_secs(1),
             stall: Duration::from_secs(2),
             notice: Duration::from_secs(1),
--- a/crates/bluebelld/src/entry/answer.rs
+++ b/crates/bluebelld/src/entry/answer.rs
@@ -120,6 +120,8 @@
                     self.prompt = usage.prompt;
                     if let Some(talk) = &mut self.talk {
                         talk.over = true;
+                        talk.link.succeeded();
+                        talk.link.report_load(usage.load);
                     }
                     return Ok(Piece::Done(Usage { output: self.prior.output, ..usage }));
                 }
--- a/crates/bluebelld/src/links/keep.rs
+++ b/crates/bluebelld/src/links/keep.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{
     kernel::Input,
-    members::{Listed, MembersEvent},
+    members::{Listed, MembersEvent, Role},
 };
 use bluebell_wire::{Connection, Route, WireError, messages::Standing};
 use tokio::task::spawn_local;
@@ -12,7 +12,7 @@
 use super::Link;
 use crate::{
     control::ControlHandle,
-    peers::{Exchange, exchange},
+    peers::{Exchange, Pace, exchange},
     shared::Shared,
 };
 
@@ -23,7 +23,7 @@
 
 /// Starts to keep a connection to an instance.
 pub fn start(shared: &Arc<Shared>, control: &ControlHandle, listed: &Listed) -> Arc<Link> {
-    let link = Arc::new(Link::new(listed.instance.clone(), listed.zone.clone(), listed.address.clone()));
+    let link = Arc::new(Link::new(listed));
     spawn_local(keep(Arc::clone(shared), control.clone(), Arc::clone(&link)));
     link
 }
@@ -52,10 +52,12 @@
 }
 
 async fn follow(shared: &Arc<Shared>, control: &ControlHandle, link: &Arc<Link>) -> Result<(), WireError> {
+    let route = if link.role() == Role::Entry { Route::Follow } else { Route::Watch };
     let patience = shared.config.timing.connect;
     let connection = Connection::open(link.address(), Arc::clone(&shared.identity), patience).await?;
-    let (writer, reader) = connection.stream(Route::Follow).await?;
-    let seen = Exchange { shared, control, peer: link.peer() };
+    let (writer, reader) = connection.stream(route).await?;
+    let pace = Pace::of(route, &shared.config.timing);
+    let seen = Exchange { shared, control, peer: link.peer(), pace };
     let mut first = Some(connection);
     let result = exchange(&seen, reader, writer, |beat| {
         link.report(beat.load, beat.standing == Standing::Open);
--- a/crates/bluebelld/src/links/link.rs
+++ b/crates/bluebelld/src/links/link.rs
@@ -11,17 +11,21 @@
 use arc_swap::ArcSwapOption;
 use bluebell_core::{
     ids::{InstanceId, ZoneId},
+    members::{Listed, Role},
     routing::Load,
 };
 use bluebell_wire::Connection;
 use tokio::sync::watch;
 
-/// Time for which a runner that failed gets no work.
+/// Time for which a runner that failed gets no work; doubled with each further failure.
 const EJECTION: Duration = Duration::from_secs(2);
+/// Doublings of that time at most.
+const MAX_DOUBLINGS: u32 = 4;
 
 /// One connection to a peer.
 pub struct Link {
     peer: InstanceId,
+    role: Role,
     zone: ZoneId,
     address: String,
     connection: ArcSwapOption<Connection>,
@@ -29,6 +33,7 @@
     reported: AtomicU32,
     open: AtomicBool,
     ejected: AtomicU64,
+    failures: AtomicU32,
     dropped: watch::Sender<bool>,
 }
 
@@ -42,16 +47,18 @@
 }
 
 impl Link {
-    pub(super) fn new(peer: InstanceId, zone: ZoneId, address: String) -> Self {
+    pub(super) fn new(listed: &Listed) -> Self {
         Self {
-            peer,
-            zone,
-            address,
+            peer: listed.instance.clone(),
+            role: listed.role,
+            zone: listed.zone.clone(),
+            address: listed.address.clone(),
             connection: ArcSwapOption::empty(),
             own: AtomicU32::new(0),
             reported: AtomicU32::new(0),
             open: AtomicBool::new(false),
             ejected: AtomicU64::new(0),
+            failures: AtomicU32::new(0),
             dropped: watch::Sender::new(false),
         }
     }
@@ -61,6 +68,11 @@
         &self.peer
     }
 
+    /// What the peer does.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
     /// Address of the peer.
     pub fn address(&self) -> &str {
         &self.address
@@ -86,7 +98,13 @@
 
     /// Gives the peer no work for a while, since it failed.
     pub fn eject(&self, now: Duration) {
-        self.ejected.store((now + EJECTION).as_millis() as u64, Ordering::Relaxed);
+        let times = self.failures.fetch_add(1, Ordering::Relaxed).min(MAX_DOUBLINGS);
+        self.ejected.store((now + EJECTION * (1 << times)).as_millis() as u64, Ordering::Relaxed);
+    }
+
+    /// Takes note that the peer has finished something.
+    pub fn succeeded(&self) {
+        self.failures.store(0, Ordering::Relaxed);
     }
 
     /// Takes note of the peer's word.
@@ -95,6 +113,11 @@
         self.open.store(open, Ordering::Relaxed);
     }
 
+    /// Takes note of the peer's load alone.
+    pub fn report_load(&self, load: f32) {
+        self.reported.store(load.to_bits(), Ordering::Relaxed);
+    }
+
     /// Load as seen from a zone.
     pub fn load(&self, zone: &ZoneId) -> Load {
         Load {
--- a/crates/bluebelld/src/peers.rs
+++ b/crates/bluebelld/src/peers.rs
@@ -21,7 +21,7 @@
 use indexmap::IndexMap;
 use tokio::time::{Instant, interval, timeout_at};
 
-use crate::{control::ControlHandle, shared::Shared, sidecar::Admission};
+use crate::{config::Timing, control::ControlHandle, shared::Shared, sidecar::Admission};
 
 /// Instances that follow this one, with the revision that each confirmed.
 #[derive(Default)]
@@ -50,6 +50,28 @@
     pub control: &'a ControlHandle,
     /// The peer.
     pub peer: &'a InstanceId,
+    /// How often both ends speak.
+    pub pace: Pace,
+}
+
+/// How often both ends of an exchange speak.
+#[derive(Debug, Clone, Copy)]
+pub struct Pace {
+    heartbeat: Duration,
+    silence: Duration,
+}
+
+/// Heartbeats of a watched connection that may be missed.
+const MISSED_BEATS: u32 = 3;
+
+impl Pace {
+    /// The pace of a kind of conversation.
+    pub fn of(route: Route, timing: &Timing) -> Self {
+        match route {
+            Route::Watch => Self { heartbeat: timing.watch, silence: timing.watch * MISSED_BEATS },
+            _ => Self { heartbeat: timing.heartbeat, silence: timing.silence },
+        }
+    }
 }
 
 /// Exchanges heartbeats until the connection breaks or the peer falls silent.
@@ -63,7 +85,7 @@
     mut heard: impl FnMut(&Beat),
 ) -> Result<(), WireError> {
     let shared = seen.shared;
-    let timing = &shared.config.timing;
+    let timing = seen.pace;
     let mut beats = interval(timing.heartbeat);
     let mut revision = shared.revision.subscribe();
     let mut leaving = shared.leaving.subscribe();
@@ -133,7 +155,7 @@
 /// When the connection broke or the peer sent what can't be read.
 pub async fn serve(shared: &Arc<Shared>, control: &ControlHandle, incoming: Incoming) -> Result<(), WireError> {
     match incoming.route {
-        Route::Follow => serve_follow(shared, control, incoming).await,
+        Route::Follow | Route::Watch => serve_follow(shared, control, incoming).await,
         Route::Fetch => serve_fetch(control, incoming).await,
         Route::Bills => serve_bills(shared, control, incoming).await,
         Route::Confirmed => serve_confirmed(shared, incoming).await,
@@ -143,8 +165,9 @@
 
 async fn serve_follow(shared: &Arc<Shared>, control: &ControlHandle, incoming: Incoming) -> Result<(), WireError> {
     let peer = incoming.from.clone();
+    let pace = Pace::of(incoming.route, &shared.config.timing);
     let (reader, writer) = incoming.accept()?;
-    let seen = Exchange { shared, control, peer: &peer };
+    let seen = Exchange { shared, control, peer: &peer, pace };
     let result = exchange(&seen, reader, writer, |beat| {
         shared.followers.lock().insert(peer.clone(), beat.revision);
     })
--- a/crates/bluebelld/src/sidecar/engine.rs
+++ b/crates/bluebelld/src/sidecar/engine.rs
@@ -198,6 +198,7 @@
         prompt: Tokens(progress.prompt),
         output: Tokens(progress.output),
         reason: progress.reason.clone().unwrap_or_else(|| "stop".to_owned()),
+        load: attempt.sidecar.shared.admission.as_ref().map_or(0.0, super::Admission::load),
     };
     attempt.writer.finish(&FromSidecar::Finished(usage)).await
 }
