Peers hear at once of every change of standing; slower heartbeats; whole answers gathered

Cause: with heartbeats of 20 s one of 50 integration tests failed: an entry was not ready in 20 s. The sidecar's log showed its settings in force in time; its last beat had been sent between the new revision and the flag that the settings are current, so it said 'starting' and nothing followed. The faster beats had hidden this, as they hid that a runner's failure and return were told only with the next beat. Ruled out: the link (it was up from the start). Change: one signal tells peers of revision, standing and runner; the flag is set before it. Pieces of an answer whose caller waits for the whole are gathered for 100 ms at the sidecar. Clean-up: fuzz world split, modules renamed for what they hold.

--- a/crates/bluebell-core/src/gate/mod.rs
+++ b/crates/bluebell-core/src/gate/mod.rs
@@ -5,13 +5,13 @@
 //! late or repeated message can't make it run.
 
 mod ended;
+mod messages;
 pub mod queue;
-mod types;
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
-pub use types::{Ask, GateEffect, GateEvent, Refusal, RefusalReason, Work};
+pub use messages::{Ask, GateEffect, GateEvent, Refusal, RefusalReason, Work};
 
 use self::{
     ended::Ended,
--- a/crates/bluebell-core/src/members.rs
+++ b/crates/bluebell-core/src/members.rs
@@ -14,7 +14,7 @@
 /// Time for which a word of leaving outweighs the list.
 pub const LEAVING_MEMORY: Duration = Duration::from_secs(60);
 /// Entries of a zone that read the settings' revision from the table.
-pub const ZONE_POLLERS: usize = 3;
+pub const ZONE_POLLERS: usize = 6;
 /// Entries that each instance follows for settings.
 pub const FOLLOWED_ENTRIES: usize = 2;
 
--- a/crates/bluebell-core/tests/fuzz/main.rs
+++ b/crates/bluebell-core/tests/fuzz/main.rs
@@ -8,16 +8,18 @@
 
 mod once;
 mod oracle;
+mod parts;
 mod table;
 mod world;
 
+use parts::Op;
 use proptest::{
     prelude::{Just, Strategy, any},
     prop_oneof,
     test_runner::{Config, RngSeed},
 };
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
-use world::{Op, World};
+use world::World;
 
 /// Seed where none is set.
 const DEFAULT_SEED: u64 = 20_261_204;
--- a/crates/bluebell-core/tests/fuzz/world.rs
+++ b/crates/bluebell-core/tests/fuzz/world.rs
@@ -1,93 +1,28 @@
 //! Entries, sidecars, operators, a table and a network that does what it likes.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
-    billing::{BillRow, BillingEffect, BillingEvent, HOLD_PERIOD, Outbox},
-    calls::Calls,
-    gate::{Ask, Gate, GateEffect, GateEvent, RefusalReason, Work},
-    ids::{AttemptId, Incarnation, InstanceId, Permit, RequestId, Revision, VersionId},
+    billing::{BillRow, BillingEffect, BillingEvent, HOLD_PERIOD},
+    gate::{Ask, GateEffect, GateEvent, RefusalReason, Work},
+    ids::{AttemptId, Incarnation, Permit, RequestId, Revision, VersionId},
     intent::{Reservation, Resolution, StoredReply},
-    kernel::{Effect, Input, Kernel, Service},
+    kernel::{Effect, Input},
     routing::Plan,
-    settings::{Action, Follower, FollowerEffect, FollowerEvent, Record, Snapshot, State, follower::Origin},
+    settings::{Action, FollowerEffect, FollowerEvent, Record, Snapshot, State, follower::Origin},
     units::{Cost, Priority, Tokens},
 };
 
 use crate::{
     once::{Flow, Stage},
     oracle::{Answered, Oracle},
+    parts::{
+        ENTRIES, KEYS, Message, NODES, Node, Op, SETTLE_ROUNDS, SIDECARS, STEP, Task, VERSIONS, crew, id, new_node,
+        node_id, node_number, tree,
+    },
     table::{Fault, Table},
 };
 
-const ENTRIES: usize = 3;
-const SIDECARS: usize = 3;
-const NODES: usize = ENTRIES + SIDECARS;
-const SLOTS: usize = 2;
-const KEYS: u8 = 2;
-const VERSIONS: [&str; 3] = ["small@1", "small@2", "large@1"];
-const STEP: Duration = Duration::from_millis(400);
-const SETTLE_ROUNDS: usize = 60;
-
-/// A random step.
-#[derive(Debug, Clone)]
-pub enum Op {
-    Commit { kind: u8, version: u8 },
-    Poll { node: u8 },
-    Gossip { from: u8, to: u8 },
-    Deliver { at: u8 },
-    Duplicate { at: u8 },
-    Drop { at: u8 },
-    Restart { node: u8 },
-    Freeze { entry: u8 },
-    Thaw { entry: u8 },
-    Table { fault: u8 },
-    Chat { entry: u8, sidecar: u8, version: u8 },
-    Call { entry: u8, key: u8 },
-    Step { entry: u8, sidecar: u8 },
-    Drive { entry: u8, depth: u8 },
-    Finish { at: u8 },
-    Leave { sidecar: u8 },
-    Advance { steps: u8 },
-}
-
-/// A message on its way; who began anew since does not get what was meant for its former self.
-#[derive(Debug, Clone)]
-enum Message {
-    Seen { to: usize, from: usize, revision: Revision },
-    Snapshot { to: usize, snapshot: Snapshot },
-    Ask { from: usize, to: usize, life: u64, request: RequestId, ask: Ask },
-    Go { to: usize, attempt: AttemptId, permit: Permit },
-    Effect { to: usize, effect: GateEffect, sidecar: usize, life: u64 },
-    Finished { to: usize, row: BillRow, sidecar: usize, life: u64 },
-    Inserted { to: usize, life: u64, rows: Vec<BillRow>, stored: bool },
-    Settled { to: usize, requests: Vec<RequestId> },
-    ResolveAsk { from: usize, to: usize, reservation: Reservation },
-    ResolveReply { to: usize, about: AttemptId, word: Resolution },
-}
-
-struct Node {
-    kernel: Kernel,
-    life: u64,
-    published: Revision,
-    plan: Option<Arc<Plan>>,
-    seen_first: Revision,
-    frozen: bool,
-    leaving: bool,
-    flows: Vec<Flow>,
-    calls: Calls,
-    tasks: HashMap<AttemptId, Task>,
-    holders: HashMap<RequestId, usize>,
-}
-
-#[derive(Debug, Clone)]
-struct Task {
-    request: RequestId,
-    entry: usize,
-    ask: Ask,
-    running: bool,
-}
-
 /// The whole world.
 pub struct World {
     now: Duration,
@@ -98,54 +33,6 @@
     count: u64,
 }
 
-fn id<T: std::str::FromStr>(text: &str) -> T {
-    text.parse().unwrap_or_else(|_| panic!("{text} is an id"))
-}
-
-fn node_id(node: usize) -> InstanceId {
-    id(&format!("node-{node}"))
-}
-
-fn node_number(node: &InstanceId) -> usize {
-    node.as_str()["node-".len()..].parse().expect("it is a node's id")
-}
-
-fn tree(allowed: &[&str]) -> Vec<String> {
-    let root = "branch: root\n\
-        catalog: { models: { small: { \"1\": { price: 1, quality: 80% }, \"2\": { price: 1, quality: 80% } }, \
-        large: { \"1\": { price: 9, quality: 90% } } }, services: { ledger: { idempotent: false } } }\n\
-        allow: []\nservices: [ledger]\npriority: normal\nceiling: urgent\nquality: 50%\n\
-        targets: { normal: { first_token: 1s, inter_token: 50ms } }\n\
-        limits: { in_flight: 10, max_tokens: 100, body: 1KiB, deadline: 5s }\n\
-        rollout: { steps: [100%], hold: 1s }\n";
-    vec![root.to_owned(), crew(allowed)]
-}
-
-fn crew(allowed: &[&str]) -> String {
-    format!("branch: crew\nparent: root\norganisation: vans\nallow: [{}]\n", allowed.join(", "))
-}
-
-fn new_node(number: usize, life: u64) -> Node {
-    let kernel = Kernel::default()
-        .with(Service::Settings(Box::<Follower>::default()))
-        .with(Service::Billing(Box::<Outbox>::default()));
-    let serves = VERSIONS.iter().map(|text| (*text).to_owned()).chain(["ledger".to_owned()]).collect();
-    let gate = || Service::Gate(Box::new(Gate::new(SLOTS, serves)));
-    Node {
-        kernel: if number < ENTRIES { kernel } else { kernel.with(gate()) },
-        life,
-        published: Revision::default(),
-        plan: None,
-        seen_first: Revision::default(),
-        frozen: false,
-        leaving: false,
-        flows: Vec::new(),
-        calls: Calls::default(),
-        tasks: HashMap::new(),
-        holders: HashMap::new(),
-    }
-}
-
 impl World {
     pub fn new() -> Self {
         let mut world = Self {
--- a/crates/bluebell-wire/src/messages.rs
+++ b/crates/bluebell-wire/src/messages.rs
@@ -54,6 +54,8 @@
     pub prior: Prior,
     /// Price of the version.
     pub price: Price,
+    /// Whether the caller waits for the whole answer, so that its pieces may be sent together.
+    pub whole: bool,
 }
 
 /// What earlier attempts of a request gave.
--- a/crates/bluebelld/src/config/timing.rs
+++ b/crates/bluebelld/src/config/timing.rs
@@ -46,9 +46,9 @@
         Self {
             poll: Duration::from_millis(500),
             list: Duration::from_secs(2),
-            heartbeat: Duration::from_secs(1),
-            silence: Duration::from_millis(3500),
-            watch: Duration::from_secs(10),
+            heartbeat: Duration::from_secs(4),
+            silence: Duration::from_secs(14),
+            watch: Duration::from_secs(20),
             connect: Duration::from_secs(1),
             stall: Duration::from_secs(2),
             notice: Duration::from_secs(1),
--- a/crates/bluebelld/src/control/effects.rs
+++ b/crates/bluebelld/src/control/effects.rs
@@ -1,6 +1,6 @@
 //! What the control thread does about each effect.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use bluebell_core::{
     billing::{BillRow, BillingEffect, BillingEvent},
@@ -51,6 +51,9 @@
         self.shared.published.store(Arc::new(Published { state, plan }));
         self.shared.metrics.set_revision(revision);
         self.shared.revision.send_replace(revision);
+        // Only settings known to be current are published; peers must not hear of them as not yet current.
+        self.shared.current.store(true, Ordering::Relaxed);
+        self.shared.tell_news();
     }
 
     fn adopt_members(&self) {
--- a/crates/bluebelld/src/entry/answer.rs
+++ b/crates/bluebelld/src/entry/answer.rs
@@ -49,6 +49,8 @@
     pub body: String,
     /// Tokens that the answer may have.
     pub max_tokens: Tokens,
+    /// Whether the caller gets the answer piece by piece.
+    pub stream: bool,
     /// Time that the whole answer may take.
     pub deadline: Duration,
 }
@@ -187,6 +189,7 @@
             max_tokens: self.question.max_tokens,
             prior: self.prior.clone(),
             price: self.question.price,
+            whole: !self.question.stream,
         })
     }
 
--- a/crates/bluebelld/src/entry/chat.rs
+++ b/crates/bluebelld/src/entry/chat.rs
@@ -96,6 +96,7 @@
         version,
         body: String::from_utf8_lossy(&bytes).into_owned(),
         max_tokens,
+        stream: chat.stream,
         deadline: limits.deadline,
     };
     respond(Answer::new(flow, question), naming, placed.token, chat.stream).await
--- a/crates/bluebelld/src/entry/force.rs
+++ b/crates/bluebelld/src/entry/in_force.rs
@@ -49,7 +49,7 @@
 
 /// Tells where a revision is in force.
 #[handler]
-pub async fn in_force(entry: Data<&Arc<Entry>>, request: &Request, Query(asked): Query<Asked>) -> Response {
+pub async fn show(entry: Data<&Arc<Entry>>, request: &Request, Query(asked): Query<Asked>) -> Response {
     if let Err(fault) = auth::operator(&entry, request) {
         return fault.response();
     }
--- a/crates/bluebelld/src/entry/mod.rs
+++ b/crates/bluebelld/src/entry/mod.rs
@@ -8,15 +8,15 @@
 mod chat;
 mod fault;
 mod flow;
-mod force;
+mod in_force;
 mod judge;
 mod models;
 mod rollouts;
 mod service;
 mod session;
 mod sse;
+mod stages;
 mod stop;
-mod typestate;
 
 pub use stop::settle_rows;
 
@@ -143,7 +143,7 @@
         .at("/admin/explain/:branch", get(admin::explain))
         .at("/admin/history", get(admin::history))
         .at("/admin/changes", post(admin::change))
-        .at("/admin/in-force", get(force::in_force))
+        .at("/admin/in-force", get(in_force::show))
         .at("/admin/members", get(admin::members))
         .at("/admin/status", get(admin::standing))
         .data(Arc::clone(shared))
--- a/crates/bluebelld/src/entry/service.rs
+++ b/crates/bluebelld/src/entry/service.rs
@@ -28,7 +28,7 @@
     fault::{Fault, MalformedSnafu, NoKeySnafu, PlatformSnafu, Ran, ServiceSnafu},
     flow::Flow,
     lock,
-    typestate::{CallKey, Ended, Reserved, Stored},
+    stages::{CallKey, Ended, Reserved, Stored},
 };
 use crate::{links, metrics::Outcome};
 
@@ -256,7 +256,7 @@
     entry: &Arc<Entry>,
     served: &Served,
     key: CallKey,
-    intended: super::typestate::Intended,
+    intended: super::stages::Intended,
 ) -> Result<StoredReply, Fault> {
     let Ok(mut running) = intended.go().await else {
         return Err(Fault::OutcomeUnknown { is_final: false });
--- a/crates/bluebelld/src/entry/stop.rs
+++ b/crates/bluebelld/src/entry/stop.rs
@@ -25,7 +25,7 @@
 pub async fn ordered(entry: Arc<Entry>) {
     shutdown::ordered().await;
     log::info!("leaving");
-    entry.shared.leaving.send_replace(true);
+    entry.shared.leave();
     tokio::time::sleep(entry.shared.config.timing.notice).await;
     let mut working = entry.working.subscribe();
     let idle = working.wait_for(|count| *count == 0);
--- a/crates/bluebelld/src/peers.rs
+++ b/crates/bluebelld/src/peers.rs
@@ -87,10 +87,8 @@
     let shared = seen.shared;
     let timing = seen.pace;
     let mut beats = interval(timing.heartbeat);
-    let mut revision = shared.revision.subscribe();
-    let mut leaving = shared.leaving.subscribe();
+    let mut news = shared.news.subscribe();
     let mut deadline = Instant::now() + timing.silence;
-    let mut left = false;
     loop {
         tokio::select! {
             beat = timeout_at(deadline, reader.next()) => {
@@ -101,11 +99,7 @@
                 heard(&beat);
             }
             _ = beats.tick() => writer.send(&own_beat(shared)).await?,
-            _ = revision.changed() => writer.send(&own_beat(shared)).await?,
-            _ = leaving.changed(), if !left => {
-                left = true;
-                writer.send(&own_beat(shared)).await?;
-            }
+            _ = news.changed() => writer.send(&own_beat(shared)).await?,
         }
     }
 }
--- a/crates/bluebelld/src/shared.rs
+++ b/crates/bluebelld/src/shared.rs
@@ -74,6 +74,8 @@
     pub runner_up: AtomicBool,
     /// Tells that the process is leaving.
     pub leaving: watch::Sender<bool>,
+    /// Tells that peers have to hear of a change here: of revision, standing or runner.
+    pub news: watch::Sender<u64>,
     /// Tells the revision in force.
     pub revision: watch::Sender<u64>,
 }
@@ -107,10 +109,22 @@
             linked: AtomicBool::new(false),
             runner_up: AtomicBool::new(true),
             leaving: watch::Sender::new(false),
+            news: watch::Sender::new(0),
             revision: watch::Sender::new(0),
         }))
     }
 
+    /// Has all peers hear at once how things stand here.
+    pub fn tell_news(&self) {
+        self.news.send_modify(|count| *count += 1);
+    }
+
+    /// Begins to leave.
+    pub fn leave(&self) {
+        self.leaving.send_replace(true);
+        self.tell_news();
+    }
+
     /// Whether the process is leaving.
     pub fn is_leaving(&self) -> bool {
         *self.leaving.borrow()
--- a/crates/bluebelld/src/sidecar/engine.rs
+++ b/crates/bluebelld/src/sidecar/engine.rs
@@ -18,10 +18,15 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::{RawValue, to_raw_value};
 
+use tokio::time::Instant;
+
 use super::attempt::Attempt;
 
 /// Events of an engine that are passed on together when they are there together.
 const MERGED_EVENTS: usize = 64;
+/// Time for which pieces are gathered for a caller that waits for the whole; what is gathered when the runner fails is
+/// generated again.
+const GATHER_TIME: Duration = Duration::from_millis(100);
 /// Data of the event that ends a stream.
 const DONE: &str = "[DONE]";
 
@@ -135,6 +140,7 @@
 ) -> Result<(), WireError> {
     let mut events = events.ready_chunks(MERGED_EVENTS);
     let mut progress = Progress::default();
+    let mut pieces = Pieces::new(chat.whole);
     loop {
         let batch = tokio::select! {
             batch = events.next() => batch,
@@ -142,15 +148,17 @@
             _ = attempt.effects.recv() => return attempt.give_way().await,
         };
         let step = batch.map_or(Step::Broken, |batch| progress.take(batch));
-        let sent = match step {
-            Step::Text(delta) => attempt.writer.send(&FromSidecar::Delta(delta)).await,
-            Step::End => return end(attempt, chat, &progress).await,
+        let ready = match step {
+            Step::Text(delta) => pieces.add(delta, progress.done),
+            Step::End => pieces.take(),
             Step::Broken => {
                 attempt.fail();
                 return attempt.writer.finish(&FromSidecar::Failed).await;
             }
         };
-        if sent.is_err() {
+        if let Some(delta) = ready
+            && attempt.writer.send(&FromSidecar::Delta(delta)).await.is_err()
+        {
             return abandon(&attempt, chat, &progress);
         }
         if progress.done {
@@ -159,6 +167,36 @@
     }
 }
 
+/// Pieces of an answer on their way to the entry: each at once for a caller that reads along, gathered for a while
+/// for one that waits for the whole.
+struct Pieces {
+    gather: bool,
+    text: String,
+    tokens: u64,
+    sent: Instant,
+}
+
+impl Pieces {
+    fn new(gather: bool) -> Self {
+        Self { gather, text: String::new(), tokens: 0, sent: Instant::now() }
+    }
+
+    fn add(&mut self, delta: Delta, last: bool) -> Option<Delta> {
+        if !self.gather {
+            return Some(delta);
+        }
+        self.text.push_str(&delta.text);
+        self.tokens += delta.tokens.0;
+        if last || self.sent.elapsed() >= GATHER_TIME { self.take() } else { None }
+    }
+
+    fn take(&mut self) -> Option<Delta> {
+        self.sent = Instant::now();
+        let tokens = Tokens(std::mem::take(&mut self.tokens));
+        (tokens.0 > 0).then(|| Delta { text: std::mem::take(&mut self.text), tokens })
+    }
+}
+
 impl Progress {
     fn take(&mut self, batch: Vec<Option<Event>>) -> Step {
         let mut text = String::new();
--- a/crates/bluebelld/src/sidecar/health.rs
+++ b/crates/bluebelld/src/sidecar/health.rs
@@ -22,6 +22,7 @@
     sidecar.tell(GateEvent::RunnerDown);
     if sidecar.shared.runner_up.swap(false, Ordering::Relaxed) {
         log::warn!(runner = sidecar.runner.id.as_str(); "the runner failed");
+        sidecar.shared.tell_news();
         tokio::spawn(wait_for_return(Arc::clone(sidecar)));
     }
 }
@@ -36,5 +37,6 @@
     }
     sidecar.shared.runner_up.store(true, Ordering::Relaxed);
     sidecar.tell(GateEvent::RunnerUp);
+    sidecar.shared.tell_news();
     log::info!(runner = sidecar.runner.id.as_str(); "the runner is back");
 }
--- a/crates/bluebelld/src/sidecar/mod.rs
+++ b/crates/bluebelld/src/sidecar/mod.rs
@@ -132,7 +132,7 @@
 async fn leave(sidecar: &Arc<Sidecar>, closing: &watch::Sender<bool>) {
     log::info!("leaving");
     sidecar.tell(GateEvent::Leave);
-    sidecar.shared.leaving.send_replace(true);
+    sidecar.shared.leave();
     let mut working = sidecar.working.subscribe();
     let idle = working.wait_for(|count| *count == 0);
     if tokio::time::timeout(sidecar.shared.config.timing.drain, idle).await.is_err() {
