Pollers of a zone take turns

Cause: docs/CAPACITY.md reckoned 6.8 KB/s for the entries that poll the table, against 3 KB/s, 1.6 KB/s of it for polls. Ruled out: fewer pollers (each would have more followers to tell) and a longer period (a change would take longer to be seen).

--- a/crates/bluebell-core/src/members.rs
+++ b/crates/bluebell-core/src/members.rs
@@ -58,6 +58,23 @@
     pub phase: Phase,
 }
 
+/// Turn of an instance among the pollers of its zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PollTurn {
+    position: usize,
+    count: usize,
+}
+
+impl PollTurn {
+    /// Whether it is this instance's turn at a time of day, where turns are so long. Clocks that differ only make
+    /// turns overlap.
+    #[must_use]
+    pub fn is_now(self, since_epoch: Duration, turn: Duration) -> bool {
+        let number = since_epoch.as_nanos() / turn.as_nanos().max(1);
+        number % self.count as u128 == self.position as u128
+    }
+}
+
 /// What the member table is told.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MembersEvent {
@@ -162,7 +179,15 @@
     /// Whether an instance polls the table for its zone.
     #[must_use]
     pub fn is_poller(&self, own: &InstanceId, zone: &ZoneId) -> bool {
-        self.pollers(zone).iter().any(|item| item.instance == *own)
+        self.poll_turn(own, zone).is_some()
+    }
+
+    /// The turn of an instance among the pollers of its zone, if it is one.
+    #[must_use]
+    pub fn poll_turn(&self, own: &InstanceId, zone: &ZoneId) -> Option<PollTurn> {
+        let pollers = self.pollers(zone);
+        let position = pollers.iter().position(|item| item.instance == *own)?;
+        Some(PollTurn { position, count: pollers.len() })
     }
 
     /// Entries that an instance follows for settings: an entry follows pollers, a sidecar any entries, both in their
--- a/crates/bluebelld/src/control/timers.rs
+++ b/crates/bluebelld/src/control/timers.rs
@@ -3,7 +3,6 @@
 use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
-    ids::InstanceId,
     kernel::Input,
     members::Role,
     settings::{FollowerEvent, follower::Origin},
@@ -72,10 +71,15 @@
     }
 }
 
-// Until its settings are current every instance asks the table itself; then only a few entries of each zone do.
+// Until its settings are current every instance asks the table itself; then a few entries of each zone take turns.
 fn polls(shared: &Shared) -> bool {
-    let own: &InstanceId = &shared.config.instance.id;
-    let current = shared.current.load(std::sync::atomic::Ordering::Relaxed);
-    let poller = || shared.members.load().is_poller(own, &shared.config.instance.zone);
-    !current || shared.config.instance.role == Role::Entry && poller()
+    let own = &shared.config.instance;
+    if !shared.current.load(std::sync::atomic::Ordering::Relaxed) {
+        return true;
+    }
+    if own.role == Role::Sidecar {
+        return false;
+    }
+    let turn = shared.members.load().poll_turn(&own.id, &own.zone);
+    turn.is_some_and(|turn| turn.is_now(shared.identity.since_epoch(), shared.config.timing.poll))
 }
