--- /dev/null
+++ b/crates/bluebell-core/src/events.rs
@@ -0,0 +1,134 @@
+//! Events of a streamed answer: cut into whole events, with ids that grow by one. What an upstream leaves unfinished
+//! never reaches the caller.
+
+use snafu::Snafu;
+
+/// Largest event accepted, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Field that numbers an event.
+const ID_FIELD: &[u8] = b"id:";
+
+/// A stream that can't be passed on.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum EventError {
+    /// An event has no id, or one that is not a number.
+    #[snafu(display("event after {last} has no readable id"))]
+    NoId {
+        /// The last id passed on.
+        last: u64,
+    },
+    /// An event doesn't follow the one before.
+    #[snafu(display("event {found} follows event {last}"))]
+    Gap {
+        /// The last id passed on.
+        last: u64,
+        /// The id found.
+        found: u64,
+    },
+    /// An event is too long.
+    #[snafu(display("an event is longer than {MAX_EVENT_BYTES} bytes"))]
+    TooLong,
+}
+
+/// Whole events that were taken from a stream.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// Their bytes, as they came.
+    pub bytes: Vec<u8>,
+    /// How many there are.
+    pub count: u64,
+}
+
+/// Cuts a stream into whole events.
+#[derive(Debug, Clone)]
+pub struct EventCutter {
+    buffer: Vec<u8>,
+    last: u64,
+}
+
+impl EventCutter {
+    /// A cutter that expects the event after the last one that the caller has.
+    #[must_use]
+    pub fn after(last: u64) -> Self {
+        Self { buffer: Vec::new(), last }
+    }
+
+    /// Id of the last whole event.
+    #[must_use]
+    pub fn last(&self) -> u64 {
+        self.last
+    }
+
+    /// Takes bytes; gives the events that are whole now.
+    ///
+    /// # Errors
+    /// When an event can't be read or doesn't follow the one before.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Batch, EventError> {
+        self.buffer.extend_from_slice(bytes);
+        let mut batch = Batch::default();
+        let mut start = 0;
+        while let Some(length) = event_length(&self.buffer[start..]) {
+            let event = &self.buffer[start..start + length];
+            let last = checked_id(event, self.last)?;
+            batch.count += u64::from(last > self.last);
+            self.last = last;
+            start += length;
+        }
+        batch.bytes.extend_from_slice(&self.buffer[..start]);
+        self.buffer.drain(..start);
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            return TooLongSnafu.fail();
+        }
+        Ok(batch)
+    }
+
+    /// Whether the stream stands between two events.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
+    /// Drops an unfinished event, since another upstream goes on after the last whole one.
+    pub fn reset(&mut self) {
+        self.buffer.clear();
+    }
+}
+
+// Id of the last event once this one is passed on.
+fn checked_id(event: &[u8], last: u64) -> Result<u64, EventError> {
+    if !has_field(event) {
+        return Ok(last);
+    }
+    let found = event_id(event).ok_or(EventError::NoId { last })?;
+    if found != last + 1 {
+        return GapSnafu { last, found }.fail();
+    }
+    Ok(found)
+}
+
+// Length of the first event with the empty line that ends it.
+fn event_length(bytes: &[u8]) -> Option<usize> {
+    let mut start = 0;
+    while let Some(end) = bytes[start..].iter().position(|byte| *byte == b'\n') {
+        let line = &bytes[start..start + end];
+        start += end + 1;
+        if line.is_empty() || line == b"\r" {
+            return Some(start);
+        }
+    }
+    None
+}
+
+fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    event.split(|byte| *byte == b'\n').map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+}
+
+// A comment or an empty line is no event.
+fn has_field(event: &[u8]) -> bool {
+    lines(event).any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
+fn event_id(event: &[u8]) -> Option<u64> {
+    let line = lines(event).find_map(|line| line.strip_prefix(ID_FIELD))?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
+}
--- a/crates/bluebell-core/src/ids.rs
+++ b/crates/bluebell-core/src/ids.rs
@@ -153,6 +153,22 @@
     /// A plain service behind the router.
     ServiceId
 );
+text_id!(
+    /// A process that answers requests of one service: a model engine or a plain application.
+    UpstreamId
+);
+text_id!(
+    /// A route from a host and a path prefix to services.
+    RouteId
+);
+text_id!(
+    /// A version of the software or weights that a service's upstreams run.
+    ReleaseId
+);
+text_id!(
+    /// A part of a prompt that several requests may share.
+    PartId
+);
 text_id!(
     /// A caller's request, the same for each time it is sent.
     RequestId
--- a/crates/bluebell-core/src/lib.rs
+++ b/crates/bluebell-core/src/lib.rs
@@ -6,18 +6,25 @@
 
 pub mod billing;
 pub mod calls;
+pub mod canary;
+pub mod cascade;
 pub mod clock;
+pub mod events;
 pub mod gate;
 pub mod ids;
+pub mod ingress;
 pub mod intent;
 pub mod kernel;
 pub mod keys;
 pub mod lease;
 pub mod members;
+pub mod placing;
 pub mod quality;
+pub mod replica;
 pub mod retry;
 pub mod rollout;
 pub mod routing;
 pub mod session;
 pub mod settings;
 pub mod units;
+pub mod upstreams;
--- a/crates/bluebell-core/src/retry.rs
+++ b/crates/bluebell-core/src/retry/mod.rs
@@ -1,9 +1,13 @@
 //! When a request may be tried again, and how many tries the fleet affords.
 
+mod window;
+
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+pub use window::{RetryLimit, RetryWindow};
+
 /// Retries earned by each first try.
 pub const RETRY_RATIO: f64 = 0.1;
 /// Retries that may be saved up.
--- /dev/null
+++ b/crates/bluebell-core/src/retry/window.rs
@@ -0,0 +1,74 @@
+//! The retry budget that all entries share: in any window of time, arrivals beyond the first of each request stay
+//! below a share of the requests and a fixed allowance. Each entry keeps to the share of its own requests and to its
+//! part of the allowance, so the sum keeps to the whole without a word between them.
+
+use std::{collections::VecDeque, time::Duration};
+
+/// Part of the declared ratio and allowance that is used, for requests that reach an upstream in another window than
+/// they reached the entry.
+const SAFETY: f64 = 0.85;
+/// Part of the budget that steps to a larger model leave for failures.
+const RESERVED: f64 = 0.25;
+
+/// The declared limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryLimit {
+    /// Retries for each request.
+    pub ratio: f64,
+    /// Retries beyond those.
+    pub slack: f64,
+    /// Time over which both are counted.
+    pub window: Duration,
+}
+
+/// Requests and retries of one service at one entry over the last window.
+#[derive(Debug, Default)]
+pub struct RetryWindow {
+    requests: VecDeque<Duration>,
+    retries: VecDeque<Duration>,
+}
+
+impl RetryWindow {
+    /// Counts a request.
+    pub fn request(&mut self, now: Duration) {
+        self.requests.push_back(now);
+    }
+
+    /// Spends a retry after a failure, if there is one.
+    pub fn retry(&mut self, now: Duration, limit: &RetryLimit, entries: usize) -> bool {
+        self.take(now, limit, entries, 1.0)
+    }
+
+    /// Spends a retry on a larger model, if enough are left for failures.
+    pub fn escalate(&mut self, now: Duration, limit: &RetryLimit, entries: usize) -> bool {
+        self.take(now, limit, entries, 1.0 - RESERVED)
+    }
+
+    /// Retries left.
+    pub fn left(&mut self, now: Duration, limit: &RetryLimit, entries: usize) -> f64 {
+        self.forget(now, limit.window);
+        self.allowed(limit, entries) - self.retries.len() as f64
+    }
+
+    fn take(&mut self, now: Duration, limit: &RetryLimit, entries: usize, part: f64) -> bool {
+        self.forget(now, limit.window);
+        if self.retries.len() as f64 + 1.0 > self.allowed(limit, entries) * part {
+            return false;
+        }
+        self.retries.push_back(now);
+        true
+    }
+
+    fn allowed(&self, limit: &RetryLimit, entries: usize) -> f64 {
+        let shared = limit.slack / entries.max(1) as f64;
+        SAFETY * (limit.ratio * self.requests.len() as f64 + shared)
+    }
+
+    fn forget(&mut self, now: Duration, window: Duration) {
+        for queue in [&mut self.requests, &mut self.retries] {
+            while queue.front().is_some_and(|at| *at + window < now) {
+                queue.pop_front();
+            }
+        }
+    }
+}
--- a/crates/bluebell-wire/src/lib.rs
+++ b/crates/bluebell-wire/src/lib.rs
@@ -38,11 +38,21 @@
     Bills,
     /// Entry to entry: revisions that followers confirmed.
     Confirmed,
+    /// Entry to entry: rows of the store, loads and counts, as long as the connection lasts.
+    Exchange,
 }
 
 impl Route {
-    const ALL: [Self; 7] =
-        [Self::Run, Self::Resolve, Self::Follow, Self::Watch, Self::Fetch, Self::Bills, Self::Confirmed];
+    const ALL: [Self; 8] = [
+        Self::Run,
+        Self::Resolve,
+        Self::Follow,
+        Self::Watch,
+        Self::Fetch,
+        Self::Bills,
+        Self::Confirmed,
+        Self::Exchange,
+    ];
 }
 
 impl fmt::Display for Route {
@@ -55,6 +65,7 @@
             Self::Fetch => "/fetch",
             Self::Bills => "/bills",
             Self::Confirmed => "/confirmed",
+            Self::Exchange => "/exchange",
         })
     }
 }
--- a/crates/bluebell-wire/src/messages.rs
+++ b/crates/bluebell-wire/src/messages.rs
@@ -1,12 +1,14 @@
 //! What the processes say to each other.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bluebell_core::{
     billing::BillRow,
+    canary::Tally,
     gate::{Ask, Refusal},
-    ids::{AttemptId, Incarnation, InstanceId, Permit, RequestId, Revision},
+    ids::{AttemptId, Incarnation, InstanceId, Permit, ReleaseId, RequestId, Revision, ServiceId, UpstreamId},
     intent::{Reservation, Resolution, StoredReply},
+    replica::Row,
     settings::Snapshot,
     units::{Cost, Price, Tokens},
 };
@@ -212,3 +214,62 @@
     /// The revision.
     pub revision: Revision,
 }
+
+/// What an entry tells another one on [`Route::Exchange`](crate::Route::Exchange).
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum News {
+    /// Who the sender is and where it listens; the first message of a connection.
+    Hello(EntryAddress),
+    /// Rows of the store that the sender learnt.
+    Rows(Vec<Row>),
+    /// What the sender does at the moment.
+    Standing(Box<EntryStanding>),
+}
+
+/// What an entry does at the moment.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EntryStanding {
+    /// Whether the sender heard from the store lately.
+    pub connected: bool,
+    /// Work at upstreams.
+    pub loads: Vec<UpstreamLoad>,
+    /// Counts by release, since the sender started.
+    pub tallies: Vec<ReleaseTally>,
+}
+
+/// Work of one entry at one upstream.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct UpstreamLoad {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Requests there.
+    pub requests: u32,
+    /// Tokens that they still wait to have read.
+    pub unread: Tokens,
+}
+
+/// Counts of one entry for one release in one kind of work.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReleaseTally {
+    /// The service.
+    pub service: ServiceId,
+    /// The release.
+    pub release: ReleaseId,
+    /// Kind of work.
+    pub work: String,
+    /// The counts.
+    pub tally: Tally,
+}
+
+/// Answer to each message on [`Route::Exchange`](crate::Route::Exchange); its silence shows a dead connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewsTaken;
+
+/// Where an entry listens for its peers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryAddress {
+    /// The entry.
+    pub instance: InstanceId,
+    /// Its address, IP and port.
+    pub address: SocketAddr,
+}
--- /dev/null
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -0,0 +1,269 @@
+//! One send of a request to one upstream, and what its outcome proves.
+
+use std::{sync::Arc, time::Duration};
+
+use bluebell_core::{
+    ids::{ModelId, UpstreamId},
+    placing::HealthEvent,
+    units::Tokens,
+    upstreams::Upstream,
+};
+use bluebell_platform::headers::{self, Forward, Proof};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, StatusCode, body::Incoming};
+use tokio::time::timeout;
+
+use super::{front::Job, pool::Lease, state::Gateway};
+
+/// Largest body after which a connection is kept although the upstream answered with a failure; behind a longer one
+/// the upstream may still be reading.
+const KEEP_AFTER_FAILURE_BYTES: usize = 4096;
+
+/// An attempt without an answer.
+#[derive(Debug)]
+pub enum Failure {
+    /// It is certain that the upstream did not and will not run the request.
+    NotRun {
+        /// What proves it.
+        reason: String,
+        /// Time after which the upstream wants to be asked again.
+        pause: Option<Duration>,
+        /// Whether the request reached the upstream.
+        arrived: bool,
+    },
+    /// The upstream may have run it, or may run it yet.
+    Unknown {
+        /// What was seen.
+        reason: String,
+    },
+}
+
+/// What goes to an upstream beside the request itself.
+#[derive(Debug, Clone)]
+pub struct Order {
+    /// The upstream.
+    pub upstream: Arc<Upstream>,
+    /// Model chosen, where the choice was open.
+    pub model: Option<ModelId>,
+    /// The last event that the caller has.
+    pub last_event: u64,
+    /// Time for the head of the answer.
+    pub patience: Duration,
+}
+
+/// A place taken at an upstream; given back when dropped.
+pub struct Place {
+    gateway: Arc<Gateway>,
+    id: UpstreamId,
+    unread: Tokens,
+}
+
+impl Place {
+    fn take(gateway: &Arc<Gateway>, job: &Job, order: &Order) -> Self {
+        let now = gateway.now();
+        let mut traffic = gateway.traffic();
+        let state = traffic.upstream(&order.upstream);
+        let model = order.model.as_ref().or(job.asked.model.as_ref());
+        let cached = model.map_or(Tokens::default(), |model| state.parts.cached(model, &job.asked.parts));
+        let unread = Tokens(job.asked.prompt.0.saturating_sub(cached.0));
+        state.load.begin(unread);
+        state.health.begin(now);
+        if let Some(model) = model {
+            state.parts.read(now, model, &job.asked.parts, job.memory);
+        }
+        Self { gateway: Arc::clone(gateway), id: order.upstream.id.clone(), unread }
+    }
+
+    /// The upstream has read the prompt.
+    pub fn read(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        if unread.0 > 0
+            && let Some(state) = self.gateway.traffic().known(&self.id)
+        {
+            state.load.read(unread);
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.read();
+        if let Some(state) = self.gateway.traffic().known(&self.id) {
+            state.load.end();
+            state.health.end();
+        }
+    }
+}
+
+/// An answer that has begun.
+pub struct Live {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: hyper::HeaderMap,
+    /// What they prove.
+    pub proof: Proof,
+    /// The upstream.
+    pub upstream: Arc<Upstream>,
+    /// The model that answers, where the choice was open.
+    pub model: Option<ModelId>,
+    /// When it was sent.
+    pub begun: Duration,
+    /// The place taken at the upstream.
+    pub place: Place,
+    body: Incoming,
+    lease: Lease,
+    keep: bool,
+}
+
+/// What comes next of an answer's body.
+pub enum Piece {
+    /// Bytes.
+    Data(Bytes),
+    /// The body is whole.
+    End,
+    /// It broke off.
+    Broken(String),
+}
+
+impl Live {
+    /// The next piece of the body.
+    pub async fn next(&mut self) -> Piece {
+        loop {
+            return match self.body.frame().await {
+                None => Piece::End,
+                Some(Err(error)) => Piece::Broken(error.to_string()),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => Piece::Data(data),
+                    Err(_) => continue,
+                },
+            };
+        }
+    }
+
+    /// The whole body.
+    ///
+    /// # Errors
+    /// When it broke off; the text says how.
+    pub async fn whole(&mut self) -> Result<Bytes, String> {
+        let mut bytes = Vec::new();
+        loop {
+            match self.next().await {
+                Piece::Data(data) => bytes.extend_from_slice(&data),
+                Piece::End => return Ok(bytes.into()),
+                Piece::Broken(reason) => return Err(reason),
+            }
+        }
+    }
+
+    /// Keeps the connection of an answer that was read whole.
+    pub fn finish(self, gateway: &Gateway) {
+        let Self { lease, keep, proof, .. } = self;
+        if keep && !proof.closes {
+            gateway.pools.put(lease, gateway.now(), proof.idle);
+        }
+    }
+}
+
+fn request(job: &Job, order: &Order, left: Duration) -> Request<Full<Bytes>> {
+    let forward = Forward {
+        left,
+        upstream: &order.upstream.id,
+        organisation: job.organisation.as_ref(),
+        rank: job.rank,
+        model: order.model.as_ref(),
+        last_event: order.last_event,
+    };
+    let mut request = Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.uri.clone();
+    *request.headers_mut() = headers::encode_forward(&job.headers, &forward);
+    request
+}
+
+/// Sends a request to an upstream and waits for the head of its answer.
+///
+/// # Errors
+/// When there is no answer to this request; the failure says whether it may have run.
+pub async fn send(gateway: &Arc<Gateway>, job: &Job, order: &Order) -> Result<Live, Failure> {
+    let place = Place::take(gateway, job, order);
+    let begun = gateway.now();
+    let result = exchange(gateway, job, order, place, begun).await;
+    let event = match &result {
+        Ok(live) if live.status.is_server_error() => Some(HealthEvent::Failed),
+        Ok(_) => None,
+        Err(Failure::NotRun { arrived: true, .. }) => Some(HealthEvent::Refused),
+        Err(_) => Some(HealthEvent::Lost),
+    };
+    if let Some(event) = event {
+        gateway.traffic().note(gateway.now(), &order.upstream.id, event);
+    }
+    result
+}
+
+async fn exchange(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    order: &Order,
+    place: Place,
+    begun: Duration,
+) -> Result<Live, Failure> {
+    let mut lease = connect(gateway, order).await?;
+    let response = loop {
+        let left = job.end.saturating_sub(gateway.now());
+        let sending = lease.sender.try_send_request(request(job, order, left));
+        match timeout(order.patience.min(left), sending).await {
+            Err(_) => return Err(Failure::Unknown { reason: format!("no answer in {:?}", order.patience) }),
+            Ok(Ok(response)) => break response,
+            Ok(Err(mut error)) => {
+                let unsent = error.take_message().is_some();
+                let reason = error.into_error().to_string();
+                if !unsent {
+                    return Err(Failure::Unknown { reason });
+                }
+                // Nothing was written on a connection that had ended before.
+                if !lease.used {
+                    return Err(Failure::NotRun { reason, pause: None, arrived: false });
+                }
+                lease = connect(gateway, order).await?;
+            }
+        }
+    };
+    let (head, body) = response.into_parts();
+    let proof = headers::decode_proof(&head.headers);
+    if let Some(report) = proof.load {
+        gateway.traffic().report(gateway.now(), &order.upstream.id, report);
+    }
+    if proof.request.as_deref().is_some_and(|id| id != job.asked.request.as_str()) {
+        return Err(Failure::Unknown { reason: "the answer belongs to another request".to_owned() });
+    }
+    let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
+    if proof.not_run || misdirected {
+        let reason = format!("status {} and not run", head.status);
+        let pause = proof.retry_after;
+        drain_refusal(gateway, body, lease, &proof).await;
+        return Err(Failure::NotRun { reason, pause, arrived: true });
+    }
+    if proof.request.is_none() || !proof.stamped {
+        return Err(Failure::Unknown { reason: format!("status {} without the upstream's signature", head.status) });
+    }
+    let keep = head.status.is_success() || job.body.len() <= KEEP_AFTER_FAILURE_BYTES;
+    let (upstream, model) = (Arc::clone(&order.upstream), order.model.clone());
+    Ok(Live { status: head.status, headers: head.headers, proof, upstream, model, begun, place, body, lease, keep })
+}
+
+async fn connect(gateway: &Arc<Gateway>, order: &Order) -> Result<Lease, Failure> {
+    let lease = gateway.pools.get(order.upstream.address, gateway.now()).await;
+    lease.map_err(|error| Failure::NotRun { reason: error.to_string(), pause: None, arrived: false })
+}
+
+/// Time for the rest of a refusal, after which its connection is closed instead of kept.
+const REFUSAL_TIME: Duration = Duration::from_millis(20);
+
+async fn drain_refusal(gateway: &Arc<Gateway>, body: Incoming, lease: Lease, proof: &Proof) {
+    let read = timeout(REFUSAL_TIME, body.collect()).await;
+    if matches!(read, Ok(Ok(_))) && !proof.closes {
+        gateway.pools.put(lease, gateway.now(), proof.idle);
+    }
+}
--- /dev/null
+++ b/crates/bluebelld/src/gateway/control/rollouts.rs
@@ -0,0 +1,200 @@
+//! Roll-outs: their orders, their stages as they stand in the store, and the judgement of their releases.
+
+use std::{sync::Arc, time::Duration};
+
+use bluebell_core::{
+    canary::{self, Judge, Order, Split, Stage, StageRow, Tallies},
+    ids::ServiceId,
+    replica::{Origin, Row},
+};
+use bluebell_platform::{
+    operator,
+    store::{Committed, Put, Transaction},
+};
+use bluebell_wire::messages::ReleaseTally;
+use indexmap::IndexMap;
+use tokio::task::spawn_local;
+
+use super::{Control, Event, Events};
+use crate::gateway::state::Gateway;
+
+/// Start of the keys of stages.
+pub const PREFIX: &str = "stage/";
+/// Time for a written stage to come back before it is written again.
+const WRITE_TIME: Duration = Duration::from_millis(1500);
+
+#[derive(Debug)]
+struct Rollout {
+    order: Order,
+    judge: Judge,
+    convicted: bool,
+    answers: u64,
+    written: Option<Duration>,
+}
+
+/// All roll-outs that were ordered.
+#[derive(Debug, Default)]
+pub struct Rollouts {
+    ordered: IndexMap<String, Rollout>,
+    stages: IndexMap<String, (StageRow, u64)>,
+}
+
+fn stage_key(service: &ServiceId) -> String {
+    format!("{PREFIX}{service}")
+}
+
+impl Rollouts {
+    pub(super) fn put_order(&mut self, key: &str, order: Order) {
+        let rollout = Rollout { order, judge: Judge::default(), convicted: false, answers: 0, written: None };
+        self.ordered.insert(key.to_owned(), rollout);
+    }
+
+    pub(super) fn drop_order(&mut self, key: &str) {
+        self.ordered.shift_remove(key);
+    }
+
+    pub(super) fn learn_stage(&mut self, row: &Row, source: &str) {
+        let parsed = row.value.as_deref().map(serde_json::from_slice::<StageRow>);
+        match parsed {
+            None => drop(self.stages.shift_remove(&row.key)),
+            Some(Ok(stage)) => {
+                log::info!(
+                    key = row.key.as_str(), to = stage.to.as_str(), holder = stage.holder.as_str(),
+                    row = row.version, source = source;
+                    "roll-out stands at {:?}", stage.stage
+                );
+                self.stages.insert(row.key.clone(), (stage, row.version));
+            }
+            Some(Err(error)) => log::error!(key = row.key.as_str(), row = row.version; "stage not understood: {error}"),
+        }
+    }
+
+    fn stage(&self, order: &Order) -> Option<&(StageRow, u64)> {
+        self.stages.get(&stage_key(&order.service))
+    }
+
+    fn stage_of(&self, order: &Order) -> Option<&StageRow> {
+        self.stage(order).map(|(row, _)| row).filter(|row| row.order == order.version)
+    }
+
+    /// Whether any roll-out is under way.
+    pub(super) fn is_running(&self) -> bool {
+        self.ordered.values().any(|one| !self.stage_of(&one.order).is_some_and(|row| row.stage.is_final()))
+    }
+
+    /// Releases that get requests, by service.
+    pub(super) fn splits(&self) -> IndexMap<ServiceId, Split> {
+        let split = |one: &Rollout| {
+            let stage = self.stage_of(&one.order).map(|row| row.stage);
+            (one.order.service.clone(), Split::of(&one.order, stage, one.convicted))
+        };
+        self.ordered.values().map(split).collect()
+    }
+}
+
+impl Control {
+    /// Judges the releases that are being rolled out, and moves their stages on if it is this gateway's turn.
+    pub(super) fn drive_rollouts(&mut self, now: Duration) {
+        if !self.rollouts.is_running() {
+            return;
+        }
+        let own = self.gateway.traffic().tallies();
+        let peers = self.standings.values().flat_map(|(_, standing)| &standing.tallies);
+        let all: Vec<ReleaseTally> = own.into_iter().chain(peers.cloned()).collect();
+        let mut convicted = false;
+        for one in self.rollouts.ordered.values_mut() {
+            convicted |= one.weigh(&all);
+        }
+        if convicted {
+            self.publish();
+        }
+        let first =
+            self.members.is_first(|peer| self.standings.get(peer).is_some_and(|(_, standing)| standing.connected));
+        if first && self.is_connected(now) && !self.gateway.is_leaving() {
+            self.step_rollouts(now);
+        }
+    }
+
+    fn step_rollouts(&mut self, now: Duration) {
+        let Some((known, at)) = self.store.clock else { return };
+        let clock = known + (now - at);
+        let own = self.gateway.settings.instance.id.clone();
+        let mut steps = Vec::new();
+        for one in self.rollouts.ordered.values() {
+            if one.written.is_some_and(|at| now < at + WRITE_TIME) {
+                continue;
+            }
+            let row = self.rollouts.stage_of(&one.order);
+            // Another holder that is alive goes on.
+            if row.is_some_and(|row| row.holder != own && self.members.is_open(&row.holder) && !one.convicted) {
+                continue;
+            }
+            let next = match row {
+                None => Some(Stage::Canary),
+                Some(row) => canary::next_stage(&one.order, row, clock, one.convicted, one.answers),
+            };
+            let Some(stage) = next else { continue };
+            let began = row.map_or(clock, |row| row.began);
+            let to = one.order.to.clone();
+            let row = StageRow { order: one.order.version, to, stage, began, holder: own.clone() };
+            let version = self.rollouts.stage(&one.order).map_or(0, |(_, version)| *version);
+            steps.push((one.order.service.clone(), row, version));
+        }
+        for (service, row, version) in steps {
+            for one in self.rollouts.ordered.values_mut().filter(|one| one.order.service == service) {
+                one.written = Some(now);
+            }
+            spawn_local(write_stage(Arc::clone(&self.gateway), self.events.clone(), service, row, version));
+        }
+    }
+}
+
+impl Rollout {
+    // True when the release is convicted now.
+    fn weigh(&mut self, all: &[ReleaseTally]) -> bool {
+        let mut tallies = Tallies::new();
+        for row in all.iter().filter(|row| row.service == self.order.service) {
+            let pair = tallies.entry(row.work.clone()).or_default();
+            let side = if row.release == self.order.to { &mut pair.1 } else { &mut pair.0 };
+            side.add(&row.tally);
+        }
+        self.answers = tallies.values().map(|(_, new)| new.answers).sum();
+        if self.convicted {
+            return false;
+        }
+        let Some(found) = self.judge.weigh(&tallies) else { return false };
+        self.convicted = true;
+        log::warn!(
+            service = self.order.service.as_str(), to = self.order.to.as_str(), work = found.work.as_str(),
+            answers = found.answers, failures = found.failures, failing = found.failing;
+            "release is bad and gets no more requests"
+        );
+        true
+    }
+}
+
+async fn write_stage(gateway: Arc<Gateway>, events: Events, service: ServiceId, row: StageRow, version: u64) {
+    let contents = (serde_json::to_vec(&row), operator::encode_report(&row.to, row.stage));
+    let (Ok(content), Ok(report)) = contents else {
+        log::error!(service = service.as_str(); "stage can't be written as text");
+        return;
+    };
+    let key = stage_key(&service);
+    let transaction = Transaction {
+        expected: vec![(Origin::Fleet, key.clone(), version)],
+        puts: vec![
+            Put { origin: Origin::Fleet, key: key.clone(), value: content.clone() },
+            Put { origin: Origin::Reports, key: operator::report_key(&service), value: report },
+        ],
+        ..Transaction::default()
+    };
+    match gateway.store.transact(&transaction).await {
+        Ok(Committed::Done { version, clock }) => {
+            let rows = vec![Row { origin: Origin::Fleet, key, value: Some(content), version }];
+            // The control thread is gone only when the process ends.
+            let _ = events.send(Event::Changes { rows, clock });
+        }
+        Ok(Committed::Conflict) => log::info!(service = service.as_str(); "another gateway moved the roll-out on"),
+        Err(error) => log::warn!(service = service.as_str(); "stage {:?} not written: {error}", row.stage),
+    }
+}
--- /dev/null
+++ b/crates/bluebelld/src/gateway/front/answer.rs
@@ -0,0 +1,243 @@
+//! The way of one request from its arrival to its answer.
+
+use std::{sync::Arc, time::Duration};
+
+use bluebell_core::{
+    ids::{ModelId, ReleaseId, SessionId, UpstreamId},
+    placing::HealthEvent,
+    upstreams::Upstream,
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Request, StatusCode, body::Incoming};
+
+use super::{
+    AnswerBody, Response,
+    admit::{self, Job},
+    left, plain,
+    refusal::{Refusal, pause},
+    stream,
+};
+use crate::gateway::{
+    attempt::{Failure, Live},
+    state::Gateway,
+    traffic::Demand,
+};
+
+/// Sends beyond the declared attempts after proofs that nothing ran.
+const EXTRA_SENDS: u32 = 2;
+/// Pause suggested while no declarations are known.
+const START_PAUSE: Duration = Duration::from_millis(700);
+/// Pause suggested while no upstream takes a request.
+const BUSY_PAUSE: Duration = Duration::from_millis(400);
+
+/// A request in flight, counted until it is dropped.
+pub struct InFlight(Arc<Gateway>);
+
+impl InFlight {
+    fn new(gateway: &Arc<Gateway>) -> Self {
+        gateway.working.send_modify(|count| *count += 1);
+        Self(Arc::clone(gateway))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.working.send_modify(|count| *count -= 1);
+    }
+}
+
+/// What was tried for a request.
+#[derive(Debug, Default)]
+pub struct Tries {
+    /// Upstreams that it was sent to.
+    pub upstreams: Vec<UpstreamId>,
+    /// Sends whose outcome is unknown, or that ran.
+    pub ran: u32,
+    /// Sends proven not to have run.
+    pub refused: u32,
+    /// Why the last one failed.
+    pub reason: String,
+    /// Pause that an upstream asked for.
+    pub pause: Option<Duration>,
+}
+
+impl Tries {
+    /// Takes a failure; tells whether it may have run.
+    pub fn note(&mut self, failure: Failure) -> bool {
+        match failure {
+            Failure::NotRun { reason, pause, .. } => {
+                self.refused += 1;
+                self.reason = reason;
+                self.pause = pause;
+                false
+            }
+            Failure::Unknown { reason } => {
+                self.ran += 1;
+                self.reason = reason;
+                true
+            }
+        }
+    }
+
+    /// Whether another send is allowed, its budget aside.
+    #[must_use]
+    pub fn may_send(&self, job: &Job) -> bool {
+        let repeats = self.ran == 0 || job.route.repeat.may_repeat();
+        repeats && self.ran < job.route.attempts && self.ran + self.refused < job.route.attempts + EXTRA_SENDS
+    }
+
+    /// Sends so far.
+    #[must_use]
+    pub fn sends(&self) -> u32 {
+        self.ran + self.refused
+    }
+}
+
+/// Answers a request.
+pub async fn answer(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Response {
+    let in_flight = InFlight::new(gateway);
+    let arrived = gateway.now();
+    let asked = match admit::asked(&request) {
+        Ok(asked) => asked,
+        Err(refusal) => return refusal.response(None, None),
+    };
+    let id = asked.request.clone();
+    let mut response = match admit::admit(gateway, asked, request).await {
+        Ok(job) => {
+            gateway.traffic().window(&job.service).request(arrived);
+            if job.route.repeat.is_stream() {
+                stream::answer(gateway, job, in_flight).await
+            } else {
+                plain::answer(gateway, job).await
+            }
+        }
+        Err(refusal) => {
+            let age = admit::beliefs_age(&gateway.beliefs.load(), arrived).as_millis();
+            log::info!(request = id.as_str(), beliefs_ms = age as u64; "refused: {refusal}");
+            let wait = (refusal.status() == StatusCode::SERVICE_UNAVAILABLE).then_some(START_PAUSE);
+            refusal.response(Some(&id), wait)
+        }
+    };
+    if gateway.is_leaving() {
+        response.headers_mut().insert(hyper::header::CONNECTION, hyper::header::HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// An upstream for a request, other than those tried already if there is one. A stream that goes on elsewhere stays
+/// on its release.
+pub fn choose(
+    gateway: &Gateway,
+    job: &Job,
+    model: Option<&ModelId>,
+    tried: &[UpstreamId],
+    stays: Option<&ReleaseId>,
+) -> Option<Arc<Upstream>> {
+    let now = gateway.now();
+    let beliefs = gateway.beliefs.load();
+    let all = beliefs.upstreams(&job.service);
+    let mut traffic = gateway.traffic();
+    let life = gateway.settings.session_seconds;
+    let session = job.asked.session.as_ref();
+    let pinned = session.and_then(|session| traffic.sessions.get(now, session, life));
+    let key = session.map_or(job.asked.request.as_str(), SessionId::as_str);
+    let split = beliefs.split(&job.service);
+    let same = |one: &&Arc<Upstream>| stays == Some(&one.release);
+    let admitted = |one: &&Arc<Upstream>| split.admits(key, pinned, &one.release);
+    let mut pool: Vec<&Arc<Upstream>> = all.iter().filter(same).collect();
+    if pool.is_empty() {
+        pool = all.iter().filter(admitted).collect();
+    }
+    let fresh: Vec<&Arc<Upstream>> = pool.iter().copied().filter(|one| !tried.contains(&one.id)).collect();
+    if !fresh.is_empty() {
+        pool = fresh;
+    }
+    let among: Vec<&Upstream> = pool.iter().map(|one| one.as_ref()).collect();
+    let demand =
+        Demand { model: model.or(job.asked.model.as_ref()), parts: &job.asked.parts, prompt: job.asked.prompt };
+    let zone = gateway.settings.instance.zone.as_str();
+    let chosen = traffic.choose(now, zone, &demand, &among)?.id.clone();
+    let chosen = pool.into_iter().find(|one| one.id == chosen).cloned()?;
+    session.into_iter().for_each(|session| traffic.sessions.set(now, session, &chosen.release));
+    Some(chosen)
+}
+
+/// Whether the shared budget has a retry left; takes it.
+pub fn take_retry(gateway: &Gateway, job: &Job) -> bool {
+    let entries = gateway.beliefs.load().entries;
+    let allowed = gateway.traffic().window(&job.service).retry(gateway.now(), &gateway.limit, entries);
+    if allowed {
+        gateway.metrics.retry();
+    }
+    allowed
+}
+
+/// The final answer to a request that no upstream answered.
+pub fn give_up(gateway: &Gateway, job: &Job, tries: &Tries) -> Response {
+    let over = left(gateway, job).is_zero();
+    let refusal = match (tries.ran > 0, over) {
+        (true, true) => Refusal::Overdue,
+        (true, false) => Refusal::Failed { reason: tries.reason.clone() },
+        (false, true) => Refusal::Late,
+        (false, false) => Refusal::Busy { reason: tries.reason.clone() },
+    };
+    let wait = pause(left(gateway, job), tries.pause.unwrap_or(BUSY_PAUSE));
+    log::info!(
+        request = job.asked.request.as_str(),
+        route = job.route.id.as_str(),
+        service = job.service.as_str(),
+        sends = tries.sends(),
+        ran = tries.ran,
+        waited_ms = (gateway.now() - job.arrived).as_millis() as u64,
+        status = refusal.status().as_u16();
+        "given up: {refusal}"
+    );
+    let wait = (tries.ran == 0).then_some(wait);
+    refusal.response(Some(&job.asked.request), wait)
+}
+
+/// Counts an answer for its release, and logs it.
+pub fn record(gateway: &Gateway, job: &Job, live: &Live, pace: Option<f64>, tries: &Tries) {
+    let failed = live.status.is_server_error();
+    let model = live.model.as_ref().map_or("", ModelId::as_str);
+    let work = format!("{}/{model}", job.route.id);
+    let now = gateway.now();
+    let mut traffic = gateway.traffic();
+    let tally = traffic.tally(&job.service, &live.upstream.release, &work);
+    tally.answers += 1;
+    tally.failures += u64::from(failed);
+    if let Some(pace) = pace.filter(|_| !failed) {
+        tally.log_pace += pace.max(1e-6).ln();
+        tally.paced += 1;
+    }
+    if !failed {
+        traffic.note(now, &live.upstream.id, HealthEvent::Good);
+    }
+    drop(traffic);
+    log::info!(
+        request = job.asked.request.as_str(),
+        route = job.route.id.as_str(),
+        upstream = live.upstream.id.as_str(),
+        release = live.upstream.release.as_str(),
+        model = model,
+        confidence = live.proof.confidence.map_or(-1, i16::from),
+        sends = tries.sends() + 1,
+        took_ms = (now - job.arrived).as_millis() as u64,
+        status = live.status.as_u16();
+        "answered"
+    );
+}
+
+/// An upstream's answer for the caller.
+pub fn pass_on(status: StatusCode, headers: &HeaderMap, body: AnswerBody) -> Response {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = bluebell_platform::headers::encode_answer(headers);
+    response
+}
+
+/// An upstream's whole answer for the caller.
+pub fn pass_whole(status: StatusCode, headers: &HeaderMap, body: Bytes) -> Response {
+    pass_on(status, headers, Full::new(body).map_err(|never| match never {}).boxed_unsync())
+}
--- /dev/null
+++ b/crates/bluebelld/src/gateway/front/plain.rs
@@ -0,0 +1,83 @@
+//! Requests with one answer, which is read whole before the caller gets any of it.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use hyper::{HeaderMap, StatusCode};
+use tokio::time::timeout;
+
+use super::{
+    Response,
+    admit::Job,
+    answer::{Tries, choose, give_up, pass_whole, record, take_retry},
+    left,
+};
+use crate::gateway::{
+    attempt::{self, Failure, Order},
+    state::Gateway,
+};
+
+/// Times of the route's target after which work that may be repeated is sent elsewhere.
+const PATIENCE_TARGETS: u32 = 2;
+
+/// Answers a request with one answer.
+pub async fn answer(gateway: &Arc<Gateway>, job: Job) -> Response {
+    let mut tries = Tries::default();
+    let mut failed: Option<(StatusCode, HeaderMap, Bytes)> = None;
+    while tries.may_send(&job) && !left(gateway, &job).is_zero() {
+        if tries.sends() > 0 && !take_retry(gateway, &job) {
+            break;
+        }
+        let Some(upstream) = choose(gateway, &job, None, &tries.upstreams, None) else {
+            tries.reason = "none is known".to_owned();
+            break;
+        };
+        tries.upstreams.push(upstream.id.clone());
+        let order = Order { upstream, model: None, last_event: 0, patience: patience(gateway, &job, &tries) };
+        match run(gateway, &job, &order, &tries).await {
+            Ok((status, headers, body)) if !status.is_server_error() => return pass_whole(status, &headers, body),
+            Ok(answer) => {
+                tries.ran += 1;
+                tries.reason = format!("status {}", answer.0);
+                failed = Some(answer);
+            }
+            Err(failure) => drop(tries.note(failure)),
+        }
+        log::info!(
+            request = job.asked.request.as_str(), upstream = order.upstream.id.as_str(), ran = tries.ran;
+            "attempt failed: {}", tries.reason
+        );
+    }
+    match failed {
+        Some((status, headers, body)) => pass_whole(status, &headers, body),
+        None => give_up(gateway, &job, &tries),
+    }
+}
+
+// Work that may run only once waits to the end, since another send could double it.
+fn patience(gateway: &Gateway, job: &Job, tries: &Tries) -> Duration {
+    let all = left(gateway, job);
+    if job.route.repeat.may_repeat() && tries.ran + 1 < job.route.attempts {
+        return (job.route.target * PATIENCE_TARGETS).min(all / 2);
+    }
+    all
+}
+
+async fn run(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    order: &Order,
+    tries: &Tries,
+) -> Result<(StatusCode, HeaderMap, Bytes), Failure> {
+    let mut live = attempt::send(gateway, job, order).await?;
+    let body = match timeout(left(gateway, job), live.whole()).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(reason)) => return Err(Failure::Unknown { reason }),
+        Err(_) => return Err(Failure::Unknown { reason: "the answer was not whole in time".to_owned() }),
+    };
+    let took = (gateway.now() - live.begun).as_secs_f64();
+    record(gateway, job, &live, Some(took), tries);
+    let answer = (live.status, live.headers.clone(), body);
+    live.finish(gateway);
+    Ok(answer)
+}
--- /dev/null
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -0,0 +1,232 @@
+//! Requests with a stream of events. A stream that an upstream cuts goes on at another upstream of the same release,
+//! inside the same answer and after the last whole event; where that can't be, it breaks towards the caller.
+
+use std::{io, sync::Arc, time::Duration};
+
+use bluebell_core::{
+    cascade::{self, Glance},
+    events::EventCutter,
+    ids::{ModelId, ReleaseId},
+    placing::HealthEvent,
+    upstreams::Upstream,
+};
+use bytes::Bytes;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use tokio::time::timeout;
+
+use super::{
+    Response,
+    admit::Job,
+    answer::{InFlight, Tries, choose, give_up, pass_on, pass_whole, record, take_retry},
+    left,
+};
+use crate::gateway::{
+    attempt::{self, Failure, Live, Order, Piece},
+    state::Gateway,
+};
+
+/// Shortest time for the head of an answer before another upstream is asked.
+const MIN_PATIENCE: Duration = Duration::from_millis(1500);
+/// Silence of an upstream after which its stream goes on elsewhere: a prompt read for another request may hold events
+/// up for a second or two, and starting anew costs as much.
+const STALL: Duration = Duration::from_millis(3000);
+
+/// Answers a request with a stream.
+pub async fn answer(gateway: &Arc<Gateway>, job: Job, in_flight: InFlight) -> Response {
+    let mut tries = Tries::default();
+    let mut model = first_model(gateway, &job);
+    loop {
+        let live = match begin(gateway, &job, model.clone(), job.asked.last_event, None, &mut tries).await {
+            Ok(live) => live,
+            Err(response) => return *response,
+        };
+        if let Some(larger) = larger_model(gateway, &job, &live, &tries) {
+            log::info!(
+                request = job.asked.request.as_str(),
+                confidence = live.proof.confidence.unwrap_or_default(),
+                model = larger.as_str();
+                "a larger model answers instead"
+            );
+            tries.ran += 1;
+            model = Some(larger);
+            continue;
+        }
+        let (status, headers) = (live.status, live.headers.clone());
+        let relay = Relay::new(Arc::clone(gateway), job, live, tries, in_flight);
+        let pieces = stream::unfold(relay, |mut relay| async move {
+            let piece = relay.next().await?;
+            Some((piece.map(Frame::data), relay))
+        });
+        return pass_on(status, &headers, StreamBody::new(pieces).boxed_unsync());
+    }
+}
+
+fn first_model(gateway: &Gateway, job: &Job) -> Option<ModelId> {
+    if job.asked.model.is_some() {
+        return None;
+    }
+    let entries = gateway.beliefs.load().entries;
+    let left = gateway.traffic().window(&job.service).left(gateway.now(), &gateway.limit, entries);
+    job.route.models.get(cascade::first(job.route.models.len(), left >= 1.0)).cloned()
+}
+
+fn larger_model(gateway: &Gateway, job: &Job, live: &Live, tries: &Tries) -> Option<ModelId> {
+    let current = live.model.as_ref()?;
+    let glance = Glance {
+        model: job.route.models.iter().position(|model| model == current)?,
+        models: job.route.models.len(),
+        confidence: live.proof.confidence,
+        left: left(gateway, job),
+        whole: job.end - job.arrived,
+        attempts: job.route.attempts.saturating_sub(tries.ran + 1),
+    };
+    let larger = cascade::escalate(&glance)?;
+    let entries = gateway.beliefs.load().entries;
+    let allowed = gateway.traffic().window(&job.service).escalate(gateway.now(), &gateway.limit, entries);
+    allowed.then(|| job.route.models.get(larger).cloned()).flatten()
+}
+
+// Sends until an upstream begins to answer. The refusal is boxed since it is rare and large.
+async fn begin(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    model: Option<ModelId>,
+    last_event: u64,
+    stays: Option<&ReleaseId>,
+    tries: &mut Tries,
+) -> Result<Live, Box<Response>> {
+    let mut first = true;
+    while tries.may_send(job) && !left(gateway, job).is_zero() {
+        if !first && !take_retry(gateway, job) {
+            break;
+        }
+        first = false;
+        let Some(upstream) = choose(gateway, job, model.as_ref(), &tries.upstreams, stays) else {
+            tries.reason = "none is known".to_owned();
+            break;
+        };
+        tries.upstreams.push(upstream.id.clone());
+        let order = Order { upstream, model: model.clone(), last_event, patience: patience(gateway, job, tries) };
+        match attempt::send(gateway, job, &order).await {
+            Ok(live) if live.status.is_success() => return Ok(live),
+            Ok(live) => {
+                tries.reason = format!("status {}", live.status);
+                if let Some(response) = failure(gateway, job, live, tries).await {
+                    return Err(Box::new(response));
+                }
+            }
+            Err(failure) => drop(tries.note(failure)),
+        }
+        log::info!(
+            request = job.asked.request.as_str(), upstream = order.upstream.id.as_str(), ran = tries.ran;
+            "attempt failed: {}", tries.reason
+        );
+    }
+    Err(Box::new(give_up(gateway, job, tries)))
+}
+
+// The upstream's own failure, unless another try may follow.
+async fn failure(gateway: &Arc<Gateway>, job: &Job, mut live: Live, tries: &mut Tries) -> Option<Response> {
+    record(gateway, job, &live, None, tries);
+    let body = timeout(left(gateway, job), live.whole()).await;
+    tries.ran += 1;
+    let again = live.status.is_server_error() && tries.may_send(job);
+    let Ok(Ok(body)) = body else { return None };
+    let response = pass_whole(live.status, &live.headers, body);
+    live.finish(gateway);
+    (!again).then_some(response)
+}
+
+fn patience(gateway: &Gateway, job: &Job, tries: &Tries) -> Duration {
+    let all = left(gateway, job);
+    if job.route.repeat.may_repeat() && tries.ran + 1 < job.route.attempts {
+        return job.route.target.max(MIN_PATIENCE).min(all);
+    }
+    all
+}
+
+/// Passes events on to the caller as they come.
+struct Relay {
+    gateway: Arc<Gateway>,
+    job: Job,
+    live: Option<Live>,
+    cutter: EventCutter,
+    tries: Tries,
+    events: u64,
+    upstream: Arc<Upstream>,
+    model: Option<ModelId>,
+    _in_flight: InFlight,
+}
+
+impl Relay {
+    fn new(gateway: Arc<Gateway>, job: Job, live: Live, tries: Tries, in_flight: InFlight) -> Self {
+        let cutter = EventCutter::after(job.asked.last_event);
+        let (upstream, model) = (Arc::clone(&live.upstream), live.model.clone());
+        Self { gateway, job, live: Some(live), cutter, tries, events: 0, upstream, model, _in_flight: in_flight }
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
+        loop {
+            let live = self.live.as_mut()?;
+            let left = self.job.end.saturating_sub(self.gateway.now());
+            let reason = match timeout(STALL.min(left), live.next()).await {
+                Ok(Piece::Data(data)) => match self.cutter.push(&data) {
+                    Ok(batch) if batch.bytes.is_empty() => continue,
+                    Ok(batch) => {
+                        self.events += batch.count;
+                        live.place.read();
+                        return Some(Ok(batch.bytes.into()));
+                    }
+                    Err(error) => error.to_string(),
+                },
+                Ok(Piece::End) if self.cutter.is_whole() => {
+                    self.finish();
+                    return None;
+                }
+                Ok(Piece::End) => "the stream ended inside an event".to_owned(),
+                Ok(Piece::Broken(reason)) => reason,
+                Err(_) => format!("no event in {:?}", STALL.min(left)),
+            };
+            if let Err(error) = self.resume(reason).await {
+                return Some(Err(error));
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        let Some(live) = self.live.take() else { return };
+        let took = (self.gateway.now() - live.begun).as_secs_f64();
+        let pace = took / (self.events as f64 + 4.0);
+        record(&self.gateway, &self.job, &live, Some(pace), &self.tries);
+        live.finish(&self.gateway);
+    }
+
+    // Closes the first connection before the stream goes on elsewhere.
+    async fn resume(&mut self, reason: String) -> Result<(), io::Error> {
+        self.live = None;
+        self.gateway.traffic().note(self.gateway.now(), &self.upstream.id, HealthEvent::Lost);
+        self.cutter.reset();
+        self.tries.note(Failure::Unknown { reason });
+        log::info!(
+            request = self.job.asked.request.as_str(),
+            upstream = self.upstream.id.as_str(),
+            event = self.cutter.last(),
+            ran = self.tries.ran;
+            "stream broke off: {}", self.tries.reason
+        );
+        let may = self.tries.may_send(&self.job) && take_retry(&self.gateway, &self.job);
+        if may {
+            let last = self.cutter.last();
+            let stays = Some(&self.upstream.release);
+            let begun = begin(&self.gateway, &self.job, self.model.clone(), last, stays, &mut self.tries).await;
+            if let Ok(live) = begun {
+                self.upstream = Arc::clone(&live.upstream);
+                self.live = Some(live);
+                return Ok(());
+            }
+        }
+        Err(io::Error::new(io::ErrorKind::UnexpectedEof, self.tries.reason.clone()))
+    }
+}
--- /dev/null
+++ b/crates/bluebelld/src/gateway/mod.rs
@@ -0,0 +1,53 @@
+//! The gateway: takes callers' requests and sends them straight to upstreams. What lasts lies in the platform's
+//! store; gateways tell each other what they learn from it.
+//!
+//! The control thread keeps the copy of the store and publishes beliefs; the traffic thread answers by them.
+
+mod attempt;
+mod beliefs;
+mod control;
+mod front;
+mod pool;
+mod ready;
+mod settings;
+mod state;
+mod stop;
+mod traffic;
+
+use std::{path::Path, sync::Arc};
+
+use bluebell_core::clock::{Clock, SystemClock};
+pub use settings::GatewaySettings;
+use snafu::ResultExt;
+
+use crate::{
+    error::{DaemonError, RuntimeSnafu},
+    logs,
+};
+use state::Gateway;
+
+/// Runs a gateway until it is told to stop.
+///
+/// # Errors
+/// When the settings are wrong, or the gateway can't start.
+pub fn run(path: &Path, check: bool) -> Result<(), DaemonError> {
+    let settings = GatewaySettings::load(path)?;
+    if check {
+        return Ok(());
+    }
+    logs::start(settings.instance.id.as_str(), &settings.log);
+    let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
+    let gateway = Gateway::new(settings, clock)?;
+    log::info!(zone = gateway.settings.instance.zone.as_str(); "gateway starts");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
+    runtime.block_on(serve(gateway))
+}
+
+async fn serve(gateway: Arc<Gateway>) -> Result<(), DaemonError> {
+    control::start(Arc::clone(&gateway))?;
+    ready::start(&gateway)?;
+    stop::watch_reload();
+    let ended = front::serve(Arc::clone(&gateway)).await;
+    log::info!("gateway stopped");
+    ended
+}
--- /dev/null
+++ b/crates/bluebelld/src/gateway/state.rs
@@ -0,0 +1,86 @@
+//! What the threads of a gateway share.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use bluebell_core::{clock::Clock, keys::KeyRing, retry::RetryLimit};
+use bluebell_platform::store::Store;
+use bluebell_wire::Identity;
+use tokio::sync::watch;
+
+use super::{beliefs::Beliefs, pool::Pools, settings::GatewaySettings, traffic::Traffic};
+use crate::{error::DaemonError, metrics::Metrics};
+
+/// What the threads of a gateway share.
+pub struct Gateway {
+    /// Settings of this process.
+    pub settings: GatewaySettings,
+    /// Source of time.
+    pub clock: Arc<dyn Clock>,
+    /// Who this process is to its peers.
+    pub identity: Arc<Identity>,
+    /// Client of the platform's store.
+    pub store: Store,
+    /// What the control thread believes.
+    pub beliefs: ArcSwap<Beliefs>,
+    /// Connections to upstreams.
+    pub pools: Pools,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Limit on retries.
+    pub limit: RetryLimit,
+    /// Tells that the process is leaving.
+    pub leaving: watch::Sender<bool>,
+    /// Number of requests in flight.
+    pub working: watch::Sender<usize>,
+    traffic: Mutex<Traffic>,
+}
+
+impl Gateway {
+    /// Sets up what is shared.
+    ///
+    /// # Errors
+    /// When the keys are wrong, or a client or the metrics can't be set up.
+    pub fn new(settings: GatewaySettings, clock: Arc<dyn Clock>) -> Result<Arc<Self>, DaemonError> {
+        let keys = Arc::new(KeyRing::new(&settings.keys)?);
+        Ok(Arc::new(Self {
+            identity: Arc::new(Identity::new(settings.instance.id.clone(), keys, Arc::clone(&clock))),
+            store: Store::new(&settings.store.to_string())?,
+            beliefs: ArcSwap::default(),
+            pools: Pools::default(),
+            metrics: Metrics::new()?,
+            limit: settings.retry_limit(),
+            leaving: watch::Sender::new(false),
+            working: watch::Sender::new(0),
+            traffic: Mutex::default(),
+            settings,
+            clock,
+        }))
+    }
+
+    /// Time on the steady clock.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// What traffic keeps; held for short computations only.
+    pub fn traffic(&self) -> MutexGuard<'_, Traffic> {
+        self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the process is leaving.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+
+    /// Whether new connections are welcome.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.beliefs.load().declared.is_some()
+    }
+}
--- /dev/null
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -0,0 +1,174 @@
+//! What the traffic of a gateway keeps between requests: load and health of upstreams, cached parts of prompts, the
+//! retry budget, counts by release.
+
+use std::time::Duration;
+
+use bluebell_core::{
+    canary::{SessionPins, Tally},
+    ids::{InstanceId, ModelId, ReleaseId, ServiceId, UpstreamId},
+    placing::{Candidate, Health, HealthEvent, Load, Part, PartCache, Report, Work, pick},
+    retry::RetryWindow,
+    units::Tokens,
+    upstreams::Upstream,
+};
+use bluebell_wire::messages::{ReleaseTally, UpstreamLoad};
+use indexmap::IndexMap;
+
+/// State of one upstream.
+#[derive(Debug, Clone, Default)]
+pub struct UpstreamState {
+    /// Its load.
+    pub load: Load,
+    /// Its health.
+    pub health: Health,
+    /// Parts of prompts that it has read.
+    pub parts: PartCache,
+    born: u64,
+}
+
+/// Counts of one release in one kind of work.
+type TallyKey = (ServiceId, ReleaseId, String);
+
+/// What the traffic of a gateway keeps between requests.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    /// Releases that sessions are on.
+    pub sessions: SessionPins,
+    upstreams: IndexMap<UpstreamId, UpstreamState>,
+    windows: IndexMap<ServiceId, RetryWindow>,
+    tallies: IndexMap<TallyKey, Tally>,
+    peers: IndexMap<InstanceId, Vec<UpstreamLoad>>,
+}
+
+/// What a request asks for when an upstream is chosen.
+#[derive(Debug, Clone)]
+pub struct Demand<'a> {
+    /// Model that answers.
+    pub model: Option<&'a ModelId>,
+    /// Parts of the prompt.
+    pub parts: &'a [Part],
+    /// Tokens of the prompt.
+    pub prompt: Tokens,
+}
+
+impl Traffic {
+    /// State of an upstream; a new start of it begins anew.
+    pub fn upstream(&mut self, upstream: &Upstream) -> &mut UpstreamState {
+        let state = self.upstreams.entry(upstream.id.clone()).or_default();
+        if state.born != upstream.born {
+            *state = UpstreamState { born: upstream.born, ..UpstreamState::default() };
+        }
+        state
+    }
+
+    /// State of an upstream that may be gone.
+    pub fn known(&mut self, id: &UpstreamId) -> Option<&mut UpstreamState> {
+        self.upstreams.get_mut(id)
+    }
+
+    /// Retry budget of a service.
+    pub fn window(&mut self, service: &ServiceId) -> &mut RetryWindow {
+        self.windows.entry(service.clone()).or_default()
+    }
+
+    /// Counts of a release in one kind of work.
+    pub fn tally(&mut self, service: &ServiceId, release: &ReleaseId, work: &str) -> &mut Tally {
+        self.tallies.entry((service.clone(), release.clone(), work.to_owned())).or_default()
+    }
+
+    /// All counts.
+    #[must_use]
+    pub fn tallies(&self) -> Vec<ReleaseTally> {
+        let row = |((service, release, work), tally): (&TallyKey, &Tally)| ReleaseTally {
+            service: service.clone(),
+            release: release.clone(),
+            work: work.clone(),
+            tally: *tally,
+        };
+        self.tallies.iter().map(row).collect()
+    }
+
+    /// Work of this gateway at upstreams.
+    #[must_use]
+    pub fn loads(&self) -> Vec<UpstreamLoad> {
+        let busy = self.upstreams.iter().filter(|(_, state)| state.load.own() > 0);
+        let row = |(id, state): (&UpstreamId, &UpstreamState)| UpstreamLoad {
+            upstream: id.clone(),
+            requests: state.load.own(),
+            unread: state.load.own_unread(),
+        };
+        busy.map(row).collect()
+    }
+
+    /// A peer said what it has at upstreams.
+    pub fn take_loads(&mut self, now: Duration, peer: InstanceId, loads: Vec<UpstreamLoad>) {
+        self.peers.insert(peer, loads);
+        for (id, state) in &mut self.upstreams {
+            let all = self.peers.values().flatten().filter(|load| load.upstream == *id);
+            let (requests, unread) = all.fold((0, 0), |sum, load| (sum.0 + load.requests, sum.1 + load.unread.0));
+            state.load.peers(now, requests, Tokens(unread));
+        }
+    }
+
+    /// A peer is gone.
+    pub fn forget_peer(&mut self, peer: &InstanceId) {
+        self.peers.shift_remove(peer);
+    }
+
+    /// Forgets upstreams that are gone.
+    pub fn retain(&mut self, is_known: impl Fn(&UpstreamId) -> bool) {
+        self.upstreams.retain(|id, state| state.load.own() > 0 || is_known(id));
+    }
+
+    /// An upstream said how busy it is.
+    pub fn report(&mut self, now: Duration, id: &UpstreamId, report: Report) {
+        if let Some(state) = self.upstreams.get_mut(id) {
+            state.load.report(now, report);
+        }
+    }
+
+    /// Takes what an upstream's answer shows of its health.
+    pub fn note(&mut self, now: Duration, id: &UpstreamId, event: HealthEvent) {
+        let Some(state) = self.upstreams.get_mut(id) else { return };
+        if state.health.note(now, event) {
+            let failing = format!("{:.2}", state.health.failing());
+            log::warn!(upstream = id.as_str(), failing = failing.as_str(); "upstream is left out for a while: {event:?}");
+        }
+    }
+
+    /// Chooses among upstreams; those out of use only when there are no others.
+    pub fn choose<'a>(
+        &mut self,
+        now: Duration,
+        zone: &str,
+        demand: &Demand<'_>,
+        among: &[&'a Upstream],
+    ) -> Option<&'a Upstream> {
+        let healthy: Vec<&Upstream> =
+            among.iter().copied().filter(|one| self.upstream(one).health.is_open(now)).collect();
+        let pool = if healthy.is_empty() { among } else { &healthy };
+        let shared = demand.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let shared_tokens: u64 = shared.iter().map(|part| part.tokens.0).sum();
+        let key = shared.last().zip(demand.model).map(|(part, model)| format!("{model}/{}", part.id));
+        let work = Work { key, prompt: demand.prompt.0 as f64, shared: shared_tokens as f64 };
+        let candidates: Vec<Candidate> = pool
+            .iter()
+            .map(|one| {
+                let state = self.upstream(one);
+                let cached = demand.model.map_or(0, |model| state.parts.cached(model, shared).0);
+                Candidate {
+                    name: one.id.to_string(),
+                    requests: state.load.requests(now),
+                    slots: f64::from(one.slots),
+                    unread: state.load.unread(now),
+                    cached: cached as f64,
+                    failing: state.health.failing(),
+                    far: one.zone.as_str() != zone,
+                    cold: !one.cold.is_zero(),
+                }
+            })
+            .collect();
+        let position = pick(&work, &candidates, &mut rand::rng())?;
+        pool.get(position).copied()
+    }
+}
--- a/crates/bluebelld/src/lib.rs
+++ b/crates/bluebelld/src/lib.rs
@@ -8,6 +8,7 @@
 mod control;
 mod entry;
 mod error;
+pub mod gateway;
 mod links;
 mod listen;
 mod logs;
@@ -34,11 +35,14 @@
 /// # Errors
 /// When the settings are wrong, or the daemon can't start.
 pub fn run(options: &Options) -> Result<(), DaemonError> {
+    if let Some(args::Mode::Gateway) = options.mode {
+        return gateway::run(&options.config, options.check);
+    }
     let config = Config::load(&options.config)?;
     if options.check {
         return Ok(());
     }
-    logs::start(&config);
+    logs::start(config.instance.id.as_str(), &config.log);
     let clock: Arc<dyn Clock> = Arc::new(SystemClock::start());
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(config.threads.traffic)
--- a/crates/bluebelld/src/logs.rs
+++ b/crates/bluebelld/src/logs.rs
@@ -9,8 +9,6 @@
 };
 use serde_json::{Map, json};
 
-use crate::config::Config;
-
 struct Fields(Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
@@ -21,9 +19,9 @@
 }
 
 /// Starts logging.
-pub fn start(config: &Config) {
-    let level = config.log.parse().unwrap_or(LevelFilter::Info);
-    let instance = config.instance.id.to_string();
+pub fn start(instance: &str, level: &str) {
+    let level = level.parse().unwrap_or(LevelFilter::Info);
+    let instance = instance.to_owned();
     let format =
         move |out: &mut env_logger::fmt::Formatter, record: &Record<'_>| writeln!(out, "{}", line(&instance, record));
     Builder::new().filter_level(LevelFilter::Warn).filter_module("bluebell", level).format(format).init();
--- a/crates/bluebelld/src/peers.rs
+++ b/crates/bluebelld/src/peers.rs
@@ -153,7 +153,7 @@
         Route::Fetch => serve_fetch(control, incoming).await,
         Route::Bills => serve_bills(shared, control, incoming).await,
         Route::Confirmed => serve_confirmed(shared, incoming).await,
-        Route::Run | Route::Resolve => Err(WireError::Route { path: incoming.route.to_string() }),
+        Route::Run | Route::Resolve | Route::Exchange => Err(WireError::Route { path: incoming.route.to_string() }),
     }
 }
 
