--- a/crates/bluebell-core/src/cascade.rs
+++ b/crates/bluebell-core/src/cascade.rs
@@ -7,8 +7,11 @@
 
 use std::time::Duration;
 
-/// Confidence, in per cent, below which a larger model answers.
-pub const MIN_CONFIDENCE: u8 = 60;
+/// Confidence, in per cent, below which a larger model answers an urgent request: with the engines in use, an answer
+/// above 70 is good and one below 30 is not, and a larger model's run costs little against an urgent answer.
+const URGENT_CONFIDENCE: u8 = 66;
+/// The same for other requests, whose long prompts make a larger model's run cost about a third of the answer's worth.
+const OTHER_CONFIDENCE: u8 = 57;
 /// Time left, as a share of the time that the caller has, without which no larger model is asked.
 const MIN_TIME_LEFT: f64 = 0.25;
 
@@ -27,6 +30,8 @@
     pub whole: Duration,
     /// Attempts that are still allowed.
     pub attempts: u32,
+    /// Rank of the request, 0 the most urgent.
+    pub rank: u8,
 }
 
 /// Position of the model that should answer instead, if any.
@@ -34,15 +39,17 @@
 pub fn escalate(glance: &Glance) -> Option<usize> {
     let confidence = glance.confidence?;
     let largest = glance.models.checked_sub(1)?;
-    if glance.model >= largest || glance.attempts == 0 || confidence >= MIN_CONFIDENCE {
+    let enough = if glance.rank == 0 { URGENT_CONFIDENCE } else { OTHER_CONFIDENCE };
+    if glance.model >= largest || glance.attempts == 0 || confidence >= enough {
         return None;
     }
     let has_time = glance.left.as_secs_f64() >= MIN_TIME_LEFT * glance.whole.as_secs_f64();
     has_time.then_some(largest)
 }
 
-/// Position of the model that answers first.
+/// Position of the model that answers first. Where the retry budget leaves no step to a larger model, the largest
+/// answers at once: a poor answer is worth next to nothing.
 #[must_use]
 pub fn first(models: usize, may_escalate: bool) -> usize {
-    if may_escalate { 0 } else { models.saturating_sub(1) / 2 }
+    if may_escalate { 0 } else { models.saturating_sub(1) }
 }
--- a/crates/bluebell-core/src/ingress.rs
+++ b/crates/bluebell-core/src/ingress.rs
@@ -115,6 +115,17 @@
     pub models: Vec<Model>,
 }
 
+impl Engine {
+    /// Work that a token of a model makes, against the mean of the models; models cost about what they take of an
+    /// engine.
+    #[must_use]
+    pub fn weight(&self, model: &ModelId) -> f64 {
+        let mean = self.models.iter().map(|model| model.cost).sum::<f64>() / self.models.len().max(1) as f64;
+        let found = self.models.iter().find(|known| known.id == *model);
+        found.filter(|_| mean > 0.0).map_or(1.0, |model| model.cost / mean)
+    }
+}
+
 /// A service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
--- a/crates/bluebell-core/src/placing/health.rs
+++ b/crates/bluebell-core/src/placing/health.rs
@@ -10,9 +10,9 @@
 /// Failures in a row that take an upstream out of use.
 const FAILURES_IN_ROW: u32 = 3;
 /// Share of failures that takes an upstream out of use.
-const FAILING_SHARE: f64 = 0.35;
+const FAILING_SHARE: f64 = 0.4;
 /// Weight of one more answer in the share of failures.
-const SHARE_WEIGHT: f64 = 0.08;
+const SHARE_WEIGHT: f64 = 0.05;
 
 /// What an upstream's answer shows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/bluebell-core/src/placing/mod.rs
+++ b/crates/bluebell-core/src/placing/mod.rs
@@ -2,11 +2,13 @@
 //! and by distance.
 
 mod health;
+mod life;
 mod load;
 mod parts;
 mod pick;
 
 pub use health::{Health, HealthEvent};
+pub use life::Life;
 pub use load::{Load, Report};
 pub use parts::{Part, PartCache};
 pub use pick::{Candidate, Work, pick};
--- a/crates/bluebell-core/src/placing/pick.rs
+++ b/crates/bluebell-core/src/placing/pick.rs
@@ -6,7 +6,7 @@
 use crate::routing::rendezvous;
 
 /// What a request asks of an upstream.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Work {
     /// Key under which requests that share a long prompt go to the same upstream.
     pub key: Option<String>,
@@ -14,6 +14,8 @@
     pub prompt: f64,
     /// Tokens of the prompt that other requests share.
     pub shared: f64,
+    /// Work that a token makes with the model that answers, against the mean of the models.
+    pub weight: f64,
 }
 
 /// An upstream that may get the request.
@@ -53,6 +55,8 @@
 const HOME_CACHED: f64 = 0.8;
 /// Times that reading shared tokens again weighs more than its time, for the memory that a second copy takes.
 const AGAIN_WEIGHT: f64 = 1.5;
+/// Weight of the delay that reading a prompt causes to each request under way there.
+const DELAY_WEIGHT: f64 = 0.08;
 /// Greatest random part of a figure, in milliseconds, so that entries that know the same don't all choose the same.
 const SPREAD_MS: f64 = 2.0;
 
@@ -76,9 +80,11 @@
     let cached = if home { one.cached.max(HOME_CACHED * work.shared) } else { one.cached };
     let again = (work.shared - cached).max(0.0) * AGAIN_WEIGHT;
     let own = (work.prompt - work.shared).max(0.0);
-    let reading = (one.unread + again + own) / READ_PER_MS;
+    let prompt = (again + own) * work.weight / READ_PER_MS;
+    let reading = one.unread / READ_PER_MS + prompt;
     let fullness = (one.requests / one.slots.max(1.0) - 0.9).max(0.0);
     let mut cost = reading + REQUEST_MS * one.requests + FULL_MS * fullness + FAILING_MS * one.failing;
+    cost += DELAY_WEIGHT * prompt * one.requests;
     cost += if one.far { FAR_MS } else { 0.0 };
     cost + if one.cold { COLD_MS } else { 0.0 }
 }
--- a/crates/bluebell-core/src/retry/window.rs
+++ b/crates/bluebell-core/src/retry/window.rs
@@ -6,9 +6,9 @@
 
 /// Part of the declared ratio and allowance that is used, for requests that reach an upstream in another window than
 /// they reached the entry.
-const SAFETY: f64 = 0.85;
+const SAFETY: f64 = 0.9;
 /// Part of the budget that steps to a larger model leave for failures.
-const RESERVED: f64 = 0.25;
+const RESERVED: f64 = 0.2;
 
 /// The declared limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -44,19 +44,22 @@
         self.take(now, limit, entries, 1.0 - RESERVED)
     }
 
-    /// Retries left.
-    pub fn left(&mut self, now: Duration, limit: &RetryLimit, entries: usize) -> f64 {
+    /// Whether a step to a larger model would be allowed now.
+    pub fn may_escalate(&mut self, now: Duration, limit: &RetryLimit, entries: usize) -> bool {
+        self.has_room(now, limit, entries, 1.0 - RESERVED)
+    }
+
+    fn has_room(&mut self, now: Duration, limit: &RetryLimit, entries: usize, part: f64) -> bool {
         self.forget(now, limit.window);
-        self.allowed(limit, entries) - self.retries.len() as f64
+        self.retries.len() as f64 + 1.0 <= self.allowed(limit, entries) * part
     }
 
     fn take(&mut self, now: Duration, limit: &RetryLimit, entries: usize, part: f64) -> bool {
-        self.forget(now, limit.window);
-        if self.retries.len() as f64 + 1.0 > self.allowed(limit, entries) * part {
-            return false;
+        let has_room = self.has_room(now, limit, entries, part);
+        if has_room {
+            self.retries.push_back(now);
         }
-        self.retries.push_back(now);
-        true
+        has_room
     }
 
     fn allowed(&self, limit: &RetryLimit, entries: usize) -> f64 {
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -39,6 +39,17 @@
     },
 }
 
+/// How long the head of an answer is waited for.
+#[derive(Debug, Clone, Copy)]
+pub enum Patience {
+    /// To the end of the request's time.
+    Whole,
+    /// For so long.
+    Fixed(Duration),
+    /// Until the upstream has shown no sign of life for so long.
+    Alive(Duration),
+}
+
 /// What goes to an upstream beside the request itself.
 #[derive(Debug, Clone)]
 pub struct Order {
@@ -48,8 +59,8 @@
     pub model: Option<ModelId>,
     /// The last event that the caller has.
     pub last_event: u64,
-    /// Time for the head of the answer.
-    pub patience: Duration,
+    /// How long the head of the answer is waited for.
+    pub patience: Patience,
 }
 
 /// A place taken at an upstream; given back when dropped.
@@ -66,11 +77,12 @@
         let state = traffic.upstream(&order.upstream);
         let model = order.model.as_ref().or(job.asked.model.as_ref());
         let cached = model.map_or(Tokens::default(), |model| state.parts.cached(model, &job.asked.parts));
-        let unread = Tokens(job.asked.prompt.0.saturating_sub(cached.0));
+        let tokens = job.asked.prompt.0.saturating_sub(cached.0) as f64;
+        let unread = Tokens((tokens * job.weight(model)) as u64);
         state.load.begin(unread);
         state.health.begin(now);
         if let Some(model) = model {
-            state.parts.read(now, model, &job.asked.parts, job.memory);
+            state.parts.read(now, model, &job.asked.parts, job.memory());
         }
         Self { gateway: Arc::clone(gateway), id: order.upstream.id.clone(), unread }
     }
@@ -191,6 +203,8 @@
     let begun = gateway.now();
     let result = exchange(gateway, job, order, place, begun).await;
     let event = match &result {
+        // A timeout is that of the request, not a fault of the upstream.
+        Ok(live) if live.status == StatusCode::GATEWAY_TIMEOUT => None,
         Ok(live) if live.status.is_server_error() => Some(HealthEvent::Failed),
         Ok(_) => None,
         Err(Failure::NotRun { arrived: true, .. }) => Some(HealthEvent::Refused),
@@ -213,10 +227,10 @@
     let response = loop {
         let left = job.end.saturating_sub(gateway.now());
         let sending = lease.sender.try_send_request(request(job, order, left));
-        match timeout(order.patience.min(left), sending).await {
-            Err(_) => return Err(Failure::Unknown { reason: format!("no answer in {:?}", order.patience) }),
-            Ok(Ok(response)) => break response,
-            Ok(Err(mut error)) => {
+        let waited = wait_for(gateway, order, begun, job.end, sending).await;
+        match waited.ok_or_else(|| Failure::Unknown { reason: format!("no answer in time: {:?}", order.patience) })? {
+            Ok(response) => break response,
+            Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let reason = error.into_error().to_string();
                 if !unsent {
@@ -230,6 +244,7 @@
             }
         }
     };
+    gateway.traffic().hear(gateway.now(), &order.upstream.id);
     let (head, body) = response.into_parts();
     let proof = headers::decode_proof(&head.headers);
     if let Some(report) = proof.load {
@@ -253,6 +268,32 @@
     Ok(Live { status: head.status, headers: head.headers, proof, upstream, model, begun, place, body, lease, keep })
 }
 
+// None when the patience is over.
+async fn wait_for<T>(
+    gateway: &Gateway,
+    order: &Order,
+    begun: Duration,
+    end: Duration,
+    sending: impl Future<Output = T>,
+) -> Option<T> {
+    let mut sending = std::pin::pin!(sending);
+    loop {
+        let now = gateway.now();
+        let left = end.saturating_sub(now);
+        let wait = match order.patience {
+            Patience::Whole => left,
+            Patience::Fixed(time) => (begun + time).saturating_sub(now).min(left),
+            Patience::Alive(time) => gateway.traffic().patience(now, &order.upstream.id, begun, time).min(left),
+        };
+        if wait.is_zero() {
+            return None;
+        }
+        if let Ok(done) = timeout(wait, sending.as_mut()).await {
+            return Some(done);
+        }
+    }
+}
+
 async fn connect(gateway: &Arc<Gateway>, order: &Order) -> Result<Lease, Failure> {
     let lease = gateway.pools.get(order.upstream.address, gateway.now()).await;
     lease.map_err(|error| Failure::NotRun { reason: error.to_string(), pause: None, arrived: false })
--- a/crates/bluebelld/src/gateway/front/admit.rs
+++ b/crates/bluebelld/src/gateway/front/admit.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
-    ids::{OrgId, ServiceId},
-    ingress::{Declared, Organisation, Route},
+    ids::{ModelId, OrgId, ServiceId},
+    ingress::{Declared, Engine, Organisation, Route},
     units::Tokens,
 };
 use bluebell_platform::headers::{self, Asked};
@@ -39,14 +39,28 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
-    /// Memory of an engine of the service.
-    pub memory: Tokens,
+    /// The engine behind the service, where it runs models.
+    pub engine: Option<Engine>,
     /// When it arrived.
     pub arrived: Duration,
     /// When it must be answered.
     pub end: Duration,
 }
 
+impl Job {
+    /// Memory of an engine of the service.
+    #[must_use]
+    pub fn memory(&self) -> Tokens {
+        self.engine.as_ref().map_or(Tokens::default(), |engine| engine.memory)
+    }
+
+    /// Work that a token makes with a model, against the mean of the models.
+    #[must_use]
+    pub fn weight(&self, model: Option<&ModelId>) -> f64 {
+        self.engine.as_ref().zip(model).map_or(1.0, |(engine, model)| engine.weight(model))
+    }
+}
+
 /// Checks a request and reads its body.
 ///
 /// # Errors
@@ -72,11 +86,11 @@
         Err(error) if error.is::<LengthLimitError>() => return Err(Refusal::TooLarge { limit }),
         Err(error) => return Err(Refusal::Body { reason: error.to_string() }),
     };
-    let engine = declared.services.get(&service).and_then(|service| service.engine.as_ref());
+    let engine = declared.services.get(&service).and_then(|service| service.engine.clone());
     Ok(Job {
         rank: organisation.as_ref().and_then(|caller| caller.rank).unwrap_or(route.rank),
         organisation: organisation.map(|caller| caller.id.clone()),
-        memory: engine.map_or(Tokens::default(), |engine| engine.memory),
+        engine,
         route: Arc::clone(route),
         service,
         method: head.method,
--- a/crates/bluebelld/src/gateway/front/answer.rs
+++ b/crates/bluebelld/src/gateway/front/answer.rs
@@ -154,8 +154,9 @@
         pool = fresh;
     }
     let among: Vec<&Upstream> = pool.iter().map(|one| one.as_ref()).collect();
-    let demand =
-        Demand { model: model.or(job.asked.model.as_ref()), parts: &job.asked.parts, prompt: job.asked.prompt };
+    let model = model.or(job.asked.model.as_ref());
+    let weight = job.weight(model);
+    let demand = Demand { model, parts: &job.asked.parts, prompt: job.asked.prompt, weight };
     let zone = gateway.settings.instance.zone.as_str();
     let chosen = traffic.choose(now, zone, &demand, &among)?.id.clone();
     let chosen = pool.into_iter().find(|one| one.id == chosen).cloned()?;
--- a/crates/bluebelld/src/gateway/front/plain.rs
+++ b/crates/bluebelld/src/gateway/front/plain.rs
@@ -1,6 +1,6 @@
 //! Requests with one answer, which is read whole before the caller gets any of it.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode};
@@ -13,7 +13,7 @@
     left,
 };
 use crate::gateway::{
-    attempt::{self, Failure, Order},
+    attempt::{self, Failure, Order, Patience},
     state::Gateway,
 };
 
@@ -55,12 +55,11 @@
 }
 
 // Work that may run only once waits to the end, since another send could double it.
-fn patience(gateway: &Gateway, job: &Job, tries: &Tries) -> Duration {
-    let all = left(gateway, job);
+fn patience(gateway: &Gateway, job: &Job, tries: &Tries) -> Patience {
     if job.route.repeat.may_repeat() && tries.ran + 1 < job.route.attempts {
-        return (job.route.target * PATIENCE_TARGETS).min(all / 2);
+        return Patience::Fixed((job.route.target * PATIENCE_TARGETS).min(left(gateway, job) / 2));
     }
-    all
+    Patience::Whole
 }
 
 async fn run(
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -5,7 +5,7 @@
 
 use bluebell_core::{
     cascade::{self, Glance},
-    events::EventCutter,
+    events::{Batch, EventCutter, EventError},
     ids::{ModelId, ReleaseId},
     placing::HealthEvent,
     upstreams::Upstream,
@@ -23,15 +23,15 @@
     left,
 };
 use crate::gateway::{
-    attempt::{self, Failure, Live, Order, Piece},
+    attempt::{self, Failure, Live, Order, Patience, Piece},
     state::Gateway,
 };
 
-/// Shortest time for the head of an answer before another upstream is asked.
-const MIN_PATIENCE: Duration = Duration::from_millis(1500);
-/// Silence of an upstream after which its stream goes on elsewhere: a prompt read for another request may hold events
-/// up for a second or two, and starting anew costs as much.
-const STALL: Duration = Duration::from_millis(3000);
+/// Silence of an upstream on all connections after which a request without an answer goes elsewhere; reading the
+/// longest prompts takes up to two seconds.
+const HEAD_SILENCE: Duration = Duration::from_millis(2000);
+/// Silence of an upstream on all connections after which a stream goes on elsewhere.
+const STREAM_SILENCE: Duration = Duration::from_millis(2500);
 
 /// Answers a request with a stream.
 pub async fn answer(gateway: &Arc<Gateway>, job: Job, in_flight: InFlight) -> Response {
@@ -68,8 +68,8 @@
         return None;
     }
     let entries = gateway.beliefs.load().entries;
-    let left = gateway.traffic().window(&job.service).left(gateway.now(), &gateway.limit, entries);
-    job.route.models.get(cascade::first(job.route.models.len(), left >= 1.0)).cloned()
+    let may = gateway.traffic().window(&job.service).may_escalate(gateway.now(), &gateway.limit, entries);
+    job.route.models.get(cascade::first(job.route.models.len(), may)).cloned()
 }
 
 fn larger_model(gateway: &Gateway, job: &Job, live: &Live, tries: &Tries) -> Option<ModelId> {
@@ -81,6 +81,7 @@
         left: left(gateway, job),
         whole: job.end - job.arrived,
         attempts: job.route.attempts.saturating_sub(tries.ran + 1),
+        rank: job.rank,
     };
     let larger = cascade::escalate(&glance)?;
     let entries = gateway.beliefs.load().entries;
@@ -108,7 +109,7 @@
             break;
         };
         tries.upstreams.push(upstream.id.clone());
-        let order = Order { upstream, model: model.clone(), last_event, patience: patience(gateway, job, tries) };
+        let order = Order { upstream, model: model.clone(), last_event, patience: patience(job, tries) };
         match attempt::send(gateway, job, &order).await {
             Ok(live) if live.status.is_success() => return Ok(live),
             Ok(live) => {
@@ -139,12 +140,11 @@
     (!again).then_some(response)
 }
 
-fn patience(gateway: &Gateway, job: &Job, tries: &Tries) -> Duration {
-    let all = left(gateway, job);
+fn patience(job: &Job, tries: &Tries) -> Patience {
     if job.route.repeat.may_repeat() && tries.ran + 1 < job.route.attempts {
-        return job.route.target.max(MIN_PATIENCE).min(all);
+        return Patience::Alive(HEAD_SILENCE);
     }
-    all
+    Patience::Whole
 }
 
 /// Passes events on to the caller as they come.
@@ -155,6 +155,7 @@
     cutter: EventCutter,
     tries: Tries,
     events: u64,
+    heard: Duration,
     upstream: Arc<Upstream>,
     model: Option<ModelId>,
     _in_flight: InFlight,
@@ -164,21 +165,20 @@
     fn new(gateway: Arc<Gateway>, job: Job, live: Live, tries: Tries, in_flight: InFlight) -> Self {
         let cutter = EventCutter::after(job.asked.last_event);
         let (upstream, model) = (Arc::clone(&live.upstream), live.model.clone());
-        Self { gateway, job, live: Some(live), cutter, tries, events: 0, upstream, model, _in_flight: in_flight }
+        let heard = gateway.now();
+        Self { gateway, job, live: Some(live), cutter, tries, events: 0, heard, upstream, model, _in_flight: in_flight }
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
         loop {
             let live = self.live.as_mut()?;
-            let left = self.job.end.saturating_sub(self.gateway.now());
-            let reason = match timeout(STALL.min(left), live.next()).await {
-                Ok(Piece::Data(data)) => match self.cutter.push(&data) {
+            let now = self.gateway.now();
+            let left = self.job.end.saturating_sub(now);
+            let wait = self.gateway.traffic().patience(now, &self.upstream.id, self.heard, STREAM_SILENCE);
+            let reason = match timeout(wait.min(left), live.next()).await {
+                Ok(Piece::Data(data)) => match self.take(&data) {
                     Ok(batch) if batch.bytes.is_empty() => continue,
-                    Ok(batch) => {
-                        self.events += batch.count;
-                        live.place.read();
-                        return Some(Ok(batch.bytes.into()));
-                    }
+                    Ok(batch) => return Some(Ok(batch.bytes.into())),
                     Err(error) => error.to_string(),
                 },
                 Ok(Piece::End) if self.cutter.is_whole() => {
@@ -187,7 +187,8 @@
                 }
                 Ok(Piece::End) => "the stream ended inside an event".to_owned(),
                 Ok(Piece::Broken(reason)) => reason,
-                Err(_) => format!("no event in {:?}", STALL.min(left)),
+                Err(_) if wait > Duration::ZERO && !left.is_zero() => continue,
+                Err(_) => "the upstream fell silent, or the time is over".to_owned(),
             };
             if let Err(error) = self.resume(reason).await {
                 return Some(Err(error));
@@ -195,6 +196,18 @@
         }
     }
 
+    fn take(&mut self, data: &[u8]) -> Result<Batch, EventError> {
+        let now = self.gateway.now();
+        self.heard = now;
+        self.gateway.traffic().hear(now, &self.upstream.id);
+        let batch = self.cutter.push(data)?;
+        self.events += batch.count;
+        if let Some(live) = self.live.as_mut().filter(|_| batch.count > 0) {
+            live.place.read();
+        }
+        Ok(batch)
+    }
+
     fn finish(&mut self) {
         let Some(live) = self.live.take() else { return };
         let took = (self.gateway.now() - live.begun).as_secs_f64();
@@ -223,6 +236,7 @@
             let begun = begin(&self.gateway, &self.job, self.model.clone(), last, stays, &mut self.tries).await;
             if let Ok(live) = begun {
                 self.upstream = Arc::clone(&live.upstream);
+                self.heard = self.gateway.now();
                 self.live = Some(live);
                 return Ok(());
             }
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -6,7 +6,7 @@
 use bluebell_core::{
     canary::{SessionPins, Tally},
     ids::{InstanceId, ModelId, ReleaseId, ServiceId, UpstreamId},
-    placing::{Candidate, Health, HealthEvent, Load, Part, PartCache, Report, Work, pick},
+    placing::{Candidate, Health, HealthEvent, Life, Load, Part, PartCache, Report, Work, pick},
     retry::RetryWindow,
     units::Tokens,
     upstreams::Upstream,
@@ -23,6 +23,8 @@
     pub health: Health,
     /// Parts of prompts that it has read.
     pub parts: PartCache,
+    /// Signs of life that it showed.
+    pub life: Life,
     born: u64,
 }
 
@@ -49,6 +51,8 @@
     pub parts: &'a [Part],
     /// Tokens of the prompt.
     pub prompt: Tokens,
+    /// Work that a token makes with the model, against the mean of the models.
+    pub weight: f64,
 }
 
 impl Traffic {
@@ -127,6 +131,20 @@
         }
     }
 
+    /// Something came from an upstream.
+    pub fn hear(&mut self, now: Duration, id: &UpstreamId) {
+        if let Some(state) = self.upstreams.get_mut(id) {
+            state.life.hear(now);
+        }
+    }
+
+    /// Time for which a request may still wait for an upstream from which nothing comes.
+    #[must_use]
+    pub fn patience(&self, now: Duration, id: &UpstreamId, since: Duration, patience: Duration) -> Duration {
+        let life = self.upstreams.get(id).map(|state| state.life).unwrap_or_default();
+        life.remaining(now, since, patience)
+    }
+
     /// Takes what an upstream's answer shows of its health.
     pub fn note(&mut self, now: Duration, id: &UpstreamId, event: HealthEvent) {
         let Some(state) = self.upstreams.get_mut(id) else { return };
@@ -150,7 +168,7 @@
         let shared = demand.parts.split_last().map_or(&[][..], |(_, shared)| shared);
         let shared_tokens: u64 = shared.iter().map(|part| part.tokens.0).sum();
         let key = shared.last().zip(demand.model).map(|(part, model)| format!("{model}/{}", part.id));
-        let work = Work { key, prompt: demand.prompt.0 as f64, shared: shared_tokens as f64 };
+        let work = Work { key, prompt: demand.prompt.0 as f64, shared: shared_tokens as f64, weight: demand.weight };
         let candidates: Vec<Candidate> = pool
             .iter()
             .map(|one| {
