--- a/crates/bluebell-core/src/canary.rs
+++ b/crates/bluebell-core/src/canary.rs
@@ -15,8 +15,9 @@
     routing::rendezvous,
 };
 
-/// Share of requests that a release gets while it is judged; the platforms in use allow 10 to 15 per cent.
-pub const CANARY_SHARE: f64 = 0.06;
+/// Share of requests that a release gets while it is judged. The platforms in use allow 10 to 15 per cent over the whole
+/// time ordered, of which the judgement takes half.
+pub const CANARY_SHARE: f64 = 0.1;
 /// Share of requests that a release gets before it gets all.
 pub const RAMP_SHARE: f64 = 0.25;
 /// Part of the time ordered after which the share grows.
@@ -27,14 +28,14 @@
 const COMPLETE_AFTER: f64 = 0.8;
 /// Answers of the new release without which the share doesn't grow.
 const MIN_ANSWERS: u64 = 12;
-/// Evidence at which a release is convicted: one false alarm in about e^9 windows.
-const CONVICTION: f64 = 9.0;
+/// Evidence at which a release is convicted: one false alarm in about e^8, or 3,000, beginnings.
+const CONVICTION: f64 = 8.0;
 /// Failure rate of a sound release at least assumed.
-const SOUND_FAILURES: f64 = 0.03;
+const SOUND_FAILURES: f64 = 0.02;
 /// Failure rate of a bad release at least assumed.
-const BAD_FAILURES: f64 = 0.3;
+const BAD_FAILURES: f64 = 0.4;
 /// Times that a bad release fails more often than a sound one.
-const BAD_FACTOR: f64 = 2.5;
+const BAD_FACTOR: f64 = 3.0;
 /// Answers of one kind from which its pace is compared.
 const PACE_ANSWERS: u64 = 8;
 /// Times that a bad release is slower than a sound one, as a logarithm.
@@ -263,8 +264,10 @@
     fn take(&mut self, old: &Tally, new: &Tally, by_pace: bool) -> Option<bool> {
         let fresh = new.since(&self.last);
         self.last = *new;
-        let rate = (old.failures as f64 + 0.5) / (old.answers as f64 + 5.0);
-        let sound = rate.max(SOUND_FAILURES);
+        let count = old.answers as f64 + 5.0;
+        let rate = (old.failures as f64 + 0.5) / count;
+        // A rate that a few answers show too low would convict a release that merely fails like the old one.
+        let sound = (rate + 2.0 * (rate * (1.0 - rate) / count).sqrt()).max(SOUND_FAILURES);
         let bad = (sound * BAD_FACTOR).clamp(BAD_FAILURES, 0.95);
         let passed = fresh.answers.saturating_sub(fresh.failures) as f64;
         let step = fresh.failures as f64 * (bad / sound).ln() + passed * ((1.0 - bad) / (1.0 - sound)).ln();
--- /dev/null
+++ b/crates/bluebell-core/tests/canary.rs
@@ -0,0 +1,219 @@
+//! Roll-outs: bad releases are convicted before they get their share, good ones never, sessions stay where they are.
+
+use std::time::Duration;
+
+use bluebell_core::{
+    canary::{CANARY_SHARE, Judge, Order, SessionPins, Split, Stage, StageRow, Tallies, Tally, next_stage},
+    ids::ReleaseId,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+/// Kinds of work played, with how often their requests come and fail by themselves.
+const KINDS: [(&str, f64, f64); 4] =
+    [("report", 0.25, 0.004), ("question", 0.4, 0.004), ("log", 0.25, 0.0), ("look", 0.1, 0.14)];
+/// Requests a second.
+const RATE: usize = 55;
+/// Time between two looks of the judge, in milliseconds.
+const LOOK_MS: usize = 250;
+
+fn order() -> Order {
+    Order { service: "chat".parse().expect("id"), to: release("v2"), within: Duration::from_secs(24), version: 5 }
+}
+
+fn release(name: &str) -> ReleaseId {
+    name.parse().expect("id")
+}
+
+struct Bad {
+    fails: f64,
+    slower: f64,
+    only: Option<&'static str>,
+    from: f64,
+}
+
+const GOOD: Bad = Bad { fails: 0.0, slower: 1.0, only: None, from: 0.0 };
+
+/// Share of all requests that a bad release may get, and requests beyond it, as the platforms in use declare.
+const EXPOSURE: (f64, f64) = (0.15, 30.0);
+
+struct Played {
+    convicted: Option<f64>,
+    bad_answers: u64,
+    requests: f64,
+    exposed: f64,
+}
+
+// Plays a whole roll-out, stage by stage.
+fn play(bad: &Bad, seed: u64) -> Played {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut tallies = Tallies::new();
+    let mut judge = Judge::default();
+    let mut stage = Stage::Canary;
+    let mut played = Played { convicted: None, bad_answers: 0, requests: 0.0, exposed: 0.0 };
+    for look in 0..order().within.as_millis() as usize / LOOK_MS {
+        let time = (look * LOOK_MS) as f64 / 1000.0;
+        let split = Split::of(&order(), Some(stage), played.convicted.is_some());
+        for _ in 0..RATE * LOOK_MS / 1000 {
+            let mut at = random.random_range(0.0..1.0);
+            let kind = KINDS
+                .iter()
+                .find(|kind| {
+                    at -= kind.1;
+                    at < 0.0
+                })
+                .unwrap_or(&KINDS[3]);
+            let is_new = split.admits(&random.random_range(0..u64::MAX).to_string(), None, &release("v2"));
+            played.requests += 1.0;
+            played.exposed += f64::from(u8::from(is_new));
+            let hit = is_new && time >= bad.from && bad.only.is_none_or(|only| only == kind.0);
+            let fails = kind.2 + if hit { bad.fails } else { 0.0 };
+            let pair = tallies.entry(kind.0.to_owned()).or_default();
+            let tally: &mut Tally = if is_new { &mut pair.1 } else { &mut pair.0 };
+            tally.answers += 1;
+            if random.random_bool(fails.min(1.0)) {
+                tally.failures += 1;
+                played.bad_answers += u64::from(is_new);
+                continue;
+            }
+            let noise: f64 = random.random_range(0.5..2.0);
+            tally.log_pace += (0.05 * noise * if hit { bad.slower } else { 1.0 }).ln();
+            tally.paced += 1;
+        }
+        let answers = tallies.values().map(|(_, new)| new.answers).sum();
+        if played.convicted.is_none() && judge.weigh(&tallies).is_some() {
+            played.convicted = Some(time);
+        }
+        let now = row(stage).began + Duration::from_secs_f64(time);
+        stage = next_stage(&order(), &row(stage), now, played.convicted.is_some(), answers).unwrap_or(stage);
+    }
+    played
+}
+
+fn assert_caught(bad: &Bad) {
+    for seed in 0..50 {
+        let played = play(bad, seed);
+        let allowed = EXPOSURE.0 * played.requests + EXPOSURE.1;
+        assert!(played.convicted.is_some(), "seed {seed}");
+        assert!(played.exposed <= allowed, "seed {seed}: {} of {allowed} requests", played.exposed);
+    }
+}
+
+#[test]
+fn good_releases_are_never_convicted() {
+    for seed in 0..200 {
+        assert_eq!(play(&GOOD, seed).convicted, None, "seed {seed}");
+    }
+}
+
+#[test]
+fn failing_releases_are_convicted_before_fifty_bad_answers() {
+    for seed in 0..50 {
+        let played = play(&Bad { fails: 0.42, ..GOOD }, seed);
+        assert!(played.convicted.is_some(), "seed {seed}");
+        assert!(played.bad_answers < 50, "seed {seed}: {} bad answers", played.bad_answers);
+    }
+}
+
+#[test]
+fn failing_releases_stay_within_the_exposure_allowed() {
+    assert_caught(&Bad { fails: 0.42, ..GOOD });
+}
+
+#[test]
+fn release_that_fails_in_one_kind_of_work_stays_within_the_exposure_allowed() {
+    assert_caught(&Bad { fails: 0.5, only: Some("question"), ..GOOD });
+}
+
+#[test]
+fn release_that_turns_bad_late_stays_within_the_exposure_allowed() {
+    assert_caught(&Bad { fails: 0.42, from: 4.0, ..GOOD });
+}
+
+#[test]
+fn release_that_is_bad_only_with_all_requests_stays_within_the_exposure_allowed() {
+    assert_caught(&Bad { fails: 0.42, from: 14.0, ..GOOD });
+}
+
+#[test]
+fn slow_releases_stay_within_the_exposure_allowed() {
+    assert_caught(&Bad { slower: 8.0, ..GOOD });
+}
+
+fn row(stage: Stage) -> StageRow {
+    StageRow {
+        order: 5,
+        to: release("v2"),
+        stage,
+        began: Duration::from_secs(100),
+        holder: "entry-1".parse().expect("id"),
+    }
+}
+
+#[test]
+fn good_release_is_completed_in_time_by_any_driver() {
+    let mut stage = Stage::Canary;
+    for second in 100..124 {
+        // Each look may be another entry's: the row alone says where it stands.
+        if let Some(next) = next_stage(&order(), &row(stage), Duration::from_secs(second), false, 40) {
+            stage = next;
+        }
+    }
+    assert_eq!(stage, Stage::Completed);
+}
+
+#[test]
+fn share_does_not_grow_in_the_first_half_or_unjudged() {
+    let half = Duration::from_secs(112);
+    assert_eq!(next_stage(&order(), &row(Stage::Canary), half, false, 400), None);
+    assert_eq!(next_stage(&order(), &row(Stage::Canary), Duration::from_secs(120), false, 0), None);
+}
+
+#[test]
+fn convicted_release_is_reverted_at_any_stage_but_the_last() {
+    for stage in [Stage::Canary, Stage::Ramp, Stage::Full] {
+        assert_eq!(next_stage(&order(), &row(stage), Duration::from_secs(101), true, 9), Some(Stage::Reverted));
+    }
+    assert_eq!(next_stage(&order(), &row(Stage::Completed), Duration::from_secs(101), true, 9), None);
+}
+
+#[test]
+fn new_release_gets_nothing_before_its_canary_begins_nor_after_conviction() {
+    for stage in [None, Some(Stage::Reverted)] {
+        let split = Split::of(&order(), stage, false);
+        assert!((0..500).all(|n| !split.admits(&n.to_string(), None, &release("v2"))));
+    }
+    let convicted = Split::of(&order(), Some(Stage::Full), true);
+    assert!(!convicted.admits("x", None, &release("v2")));
+    assert!(convicted.admits("x", None, &release("v1")));
+}
+
+#[test]
+fn canary_gets_about_its_share() {
+    let split = Split::of(&order(), Some(Stage::Canary), false);
+    let new = (0..5000).filter(|n| split.admits(&format!("r-{n}"), None, &release("v2"))).count();
+    let share = new as f64 / 5000.0;
+    assert!((share - CANARY_SHARE).abs() < 0.02, "share {share}");
+}
+
+#[test]
+fn sessions_under_way_stay_on_their_release_while_it_is_judged() {
+    let split = Split::of(&order(), Some(Stage::Canary), false);
+    for n in 0..500 {
+        let key = format!("s-{n}");
+        for pinned in ["v1", "v2"].map(release) {
+            assert!(split.admits(&key, Some(&pinned), &pinned));
+        }
+    }
+    let full = Split::of(&order(), Some(Stage::Full), false);
+    assert!(full.admits("s-1", Some(&release("v1")), &release("v2")));
+}
+
+#[test]
+fn pins_end_with_the_session() {
+    let mut pins = SessionPins::default();
+    let life = Duration::from_secs(5);
+    let session = "s-1".parse().expect("id");
+    pins.set(Duration::from_secs(1), &session, &release("v1"));
+    assert_eq!(pins.get(Duration::from_secs(5), &session, life), Some(&release("v1")));
+    assert_eq!(pins.get(Duration::from_secs(6), &session, life), None);
+}
--- /dev/null
+++ b/crates/bluebell-core/tests/events.rs
@@ -0,0 +1,57 @@
+//! Streams are passed on in whole events only, each following the one before.
+
+use bluebell_core::events::{EventCutter, EventError};
+
+fn event(id: u64) -> Vec<u8> {
+    format!("id: {id}\ndata: piece {id}\n\n").into_bytes()
+}
+
+#[test]
+fn events_cut_at_any_byte_come_out_whole() {
+    let stream: Vec<u8> = (1..=4).flat_map(event).collect();
+    for cut in 0..=stream.len() {
+        let mut cutter = EventCutter::after(0);
+        let mut out = cutter.push(&stream[..cut]).expect("first part").bytes;
+        assert!(out.is_empty() || out.ends_with(b"\n\n"), "half an event at byte {cut}");
+        out.extend(cutter.push(&stream[cut..]).expect("second part").bytes);
+        assert_eq!(out, stream);
+        assert!(cutter.is_whole());
+        assert_eq!(cutter.last(), 4);
+    }
+}
+
+#[test]
+fn unfinished_event_is_not_whole_and_is_dropped_before_a_resume() {
+    let mut cutter = EventCutter::after(0);
+    let mut bytes = event(1);
+    bytes.extend(&event(2)[..7]);
+    let batch = cutter.push(&bytes).expect("events");
+    assert_eq!((batch.bytes, batch.count), (event(1), 1));
+    assert!(!cutter.is_whole());
+    cutter.reset();
+    assert_eq!(cutter.push(&event(2)).expect("resumed").bytes, event(2));
+}
+
+#[test]
+fn gaps_repeats_and_missing_ids_are_refused() {
+    let mut cutter = EventCutter::after(3);
+    assert_eq!(cutter.push(&event(5)), Err(EventError::Gap { last: 3, found: 5 }));
+    let mut cutter = EventCutter::after(3);
+    assert_eq!(cutter.push(&event(3)), Err(EventError::Gap { last: 3, found: 3 }));
+    let mut cutter = EventCutter::after(3);
+    assert_eq!(cutter.push(b"data: x\n\n"), Err(EventError::NoId { last: 3 }));
+}
+
+#[test]
+fn comments_pass_and_count_for_nothing() {
+    let mut cutter = EventCutter::after(0);
+    let batch = cutter.push(b": still here\n\nid: 1\r\ndata: x\r\n\r\n").expect("events");
+    assert_eq!(batch.count, 1);
+    assert_eq!(cutter.last(), 1);
+}
+
+#[test]
+fn endless_event_is_refused() {
+    let mut cutter = EventCutter::after(0);
+    assert_eq!(cutter.push(&vec![b'x'; 2 << 20]), Err(EventError::TooLong));
+}
--- /dev/null
+++ b/crates/bluebell-core/tests/placing.rs
@@ -0,0 +1,165 @@
+//! Placement under load: what callers get from it against taking the least busy upstream, or two at random.
+
+use std::time::Duration;
+
+use bluebell_core::{
+    ids::{ModelId, PartId},
+    placing::{Candidate, Health, HealthEvent, Life, Load, Part, PartCache, Report, Work, pick},
+    units::Tokens,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+fn candidate(name: &str) -> Candidate {
+    Candidate {
+        name: name.to_owned(),
+        requests: 0.0,
+        slots: 64.0,
+        unread: 0.0,
+        cached: 0.0,
+        failing: 0.0,
+        far: false,
+        cold: false,
+    }
+}
+
+fn work(prompt: f64) -> Work {
+    Work { key: None, prompt, shared: 0.0, weight: 1.0 }
+}
+
+fn chosen(work: &Work, candidates: &[Candidate]) -> usize {
+    pick(work, candidates, &mut StdRng::seed_from_u64(1)).expect("a choice")
+}
+
+#[test]
+fn nothing_to_choose_from() {
+    assert_eq!(pick(&work(1.0), &[], &mut StdRng::seed_from_u64(1)), None);
+}
+
+#[test]
+fn prompts_go_where_they_are_cached_unless_it_is_much_busier() {
+    let warm = Candidate { cached: 5000.0, requests: 4.0, ..candidate("warm") };
+    let work = Work { shared: 5000.0, ..work(6000.0) };
+    assert_eq!(chosen(&work, &[candidate("cold"), warm.clone()]), 1);
+    let flooded = Candidate { unread: 90_000.0, ..warm };
+    assert_eq!(chosen(&work, &[candidate("cold"), flooded]), 0);
+}
+
+#[test]
+fn entries_that_know_nothing_of_each_other_choose_the_same_home() {
+    let names = ["a", "b", "c", "d"].map(candidate);
+    let work = Work { key: Some("part-7".to_owned()), shared: 4000.0, ..work(5000.0) };
+    let homes: Vec<_> = (0..20).map(|seed| pick(&work, &names, &mut StdRng::seed_from_u64(seed))).collect();
+    assert!(homes.iter().all(|home| *home == homes[0]));
+}
+
+#[test]
+fn long_prompts_keep_away_from_many_streams() {
+    let streams = Candidate { requests: 12.0, ..candidate("streams") };
+    let prompts = Candidate { requests: 2.0, unread: 9000.0, ..candidate("prompts") };
+    assert_eq!(chosen(&work(20_000.0), &[streams.clone(), prompts.clone()]), 1);
+    assert_eq!(chosen(&work(100.0), &[streams, prompts]), 0);
+}
+
+#[test]
+fn failing_and_full_upstreams_come_last() {
+    let failing = Candidate { failing: 0.4, ..candidate("failing") };
+    let full = Candidate { requests: 80.0, ..candidate("full") };
+    let busy = Candidate { requests: 20.0, ..candidate("busy") };
+    assert_eq!(chosen(&work(100.0), &[failing, full, busy]), 2);
+}
+
+// Plays a burst of long and short prompts on engines that read one after the other; gives the mean wait of the short
+// ones, in milliseconds.
+fn short_wait(mut choose: impl FnMut(&Work, &[Candidate], &mut StdRng) -> usize) -> f64 {
+    const ENGINES: usize = 9;
+    const READ_PER_MS: f64 = 90.0;
+    let mut random = StdRng::seed_from_u64(3);
+    let mut unread = [0.0f64; ENGINES];
+    let (mut waits, mut shorts) = (0.0, 0.0);
+    for _ in 0..3000 {
+        unread.iter_mut().for_each(|left| *left = (*left - 8.0 * READ_PER_MS).max(0.0));
+        let long = random.random_bool(0.3);
+        let prompt = if long { random.random_range(4000.0..30_000.0) } else { random.random_range(200.0..1500.0) };
+        let candidates: Vec<Candidate> = (0..ENGINES)
+            .map(|at| Candidate { unread: unread[at], requests: unread[at] / 4000.0, ..candidate(&at.to_string()) })
+            .collect();
+        let at = choose(&work(prompt), &candidates, &mut random);
+        if !long {
+            waits += unread[at] / READ_PER_MS;
+            shorts += 1.0;
+        }
+        unread[at] += prompt;
+    }
+    waits / shorts
+}
+
+#[test]
+fn short_prompts_wait_less_than_under_simpler_choices() {
+    let ours = short_wait(|work, candidates, random| pick(work, candidates, random).expect("a choice"));
+    let random_choice = short_wait(|_, candidates, random| random.random_range(0..candidates.len()));
+    let two = short_wait(|_, candidates, random| {
+        let (a, b) = (random.random_range(0..candidates.len()), random.random_range(0..candidates.len()));
+        if candidates[a].requests <= candidates[b].requests { a } else { b }
+    });
+    assert!(ours < 0.5 * random_choice, "{ours} against {random_choice} at random");
+    assert!(ours < two, "{ours} against {two} of two at random");
+}
+
+#[test]
+fn busy_upstream_is_given_up_only_without_a_sign_of_life() {
+    let patience = Duration::from_secs(2);
+    let mut life = Life::default();
+    let sent = Duration::from_secs(10);
+    assert_eq!(life.remaining(Duration::from_secs(12), sent, patience), Duration::ZERO);
+    life.hear(Duration::from_millis(11_500));
+    assert_eq!(life.remaining(Duration::from_secs(12), sent, patience), Duration::from_millis(1500));
+}
+
+#[test]
+fn upstream_that_fails_in_a_row_is_left_out_and_tried_again_singly() {
+    let mut health = Health::default();
+    let now = Duration::from_secs(1);
+    assert!((0..3).any(|_| health.note(now, HealthEvent::Failed)));
+    assert!(!health.is_open(now));
+    let later = now + Duration::from_secs(1);
+    assert!(health.is_open(later));
+    health.begin(later);
+    assert!(!health.is_open(later), "one trial at a time");
+    assert!(health.note(later, HealthEvent::Lost), "a failed trial lengthens the pause");
+    assert!(!health.is_open(later + Duration::from_millis(600)));
+}
+
+#[test]
+fn upstream_that_fails_now_and_then_stays_in_use() {
+    let mut health = Health::default();
+    let now = Duration::from_secs(1);
+    for round in 0..400 {
+        let event = if round % 7 == 0 { HealthEvent::Failed } else { HealthEvent::Good };
+        health.note(now, event);
+        assert!(health.is_open(now), "round {round}");
+    }
+}
+
+#[test]
+fn what_others_have_at_an_upstream_is_believed_for_a_while() {
+    let mut load = Load::default();
+    let now = Duration::from_secs(1);
+    load.begin(Tokens(100));
+    load.report(now, Report { running: 11, waiting: 0, slots: 64 });
+    assert!((load.requests(now) - 11.0).abs() < 0.01);
+    assert!(load.requests(now + Duration::from_secs(10)) < 1.1);
+    load.end();
+    assert_eq!(load.own(), 0);
+}
+
+#[test]
+fn cached_parts_count_only_as_an_unbroken_start_and_yield_by_age() {
+    let model: ModelId = "m".parse().expect("id");
+    let part = |name: &str, tokens| Part { id: name.parse::<PartId>().expect("id"), tokens: Tokens(tokens) };
+    let mut cache = PartCache::default();
+    cache.read(Duration::ZERO, &model, &[part("a", 10), part("b", 20)], Tokens(60));
+    assert_eq!(cache.cached(&model, &[part("a", 10), part("b", 20), part("c", 5)]), Tokens(30));
+    assert_eq!(cache.cached(&model, &[part("x", 1), part("b", 20)]), Tokens(0));
+    cache.read(Duration::ZERO, &model, &[part("d", 40)], Tokens(60));
+    assert_eq!(cache.cached(&model, &[part("a", 10)]), Tokens(0));
+}
--- a/crates/bluebell-standins/src/lib.rs
+++ b/crates/bluebell-standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod platform;
 pub mod proxy;
+pub mod site;
 mod web;
 
 use args::{Command, Options};
