--- a/crates/bluebell-core/src/upstreams.rs
+++ b/crates/bluebell-core/src/upstreams.rs
@@ -15,6 +15,8 @@
 pub const LAPSE_GRACE: Duration = Duration::from_millis(1600);
 /// Share of a service's upstreams that vanish together when entries lapse, rather than upstreams leave.
 const LAPSE_SHARE: f64 = 0.5;
+/// Upstreams that vanish together when entries lapse; a single one leaves.
+const LAPSE_COUNT: usize = 2;
 /// Time within which entries vanish together.
 const LAPSE_WINDOW: Duration = Duration::from_millis(1500);
 
@@ -112,7 +114,7 @@
         let near = |known: &&Known| known.gone.is_some_and(|other| other.abs_diff(gone) < LAPSE_WINDOW);
         let all = self.known.values().filter(same).count();
         let lost = self.known.values().filter(same).filter(near).count();
-        all > 1 && lost as f64 >= LAPSE_SHARE * all as f64
+        lost >= LAPSE_COUNT && lost as f64 >= LAPSE_SHARE * all as f64
     }
 
     /// Upstreams whose entries stand, leaving ones included.
--- a/crates/bluebell-standins/src/site/store.rs
+++ b/crates/bluebell-standins/src/site/store.rs
@@ -203,6 +203,7 @@
         let after: u64 = request.param("after").parse().unwrap_or(0);
         let wait = Duration::from_millis(request.param("waitMs").parse().unwrap_or(0));
         let mut changed = self.changed.subscribe();
+        door.mark_unchanged();
         let end = Instant::now() + wait;
         loop {
             changed.borrow_and_update();
--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -5,7 +5,7 @@
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tokio::{
@@ -60,6 +60,8 @@
     pub request: Request,
     /// The upstream.
     pub upstream: String,
+    /// When it began.
+    pub began: Instant,
     /// Whether its connection ended before the answer did.
     pub broken_off: bool,
 }
@@ -172,7 +174,8 @@
             }
             let number = {
                 let mut state = lock(&self.state);
-                state.runs.push(Run { request: request.clone(), upstream: self.id.clone(), broken_off: true });
+                let (request, upstream) = (request.clone(), self.id.clone());
+                state.runs.push(Run { request, upstream, began: Instant::now(), broken_off: true });
                 state.runs.len() - 1
             };
             let goes_on = self.answer(&mut socket, &request, fault).await?;
--- a/crates/bluebelld/src/gateway/control/members.rs
+++ b/crates/bluebelld/src/gateway/control/members.rs
@@ -134,7 +134,7 @@
     }
 
     pub(super) fn is_open(&self, peer: &InstanceId) -> bool {
-        *peer == self.gateway.settings.instance.id || self.known.get(peer).is_some_and(|member| member.open)
+        self.known.get(peer).is_some_and(|member| member.open)
     }
 
     /// Removes gateways that could not be reached for long.
--- a/crates/bluebelld/src/gateway/control/mod.rs
+++ b/crates/bluebelld/src/gateway/control/mod.rs
@@ -275,7 +275,12 @@
             entries: self.members.count(now),
             heard: heard.unwrap_or_default().max(self.gateway.beliefs.load().heard),
         };
+        let informed = beliefs.declared.is_some() && !beliefs.open.is_empty();
         self.gateway.beliefs.store(Arc::new(beliefs));
+        if informed && !*self.gateway.informed.borrow() {
+            log::info!("declarations and upstreams are known");
+            self.gateway.informed.send_replace(true);
+        }
     }
 }
 
--- a/crates/bluebelld/src/gateway/control/rollouts.rs
+++ b/crates/bluebelld/src/gateway/control/rollouts.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{
     canary::{self, Judge, Order, Split, Stage, StageRow, Tallies},
-    ids::ServiceId,
+    ids::{InstanceId, ServiceId},
     replica::{Origin, Row},
 };
 use bluebell_platform::{
@@ -108,13 +108,21 @@
         if convicted {
             self.publish();
         }
-        let first =
-            self.members.is_first(|peer| self.standings.get(peer).is_some_and(|(_, standing)| standing.connected));
-        if first && self.is_connected(now) && !self.gateway.is_leaving() {
+        if self.is_connected(now) && !self.gateway.is_leaving() {
             self.step_rollouts(now);
         }
     }
 
+    // A holder that can write goes on; in its place goes the first of those that can.
+    fn is_driver(&self, row: Option<&StageRow>) -> bool {
+        let able = |peer: &InstanceId| self.standings.get(peer).is_some_and(|(_, standing)| standing.connected);
+        match row.map(|row| &row.holder) {
+            Some(holder) if *holder == self.gateway.settings.instance.id => true,
+            Some(holder) if self.members.is_open(holder) && able(holder) => false,
+            _ => self.members.is_first(able),
+        }
+    }
+
     fn step_rollouts(&mut self, now: Duration) {
         let Some((known, at)) = self.store.clock else { return };
         let clock = known + (now - at);
@@ -125,8 +133,7 @@
                 continue;
             }
             let row = self.rollouts.stage_of(&one.order);
-            // Another holder that is alive goes on.
-            if row.is_some_and(|row| row.holder != own && self.members.is_open(&row.holder) && !one.convicted) {
+            if !self.is_driver(row) {
                 continue;
             }
             let next = match row {
--- a/crates/bluebelld/src/gateway/front/admit.rs
+++ b/crates/bluebelld/src/gateway/front/admit.rs
@@ -18,6 +18,9 @@
 /// Longest time that a caller waits where neither it nor the route says.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
+/// Time for which a request waits for a process that has just started to know its declarations.
+const START_TIME: Duration = Duration::from_millis(400);
+
 /// A request that was admitted.
 #[derive(Debug)]
 pub struct Job {
@@ -67,6 +70,7 @@
 /// When the request is not to be served.
 pub async fn admit(gateway: &Gateway, asked: Asked, request: Request<Incoming>) -> Result<Job, Refusal> {
     let arrived = gateway.now();
+    wait_informed(gateway).await;
     let beliefs = gateway.beliefs.load_full();
     let Some(declared) = beliefs.declared.clone() else {
         return Err(Refusal::NotReady);
@@ -103,6 +107,15 @@
     })
 }
 
+// A process that has just started knows everything within tens of milliseconds, sooner than a caller would be back.
+async fn wait_informed(gateway: &Gateway) {
+    if !*gateway.informed.borrow() {
+        let mut informed = gateway.informed.subscribe();
+        // Whoever waited in vain is refused by what is not known.
+        let _ = tokio::time::timeout(START_TIME, informed.wait_for(|informed| *informed)).await;
+    }
+}
+
 fn caller(declared: &Declared, route: &Route, asked: &Asked) -> Result<Option<Arc<Organisation>>, Refusal> {
     let known = asked.key.as_ref().and_then(|key| declared.keys.get(key)).cloned();
     if known.is_none() && declared.keyed && !route.public {
--- a/crates/bluebelld/src/gateway/front/answer.rs
+++ b/crates/bluebelld/src/gateway/front/answer.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
-    ids::{ModelId, ReleaseId, SessionId, UpstreamId},
+    ids::{ModelId, ReleaseId, RequestId, SessionId, UpstreamId},
     placing::HealthEvent,
     upstreams::Upstream,
 };
@@ -31,19 +31,33 @@
 /// Pause suggested while no upstream takes a request.
 const BUSY_PAUSE: Duration = Duration::from_millis(400);
 
-/// A request in flight, counted until it is dropped.
-pub struct InFlight(Arc<Gateway>);
+/// A request in flight, counted until it is dropped; dropped before its end, its caller has left.
+pub struct InFlight {
+    gateway: Arc<Gateway>,
+    request: RequestId,
+    arrived: Duration,
+    ended: bool,
+}
 
 impl InFlight {
-    fn new(gateway: &Arc<Gateway>) -> Self {
+    fn new(gateway: &Arc<Gateway>, request: RequestId) -> Self {
         gateway.working.send_modify(|count| *count += 1);
-        Self(Arc::clone(gateway))
+        Self { gateway: Arc::clone(gateway), request, arrived: gateway.now(), ended: false }
+    }
+
+    /// The caller has its answer, or what there is of it.
+    pub fn end(&mut self) {
+        self.ended = true;
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.working.send_modify(|count| *count -= 1);
+        self.gateway.working.send_modify(|count| *count -= 1);
+        if !self.ended {
+            let waited = (self.gateway.now() - self.arrived).as_millis() as u64;
+            log::info!(request = self.request.as_str(), waited_ms = waited; "caller left before its answer was whole");
+        }
     }
 }
 
@@ -96,26 +110,29 @@
 
 /// Answers a request.
 pub async fn answer(gateway: &Arc<Gateway>, request: Request<Incoming>) -> Response {
-    let in_flight = InFlight::new(gateway);
     let arrived = gateway.now();
     let asked = match admit::asked(&request) {
         Ok(asked) => asked,
         Err(refusal) => return refusal.response(None, None),
     };
     let id = asked.request.clone();
+    let mut in_flight = InFlight::new(gateway, id.clone());
     let mut response = match admit::admit(gateway, asked, request).await {
         Ok(job) => {
             gateway.traffic().window(&job.service).request(arrived);
             if job.route.repeat.is_stream() {
                 stream::answer(gateway, job, in_flight).await
             } else {
-                plain::answer(gateway, job).await
+                let response = plain::answer(gateway, job).await;
+                in_flight.end();
+                response
             }
         }
         Err(refusal) => {
             let age = admit::beliefs_age(&gateway.beliefs.load(), arrived).as_millis();
             log::info!(request = id.as_str(), beliefs_ms = age as u64; "refused: {refusal}");
             let wait = (refusal.status() == StatusCode::SERVICE_UNAVAILABLE).then_some(START_PAUSE);
+            in_flight.end();
             refusal.response(Some(&id), wait)
         }
     };
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -34,13 +34,16 @@
 const STREAM_SILENCE: Duration = Duration::from_millis(2500);
 
 /// Answers a request with a stream.
-pub async fn answer(gateway: &Arc<Gateway>, job: Job, in_flight: InFlight) -> Response {
+pub async fn answer(gateway: &Arc<Gateway>, job: Job, mut in_flight: InFlight) -> Response {
     let mut tries = Tries::default();
     let mut model = first_model(gateway, &job);
     loop {
         let live = match begin(gateway, &job, model.clone(), job.asked.last_event, None, &mut tries).await {
             Ok(live) => live,
-            Err(response) => return *response,
+            Err(response) => {
+                in_flight.end();
+                return *response;
+            }
         };
         if let Some(larger) = larger_model(gateway, &job, &live, &tries) {
             log::info!(
@@ -158,7 +161,7 @@
     heard: Duration,
     upstream: Arc<Upstream>,
     model: Option<ModelId>,
-    _in_flight: InFlight,
+    in_flight: InFlight,
 }
 
 impl Relay {
@@ -166,7 +169,7 @@
         let cutter = EventCutter::after(job.asked.last_event);
         let (upstream, model) = (Arc::clone(&live.upstream), live.model.clone());
         let heard = gateway.now();
-        Self { gateway, job, live: Some(live), cutter, tries, events: 0, heard, upstream, model, _in_flight: in_flight }
+        Self { gateway, job, live: Some(live), cutter, tries, events: 0, heard, upstream, model, in_flight }
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
@@ -209,6 +212,7 @@
     }
 
     fn finish(&mut self) {
+        self.in_flight.end();
         let Some(live) = self.live.take() else { return };
         let took = (self.gateway.now() - live.begun).as_secs_f64();
         let pace = took / (self.events as f64 + 4.0);
@@ -241,6 +245,7 @@
                 return Ok(());
             }
         }
+        self.in_flight.end();
         Err(io::Error::new(io::ErrorKind::UnexpectedEof, self.tries.reason.clone()))
     }
 }
--- a/crates/bluebelld/src/gateway/state.rs
+++ b/crates/bluebelld/src/gateway/state.rs
@@ -32,6 +32,8 @@
     pub metrics: Metrics,
     /// Limit on retries.
     pub limit: RetryLimit,
+    /// Tells that declarations and upstreams are known.
+    pub informed: watch::Sender<bool>,
     /// Tells that the process is leaving.
     pub leaving: watch::Sender<bool>,
     /// Number of requests in flight.
@@ -53,6 +55,7 @@
             pools: Pools::default(),
             metrics: Metrics::new()?,
             limit: settings.retry_limit(),
+            informed: watch::Sender::new(false),
             leaving: watch::Sender::new(false),
             working: watch::Sender::new(0),
             traffic: Mutex::default(),
@@ -81,6 +84,6 @@
     /// Whether new connections are welcome.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.beliefs.load().declared.is_some()
+        !self.is_leaving() && *self.informed.borrow()
     }
 }
--- /dev/null
+++ b/crates/bluebelld/tests/gateway/caller.rs
@@ -0,0 +1,121 @@
+//! A caller that sees whether an answer is whole.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Request, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, time::timeout};
+
+/// What a caller asks for.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    pub path: String,
+    pub id: String,
+    pub key: Option<String>,
+    pub headers: Vec<(String, String)>,
+    pub deadline: Duration,
+    pub body: Bytes,
+}
+
+impl Ask {
+    pub fn new(path: &str, id: &str) -> Self {
+        let key = Some("key-1".to_owned());
+        let deadline = Duration::from_secs(8);
+        Self { path: path.to_owned(), id: id.to_owned(), key, headers: Vec::new(), deadline, body: "ask".into() }
+    }
+
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    pub fn key(mut self, key: Option<&str>) -> Self {
+        self.key = key.map(str::to_owned);
+        self
+    }
+
+    pub fn deadline(mut self, deadline: Duration) -> Self {
+        self.deadline = deadline;
+        self
+    }
+}
+
+/// What the caller got.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: HeaderMap,
+    pub body: String,
+    /// Whether the answer's framing was complete.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+    }
+
+    /// Ids of the events, in order.
+    pub fn events(&self) -> Vec<u64> {
+        let ids = self.body.lines().filter_map(|line| line.strip_prefix("id: "));
+        ids.filter_map(|id| id.parse().ok()).collect()
+    }
+}
+
+/// A connection of a caller.
+pub struct Caller {
+    sender: http1::SendRequest<Full<Bytes>>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Caller {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Caller {
+    pub async fn connect(address: SocketAddr) -> std::io::Result<Self> {
+        let socket = TcpStream::connect(address).await?;
+        let (sender, connection) = http1::handshake(TokioIo::new(socket)).await.map_err(std::io::Error::other)?;
+        let task = tokio::spawn(async move { drop(connection.await) });
+        Ok(Self { sender, task })
+    }
+
+    /// Asks and reads the answer; none where the connection ended without one.
+    pub async fn ask(&mut self, ask: &Ask) -> Option<Answer> {
+        let mut request = Request::post(&ask.path)
+            .header("host", "site.example")
+            .header("request-id", &ask.id)
+            .header("deadline-ms", ask.deadline.as_millis().to_string());
+        for (name, value) in &ask.headers {
+            request = request.header(name, value);
+        }
+        if let Some(key) = &ask.key {
+            request = request.header("authorization", format!("Bearer {key}"));
+        }
+        let request = request.body(Full::new(ask.body.clone())).expect("a request");
+        self.sender.ready().await.ok()?;
+        let patience = ask.deadline + Duration::from_secs(2);
+        let response = timeout(patience, self.sender.send_request(request)).await.expect("an answer in time").ok()?;
+        let (head, mut body) = response.into_parts();
+        let mut bytes = Vec::new();
+        let whole = loop {
+            match timeout(patience, body.frame()).await.expect("a piece in time") {
+                None => break true,
+                Some(Err(_)) => break false,
+                Some(Ok(frame)) => bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+            }
+        };
+        let body = String::from_utf8(bytes).expect("text");
+        Some(Answer { status: head.status.as_u16(), headers: head.headers, body, whole })
+    }
+}
+
+/// Asks on a connection of its own.
+pub async fn ask(address: SocketAddr, ask: &Ask) -> Answer {
+    let mut caller = Caller::connect(address).await.expect("a connection");
+    caller.ask(ask).await.expect("an answer")
+}
--- /dev/null
+++ b/crates/bluebelld/tests/gateway/stops.rs
@@ -0,0 +1,40 @@
+//! A planned stop loses nothing.
+
+use std::time::Duration;
+
+use bluebell_standins::site::Fault;
+
+use super::{
+    caller::{Ask, Caller},
+    site::{EVENTS, Site},
+    until,
+};
+
+#[tokio::test]
+async fn work_in_flight_is_finished_and_new_connections_go_elsewhere() {
+    let mut site = Site::start(1).await;
+    site.chat.iter().for_each(|one| one.set_always(Some(Fault::Slow(Duration::from_secs(1)))));
+    let address = site.gateways[0].callers;
+    let stream = tokio::spawn(async move {
+        let ask = Ask::new("/talk/1", "r-1").header("model", "small").header("token-count", "10,5");
+        Caller::connect(address).await.expect("a connection").ask(&ask).await
+    });
+    until("the stream to run", || async { !site.runs("r-1").is_empty() }).await;
+    site.gateways[0].process.terminate();
+    until("the gateway to be out of rotation", || async { !site.gateways[0].is_ready().await }).await;
+    let answer = site.gateways[0].ask(&Ask::new("/look/1", "r-2")).await;
+    assert_eq!((answer.status, answer.header("connection")), (200, "close"));
+    let answer = stream.await.expect("a caller").expect("an answer");
+    assert!(answer.whole);
+    assert_eq!(answer.events(), (1..=EVENTS).collect::<Vec<_>>());
+    assert_eq!(site.gateways[0].process.ended().await, Some(0));
+    assert!(site.store.keys("bluebell").is_empty(), "the member's row is left");
+}
+
+#[tokio::test]
+async fn reload_changes_nothing_and_loses_nothing() {
+    let site = Site::start(1).await;
+    site.gateways[0].process.hang_up();
+    until("the reload to be logged", || async { site.gateways[0].process.log().contains("reload ordered") }).await;
+    assert_eq!(site.gateways[0].ask(&Ask::new("/look/1", "r-1")).await.status, 200);
+}
--- a/crates/bluebelld/tests/integration/util/process.rs
+++ b/crates/bluebelld/tests/integration/util/process.rs
@@ -72,6 +72,11 @@
         self.signal(Signal::SIGTERM);
     }
 
+    /// Tells the process to read its settings again.
+    pub fn hang_up(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
     /// Waits for the process to end; gives its exit code.
     pub async fn ended(&mut self) -> Option<i32> {
         let name = self.name.clone();
