--- a/crates/bluebell-core/src/canary.rs
+++ b/crates/bluebell-core/src/canary.rs
@@ -15,17 +15,16 @@
     routing::rendezvous,
 };
 
-/// Share of requests that a release gets while it is judged. The platforms in use allow 10 to 15 per cent over the whole
-/// time ordered, of which the judgement takes half.
-pub const CANARY_SHARE: f64 = 0.1;
-/// Share of requests that a release gets before it gets all.
-pub const RAMP_SHARE: f64 = 0.25;
-/// Part of the time ordered after which the share grows.
-const RAMP_AFTER: f64 = 0.52;
-/// Part of the time ordered after which the new release gets all requests.
-const FULL_AFTER: f64 = 0.58;
-/// Part of the time ordered after which the roll-out is declared complete.
-const COMPLETE_AFTER: f64 = 0.8;
+/// Part of the exposure allowed that the release gets while it is judged by a small share of the requests.
+const CANARY_PART: f64 = 0.35;
+/// Part of the exposure allowed that is left for the last stage, in which the release gets all requests. Both parts
+/// together stay below the whole, so a release whose badness never shows stays within it, too.
+const LAST_PART: f64 = 0.72;
+/// Part of the time ordered after which the roll-out is declared complete; the rest is for the write to arrive.
+const COMPLETE_AT: f64 = 0.97;
+/// Time between an order and the first requests for its release, in which gateways tell each other which sessions are
+/// under way.
+pub const SETTLE_TIME: Duration = Duration::from_millis(700);
 /// Answers of the new release without which the share doesn't grow.
 const MIN_ANSWERS: u64 = 12;
 /// Evidence at which a release is convicted: one false alarm in about e^8, or 3,000, beginnings.
@@ -34,12 +33,20 @@
 const SOUND_FAILURES: f64 = 0.02;
 /// Failure rate of a bad release at least assumed.
 const BAD_FAILURES: f64 = 0.4;
+/// Highest failure rate of a sound release assumed.
+const MAX_SOUND: f64 = 0.3;
+/// Highest failure rate of a bad release assumed.
+const MAX_BAD: f64 = 0.9;
 /// Times that a bad release fails more often than a sound one.
 const BAD_FACTOR: f64 = 3.0;
-/// Answers of one kind from which its pace is compared.
+/// Answers of one kind from which its usual pace is known.
 const PACE_ANSWERS: u64 = 8;
-/// Times that a bad release is slower than a sound one, as a logarithm.
-const SLOW_LOG: f64 = 1.1;
+/// Answers over which the usual pace is averaged.
+const PACE_MEMORY: f64 = 40.0;
+/// Least pace told apart from none.
+const MIN_PACE: f64 = 1e-6;
+/// Times the usual pace from which an answer counts as slow; bad releases are several times slower.
+const SLOW_TIMES: f64 = 3.0;
 
 /// An operator's order to bring in a release.
 #[derive(Debug, Clone, PartialEq)]
@@ -54,13 +61,28 @@
     pub version: u64,
 }
 
+/// When the stages of a roll-out begin, and how many requests its release gets.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Schedule {
+    /// Share of the requests in the first stage.
+    pub canary: f64,
+    full_at: f64,
+}
+
+impl Schedule {
+    /// The schedule that keeps a release within a share of the requests, whatever comes of it.
+    #[must_use]
+    pub fn within(exposure: f64) -> Self {
+        let last = (LAST_PART * exposure).clamp(0.02, 0.5);
+        Self { canary: CANARY_PART * exposure, full_at: 1.0 - last }
+    }
+}
+
 /// How far a roll-out is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Stage {
     /// A small share of the requests goes to the new release.
     Canary,
-    /// A larger share does.
-    Ramp,
     /// All requests go to the new release.
     Full,
     /// The old release is not needed any more.
@@ -116,18 +138,23 @@
 impl Split {
     /// The split that a roll-out stands at.
     #[must_use]
-    pub fn of(order: &Order, stage: Option<Stage>, convicted: bool) -> Self {
+    pub fn of(order: &Order, stage: Option<Stage>, convicted: bool, schedule: &Schedule) -> Self {
         let to = order.to.clone();
         match stage {
             Some(Stage::Completed) => Self::Only(to),
             _ if convicted => Self::Without(to),
             Some(Stage::Full) => Self::Share { to, share: 1.0, holds: false },
-            Some(Stage::Ramp) => Self::Share { to, share: RAMP_SHARE, holds: false },
-            Some(Stage::Canary) => Self::Share { to, share: CANARY_SHARE, holds: true },
+            Some(Stage::Canary) => Self::Share { to, share: schedule.canary, holds: true },
             None | Some(Stage::Reverted) => Self::Without(to),
         }
     }
 
+    /// Whether a release is being judged.
+    #[must_use]
+    pub fn judges(&self, release: &ReleaseId) -> bool {
+        matches!(self, Self::Share { to, .. } if to == release)
+    }
+
     /// Whether a request may go to a release, by a key that it shares with its session, and by the release that the
     /// session is on.
     #[must_use]
@@ -162,9 +189,19 @@
         (now < *at + life).then_some(release)
     }
 
-    /// A request of a session goes to a release, or was answered by it.
-    pub fn set(&mut self, now: Duration, session: &SessionId, release: &ReleaseId) {
-        self.pins.insert(session.clone(), (release.clone(), now));
+    /// A request of a session went to a release, or was answered by it, at a time; an older word changes nothing.
+    pub fn set(&mut self, at: Duration, session: &SessionId, release: &ReleaseId) {
+        let pin = self.pins.entry(session.clone()).or_insert_with(|| (release.clone(), at));
+        if pin.1 <= at {
+            *pin = (release.clone(), at);
+        }
+    }
+
+    /// Sessions that a canary of a share would take up, with the time of their last request.
+    pub fn within(&self, share: f64) -> impl Iterator<Item = (&SessionId, &ReleaseId, Duration)> {
+        let taken = move |session: &SessionId| rendezvous::fraction(session.as_str()) < share;
+        let pins = self.pins.iter().filter(move |(session, _)| taken(session));
+        pins.map(|(session, (release, at))| (session, release, *at))
     }
 
     /// Forgets sessions that are over.
@@ -180,10 +217,8 @@
     pub answers: u64,
     /// Failures that the upstream itself reported.
     pub failures: u64,
-    /// Sum of the logarithms of the time per piece of work.
-    pub log_pace: f64,
-    /// Answers of which the pace is known.
-    pub paced: u64,
+    /// Answers that took several times as long as is usual for their work.
+    pub slow: u64,
 }
 
 impl Tally {
@@ -191,21 +226,37 @@
     pub fn add(&mut self, other: &Self) {
         self.answers += other.answers;
         self.failures += other.failures;
-        self.log_pace += other.log_pace;
-        self.paced += other.paced;
+        self.slow += other.slow;
     }
 
     fn since(&self, earlier: &Self) -> Self {
         Self {
             answers: self.answers.saturating_sub(earlier.answers),
             failures: self.failures.saturating_sub(earlier.failures),
-            log_pace: self.log_pace - earlier.log_pace,
-            paced: self.paced.saturating_sub(earlier.paced),
+            slow: self.slow.saturating_sub(earlier.slow),
         }
     }
+}
+
+/// The usual time of a kind of work at the releases that are not being judged, against what its size lets expect.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct UsualPace {
+    mean_log: f64,
+    count: u64,
+}
+
+impl UsualPace {
+    /// Takes the pace of an answer: its time against the time that its size lets expect.
+    pub fn take(&mut self, pace: f64) {
+        self.count += 1;
+        let weight = 1.0 / (self.count as f64).min(PACE_MEMORY);
+        self.mean_log += weight * (pace.max(MIN_PACE).ln() - self.mean_log);
+    }
 
-    fn mean_log(&self) -> f64 {
-        self.log_pace / self.paced.max(1) as f64
+    /// Whether an answer took several times as long as is usual.
+    #[must_use]
+    pub fn is_slow(&self, pace: f64) -> bool {
+        self.count >= PACE_ANSWERS && pace.max(MIN_PACE).ln() - self.mean_log > SLOW_TIMES.ln()
     }
 }
 
@@ -219,6 +270,52 @@
     last: Tally,
 }
 
+impl Evidence {
+    // Cumulative sum of the likelihood that so many of the answers are bad, against the old release's rate.
+    fn add(sum: f64, old: (u64, u64), fresh: (u64, u64)) -> f64 {
+        let count = old.1 as f64 + 5.0;
+        let rate = (old.0 as f64 + 0.5) / count;
+        // A rate that a few answers show too low would convict a release that merely fails like the old one.
+        let sound = (rate + 2.0 * (rate * (1.0 - rate) / count).sqrt()).clamp(SOUND_FAILURES, MAX_SOUND);
+        let bad = (sound * BAD_FACTOR).clamp(BAD_FAILURES, MAX_BAD);
+        let passed = fresh.1.saturating_sub(fresh.0) as f64;
+        let step = fresh.0 as f64 * (bad / sound).ln() + passed * ((1.0 - bad) / (1.0 - sound)).ln();
+        (sum + step).max(0.0)
+    }
+}
+
+/// Counts gathered from all entries. An entry that starts anew counts from zero; what it counted before stays.
+#[derive(Debug, Default)]
+pub struct Gathered {
+    last: IndexMap<(InstanceId, String, bool), Tally>,
+    totals: Tallies,
+}
+
+impl Gathered {
+    /// Takes an entry's counts since its start, of the old release or the new one.
+    pub fn take(&mut self, entry: &InstanceId, work: &str, is_new: bool, tally: &Tally) {
+        let last = self.last.entry((entry.clone(), work.to_owned(), is_new)).or_default();
+        let restarted = tally.answers < last.answers;
+        let fresh = if restarted { *tally } else { tally.since(last) };
+        *last = *tally;
+        let pair = self.totals.entry(work.to_owned()).or_default();
+        let side = if is_new { &mut pair.1 } else { &mut pair.0 };
+        side.add(&fresh);
+    }
+
+    /// The counts of all entries.
+    #[must_use]
+    pub fn totals(&self) -> &Tallies {
+        &self.totals
+    }
+
+    /// Answers of the new release.
+    #[must_use]
+    pub fn answers(&self) -> u64 {
+        self.totals.values().map(|(_, new)| new.answers).sum()
+    }
+}
+
 /// Why a release was convicted.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Conviction {
@@ -239,16 +336,16 @@
 }
 
 impl Judge {
-    /// Takes the counts as they are now; gives a conviction once the evidence allows it.
-    pub fn weigh(&mut self, tallies: &Tallies) -> Option<Conviction> {
+    /// Takes the counts as they are now; gives a conviction once the evidence allows it. Pace counts only while both
+    /// releases get requests, since the load that one of them gets alone slows it as well.
+    pub fn weigh(&mut self, tallies: &Tallies, by_pace: bool) -> Option<Conviction> {
         let mut total = (Tally::default(), Tally::default());
         for (old, new) in tallies.values() {
             total.0.add(old);
             total.1.add(new);
         }
-        let all = std::iter::once(("all", &total, false));
-        let kinds = tallies.iter().map(|(work, pair)| (work.as_str(), pair, true));
-        for (work, (old, new), by_pace) in all.chain(kinds) {
+        let kinds = tallies.iter().map(|(work, pair)| (work.as_str(), pair));
+        for (work, (old, new)) in std::iter::once(("all", &total)).chain(kinds) {
             let evidence = self.evidence.entry(work.to_owned()).or_default();
             if let Some(failing) = evidence.take(old, new, by_pace) {
                 let work = work.to_owned();
@@ -264,41 +361,47 @@
     fn take(&mut self, old: &Tally, new: &Tally, by_pace: bool) -> Option<bool> {
         let fresh = new.since(&self.last);
         self.last = *new;
-        let count = old.answers as f64 + 5.0;
-        let rate = (old.failures as f64 + 0.5) / count;
-        // A rate that a few answers show too low would convict a release that merely fails like the old one.
-        let sound = (rate + 2.0 * (rate * (1.0 - rate) / count).sqrt()).max(SOUND_FAILURES);
-        let bad = (sound * BAD_FACTOR).clamp(BAD_FAILURES, 0.95);
-        let passed = fresh.answers.saturating_sub(fresh.failures) as f64;
-        let step = fresh.failures as f64 * (bad / sound).ln() + passed * ((1.0 - bad) / (1.0 - sound)).ln();
-        self.failing = (self.failing + step).max(0.0);
+        self.failing = Self::add(self.failing, (old.failures, old.answers), (fresh.failures, fresh.answers));
         if self.failing >= CONVICTION {
             return Some(true);
         }
-        if by_pace && old.paced >= PACE_ANSWERS && fresh.paced > 0 {
-            let excess = fresh.mean_log() - old.mean_log() - SLOW_LOG;
-            self.slow = (self.slow + excess.clamp(-1.0, 1.0) * fresh.paced as f64).max(0.0);
-            return (self.slow >= PACE_ANSWERS as f64 / 2.0).then_some(false);
+        if !by_pace {
+            return None;
         }
-        None
+        self.slow = Self::add(self.slow, (old.slow, old.answers), (fresh.slow, fresh.answers));
+        (self.slow >= CONVICTION).then_some(false)
     }
 }
 
 /// What to do next about a roll-out.
 #[must_use]
-pub fn next_stage(order: &Order, row: &StageRow, now: Duration, convicted: bool, answers: u64) -> Option<Stage> {
+pub fn next_stage(
+    order: &Order,
+    row: &StageRow,
+    now: Duration,
+    schedule: &Schedule,
+    verdict: Verdict,
+) -> Option<Stage> {
     if row.stage.is_final() {
         return None;
     }
-    if convicted {
+    if verdict.convicted {
         return Some(Stage::Reverted);
     }
     let passed = now.saturating_sub(row.began).as_secs_f64() / order.within.as_secs_f64().max(0.001);
-    let judged = answers >= MIN_ANSWERS;
+    let judged = verdict.answers >= MIN_ANSWERS;
     match row.stage {
-        Stage::Canary if passed >= RAMP_AFTER && judged => Some(Stage::Ramp),
-        Stage::Ramp if passed >= FULL_AFTER && judged => Some(Stage::Full),
-        Stage::Full if passed >= COMPLETE_AFTER => Some(Stage::Completed),
+        Stage::Canary if passed >= schedule.full_at && judged => Some(Stage::Full),
+        Stage::Full if passed >= COMPLETE_AT => Some(Stage::Completed),
         _ => None,
     }
 }
+
+/// What the counts say of a release so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Verdict {
+    /// Whether it is bad.
+    pub convicted: bool,
+    /// Answers of it that were counted.
+    pub answers: u64,
+}
--- a/crates/bluebell-core/tests/canary.rs
+++ b/crates/bluebell-core/tests/canary.rs
@@ -3,9 +3,13 @@
 use std::time::Duration;
 
 use bluebell_core::{
-    canary::{CANARY_SHARE, Judge, Order, SessionPins, Split, Stage, StageRow, Tallies, Tally, next_stage},
+    canary::{
+        Gathered, Judge, Order, Schedule, SessionPins, Split, Stage, StageRow, Tallies, Tally, UsualPace, Verdict,
+        next_stage,
+    },
     ids::ReleaseId,
 };
+use indexmap::IndexMap;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 /// Kinds of work played, with how often their requests come and fail by themselves.
@@ -20,6 +24,17 @@
     Order { service: "chat".parse().expect("id"), to: release("v2"), within: Duration::from_secs(24), version: 5 }
 }
 
+/// Share of all requests that a bad release may get, and requests beyond it, as the platforms in use declare.
+const EXPOSURE: (f64, f64) = (0.15, 30.0);
+
+fn schedule() -> Schedule {
+    Schedule::within(EXPOSURE.0)
+}
+
+fn verdict(convicted: bool, answers: u64) -> Verdict {
+    Verdict { convicted, answers }
+}
+
 fn release(name: &str) -> ReleaseId {
     name.parse().expect("id")
 }
@@ -27,14 +42,12 @@
 struct Bad {
     fails: f64,
     slower: f64,
+    share: f64,
     only: Option<&'static str>,
     from: f64,
 }
 
-const GOOD: Bad = Bad { fails: 0.0, slower: 1.0, only: None, from: 0.0 };
-
-/// Share of all requests that a bad release may get, and requests beyond it, as the platforms in use declare.
-const EXPOSURE: (f64, f64) = (0.15, 30.0);
+const GOOD: Bad = Bad { fails: 0.0, slower: 1.0, share: 0.5, only: None, from: 0.0 };
 
 struct Played {
     convicted: Option<f64>,
@@ -45,14 +58,20 @@
 
 // Plays a whole roll-out, stage by stage.
 fn play(bad: &Bad, seed: u64) -> Played {
+    play_within(bad, seed, EXPOSURE.0)
+}
+
+fn play_within(bad: &Bad, seed: u64, exposure: f64) -> Played {
+    let schedule = Schedule::within(exposure);
     let mut random = StdRng::seed_from_u64(seed);
     let mut tallies = Tallies::new();
     let mut judge = Judge::default();
+    let mut usual: IndexMap<&str, UsualPace> = KINDS.iter().map(|kind| (kind.0, UsualPace::default())).collect();
     let mut stage = Stage::Canary;
     let mut played = Played { convicted: None, bad_answers: 0, requests: 0.0, exposed: 0.0 };
     for look in 0..order().within.as_millis() as usize / LOOK_MS {
         let time = (look * LOOK_MS) as f64 / 1000.0;
-        let split = Split::of(&order(), Some(stage), played.convicted.is_some());
+        let split = Split::of(&order(), Some(stage), played.convicted.is_some(), &schedule);
         for _ in 0..RATE * LOOK_MS / 1000 {
             let mut at = random.random_range(0.0..1.0);
             let kind = KINDS
@@ -76,15 +95,20 @@
                 continue;
             }
             let noise: f64 = random.random_range(0.5..2.0);
-            tally.log_pace += (0.05 * noise * if hit { bad.slower } else { 1.0 }).ln();
-            tally.paced += 1;
+            let hit = hit && random.random_bool(bad.share);
+            let pace = 0.05 * noise * if hit { bad.slower } else { 1.0 };
+            tally.slow += u64::from(usual[kind.0].is_slow(pace));
+            if !is_new {
+                usual[kind.0].take(pace);
+            }
         }
         let answers = tallies.values().map(|(_, new)| new.answers).sum();
-        if played.convicted.is_none() && judge.weigh(&tallies).is_some() {
+        if played.convicted.is_none() && judge.weigh(&tallies, stage < Stage::Full).is_some() {
             played.convicted = Some(time);
         }
         let now = row(stage).began + Duration::from_secs_f64(time);
-        stage = next_stage(&order(), &row(stage), now, played.convicted.is_some(), answers).unwrap_or(stage);
+        let verdict = verdict(played.convicted.is_some(), answers);
+        stage = next_stage(&order(), &row(stage), now, &schedule, verdict).unwrap_or(stage);
     }
     played
 }
@@ -134,9 +158,19 @@
     assert_caught(&Bad { fails: 0.42, from: 14.0, ..GOOD });
 }
 
+#[test]
+fn release_whose_badness_never_shows_stays_within_the_exposure_allowed() {
+    for exposure in [0.0975, 0.15, 0.3] {
+        let played = play_within(&GOOD, 1, exposure);
+        let allowed = exposure * played.requests + EXPOSURE.1;
+        assert!(played.exposed <= allowed, "{} of {allowed} requests", played.exposed);
+    }
+}
+
 #[test]
 fn slow_releases_stay_within_the_exposure_allowed() {
     assert_caught(&Bad { slower: 8.0, ..GOOD });
+    assert_caught(&Bad { slower: 8.0, only: Some("question"), share: 0.8, ..GOOD });
 }
 
 fn row(stage: Stage) -> StageRow {
@@ -152,9 +186,10 @@
 #[test]
 fn good_release_is_completed_in_time_by_any_driver() {
     let mut stage = Stage::Canary;
-    for second in 100..124 {
+    for look in 400..496 {
         // Each look may be another entry's: the row alone says where it stands.
-        if let Some(next) = next_stage(&order(), &row(stage), Duration::from_secs(second), false, 40) {
+        let now = Duration::from_millis(look * 250);
+        if let Some(next) = next_stage(&order(), &row(stage), now, &schedule(), verdict(false, 40)) {
             stage = next;
         }
     }
@@ -164,50 +199,66 @@
 #[test]
 fn share_does_not_grow_in_the_first_half_or_unjudged() {
     let half = Duration::from_secs(112);
-    assert_eq!(next_stage(&order(), &row(Stage::Canary), half, false, 400), None);
-    assert_eq!(next_stage(&order(), &row(Stage::Canary), Duration::from_secs(120), false, 0), None);
+    assert_eq!(next_stage(&order(), &row(Stage::Canary), half, &schedule(), verdict(false, 400)), None);
+    let late = Duration::from_secs(123);
+    assert_eq!(next_stage(&order(), &row(Stage::Canary), late, &schedule(), verdict(false, 0)), None);
 }
 
 #[test]
 fn convicted_release_is_reverted_at_any_stage_but_the_last() {
-    for stage in [Stage::Canary, Stage::Ramp, Stage::Full] {
-        assert_eq!(next_stage(&order(), &row(stage), Duration::from_secs(101), true, 9), Some(Stage::Reverted));
+    let now = Duration::from_secs(101);
+    for stage in [Stage::Canary, Stage::Full] {
+        let next = next_stage(&order(), &row(stage), now, &schedule(), verdict(true, 9));
+        assert_eq!(next, Some(Stage::Reverted));
     }
-    assert_eq!(next_stage(&order(), &row(Stage::Completed), Duration::from_secs(101), true, 9), None);
+    assert_eq!(next_stage(&order(), &row(Stage::Completed), now, &schedule(), verdict(true, 9)), None);
 }
 
 #[test]
 fn new_release_gets_nothing_before_its_canary_begins_nor_after_conviction() {
     for stage in [None, Some(Stage::Reverted)] {
-        let split = Split::of(&order(), stage, false);
+        let split = Split::of(&order(), stage, false, &schedule());
         assert!((0..500).all(|n| !split.admits(&n.to_string(), None, &release("v2"))));
     }
-    let convicted = Split::of(&order(), Some(Stage::Full), true);
+    let convicted = Split::of(&order(), Some(Stage::Full), true, &schedule());
     assert!(!convicted.admits("x", None, &release("v2")));
     assert!(convicted.admits("x", None, &release("v1")));
 }
 
 #[test]
 fn canary_gets_about_its_share() {
-    let split = Split::of(&order(), Some(Stage::Canary), false);
+    let split = Split::of(&order(), Some(Stage::Canary), false, &schedule());
     let new = (0..5000).filter(|n| split.admits(&format!("r-{n}"), None, &release("v2"))).count();
     let share = new as f64 / 5000.0;
-    assert!((share - CANARY_SHARE).abs() < 0.02, "share {share}");
+    assert!((share - schedule().canary).abs() < 0.02, "share {share}");
 }
 
 #[test]
 fn sessions_under_way_stay_on_their_release_while_it_is_judged() {
-    let split = Split::of(&order(), Some(Stage::Canary), false);
+    let split = Split::of(&order(), Some(Stage::Canary), false, &schedule());
     for n in 0..500 {
         let key = format!("s-{n}");
         for pinned in ["v1", "v2"].map(release) {
             assert!(split.admits(&key, Some(&pinned), &pinned));
         }
     }
-    let full = Split::of(&order(), Some(Stage::Full), false);
+    let full = Split::of(&order(), Some(Stage::Full), false, &schedule());
     assert!(full.admits("s-1", Some(&release("v1")), &release("v2")));
 }
 
+#[test]
+fn counts_of_an_entry_that_starts_anew_are_added_to_those_before() {
+    let mut gathered = Gathered::default();
+    let entry = "entry-1".parse().expect("id");
+    let tally = |answers, failures| Tally { answers, failures, slow: 0 };
+    gathered.take(&entry, "report", true, &tally(40, 2));
+    gathered.take(&entry, "report", true, &tally(50, 5));
+    gathered.take(&entry, "report", true, &tally(3, 3));
+    gathered.take(&entry, "report", true, &tally(3, 3));
+    assert_eq!(gathered.totals()["report"].1, tally(53, 8));
+    assert_eq!(gathered.answers(), 53);
+}
+
 #[test]
 fn pins_end_with_the_session() {
     let mut pins = SessionPins::default();
--- a/crates/bluebell-wire/src/messages.rs
+++ b/crates/bluebell-wire/src/messages.rs
@@ -6,7 +6,9 @@
     billing::BillRow,
     canary::Tally,
     gate::{Ask, Refusal},
-    ids::{AttemptId, Incarnation, InstanceId, Permit, ReleaseId, RequestId, Revision, ServiceId, UpstreamId},
+    ids::{
+        AttemptId, Incarnation, InstanceId, Permit, ReleaseId, RequestId, Revision, ServiceId, SessionId, UpstreamId,
+    },
     intent::{Reservation, Resolution, StoredReply},
     replica::Row,
     settings::Snapshot,
@@ -235,6 +237,21 @@
     pub loads: Vec<UpstreamLoad>,
     /// Counts by release, since the sender started.
     pub tallies: Vec<ReleaseTally>,
+    /// Sessions under way that a new release might take up.
+    pub sessions: Vec<SessionRelease>,
+    /// Versions of the store at which roll-outs were ordered whose releases the sender found to be bad.
+    pub convicted: Vec<u64>,
+}
+
+/// The release that a session is on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SessionRelease {
+    /// The session.
+    pub session: SessionId,
+    /// The release.
+    pub release: ReleaseId,
+    /// Time since its last request.
+    pub age: Duration,
 }
 
 /// Work of one entry at one upstream.
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -14,7 +14,11 @@
 use hyper::{Request, StatusCode, body::Incoming};
 use tokio::time::timeout;
 
-use super::{front::Job, pool::Lease, state::Gateway};
+use super::{
+    front::{self, Job},
+    pool::Lease,
+    state::Gateway,
+};
 
 /// Largest body after which a connection is kept although the upstream answered with a failure; behind a longer one
 /// the upstream may still be reading.
@@ -228,7 +232,11 @@
         let left = job.end.saturating_sub(gateway.now());
         let sending = lease.sender.try_send_request(request(job, order, left));
         let waited = wait_for(gateway, order, begun, job.end, sending).await;
-        match waited.ok_or_else(|| Failure::Unknown { reason: format!("no answer in time: {:?}", order.patience) })? {
+        let Some(answered) = waited else {
+            front::record_overdue(gateway, job, order);
+            return Err(Failure::Unknown { reason: format!("no answer in time: {:?}", order.patience) });
+        };
+        match answered {
             Ok(response) => break response,
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
--- a/crates/bluebelld/src/gateway/control/mod.rs
+++ b/crates/bluebelld/src/gateway/control/mod.rs
@@ -178,7 +178,15 @@
 
     fn take_standing(&mut self, peer: InstanceId, standing: EntryStanding) {
         let now = self.gateway.now();
-        self.gateway.traffic().take_loads(now, peer.clone(), standing.loads.clone());
+        let mut traffic = self.gateway.traffic();
+        traffic.take_loads(now, peer.clone(), standing.loads.clone());
+        for one in &standing.sessions {
+            traffic.sessions.set(now.saturating_sub(one.age), &one.session, &one.release);
+        }
+        drop(traffic);
+        if self.rollouts.convict(&peer, &standing.convicted) {
+            self.publish();
+        }
         let connected = standing.connected;
         self.standings.insert(peer, (now, standing));
         if connected {
@@ -249,7 +257,15 @@
         let judged = self.rollouts.is_running();
         let traffic = self.gateway.traffic();
         let tallies = if judged { traffic.tallies() } else { Vec::new() };
-        let standing = EntryStanding { connected: self.is_connected(now), loads: traffic.loads(), tallies };
+        let sessions = if judged { traffic.session_releases(now, self.gateway.schedule.canary) } else { Vec::new() };
+        let loads = traffic.loads();
+        let standing = EntryStanding {
+            connected: self.is_connected(now),
+            loads,
+            tallies,
+            sessions,
+            convicted: self.rollouts.convicted(),
+        };
         drop(traffic);
         self.members.broadcast(&News::Standing(Box::new(standing)), None);
     }
@@ -271,7 +287,7 @@
         let beliefs = Beliefs {
             declared: self.declared.clone(),
             open: open.collect(),
-            splits: self.rollouts.splits(),
+            splits: self.rollouts.splits(&self.gateway.schedule),
             entries: self.members.count(now),
             heard: heard.unwrap_or_default().max(self.gateway.beliefs.load().heard),
         };
--- a/crates/bluebelld/src/gateway/control/rollouts.rs
+++ b/crates/bluebelld/src/gateway/control/rollouts.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
-    canary::{self, Judge, Order, Split, Stage, StageRow, Tallies},
+    canary::{self, Gathered, Judge, Order, SETTLE_TIME, Schedule, Split, Stage, StageRow, Verdict},
     ids::{InstanceId, ServiceId},
     replica::{Origin, Row},
 };
@@ -27,9 +27,10 @@
 struct Rollout {
     order: Order,
     judge: Judge,
-    convicted: bool,
-    answers: u64,
-    written: Option<Duration>,
+    gathered: Gathered,
+    verdict: Verdict,
+    seen: Duration,
+    written: Option<(Duration, u64)>,
 }
 
 /// All roll-outs that were ordered.
@@ -44,8 +45,16 @@
 }
 
 impl Rollouts {
-    pub(super) fn put_order(&mut self, key: &str, order: Order) {
-        let rollout = Rollout { order, judge: Judge::default(), convicted: false, answers: 0, written: None };
+    pub(super) fn put_order(&mut self, key: &str, order: Order, now: Duration) {
+        let verdict = Verdict { convicted: false, answers: 0 };
+        let rollout = Rollout {
+            order,
+            judge: Judge::default(),
+            gathered: Gathered::default(),
+            verdict,
+            seen: now,
+            written: None,
+        };
         self.ordered.insert(key.to_owned(), rollout);
     }
 
@@ -82,11 +91,29 @@
         self.ordered.values().any(|one| !self.stage_of(&one.order).is_some_and(|row| row.stage.is_final()))
     }
 
+    /// Orders whose releases were found to be bad.
+    pub(super) fn convicted(&self) -> Vec<u64> {
+        self.ordered.values().filter(|one| one.verdict.convicted).map(|one| one.order.version).collect()
+    }
+
+    /// A peer found releases to be bad; tells whether that is news.
+    pub(super) fn convict(&mut self, peer: &InstanceId, orders: &[u64]) -> bool {
+        let mut news = false;
+        for one in self.ordered.values_mut().filter(|one| orders.contains(&one.order.version)) {
+            if !std::mem::replace(&mut one.verdict.convicted, true) {
+                let (service, to) = (one.order.service.as_str(), one.order.to.as_str());
+                log::warn!(service = service, to = to, peer = peer.as_str(); "a peer found the release to be bad");
+                news = true;
+            }
+        }
+        news
+    }
+
     /// Releases that get requests, by service.
-    pub(super) fn splits(&self) -> IndexMap<ServiceId, Split> {
+    pub(super) fn splits(&self, schedule: &Schedule) -> IndexMap<ServiceId, Split> {
         let split = |one: &Rollout| {
             let stage = self.stage_of(&one.order).map(|row| row.stage);
-            (one.order.service.clone(), Split::of(&one.order, stage, one.convicted))
+            (one.order.service.clone(), Split::of(&one.order, stage, one.verdict.convicted, schedule))
         };
         self.ordered.values().map(split).collect()
     }
@@ -98,17 +125,20 @@
         if !self.rollouts.is_running() {
             return;
         }
+        let name = self.gateway.settings.instance.id.clone();
         let own = self.gateway.traffic().tallies();
-        let peers = self.standings.values().flat_map(|(_, standing)| &standing.tallies);
-        let all: Vec<ReleaseTally> = own.into_iter().chain(peers.cloned()).collect();
+        let peers = self.standings.iter().map(|(peer, (_, standing))| (peer, standing.tallies.as_slice()));
+        let all: Vec<(&InstanceId, &[ReleaseTally])> = std::iter::once((&name, own.as_slice())).chain(peers).collect();
         let mut convicted = false;
+        let stages = &self.rollouts.stages;
         for one in self.rollouts.ordered.values_mut() {
-            convicted |= one.weigh(&all);
+            let stage = stages.get(&stage_key(&one.order.service)).map(|(row, _)| row.stage);
+            convicted |= one.weigh(&all, stage < Some(Stage::Full));
         }
         if convicted {
             self.publish();
         }
-        if self.is_connected(now) && !self.gateway.is_leaving() {
+        if self.is_connected(now) {
             self.step_rollouts(now);
         }
     }
@@ -129,27 +159,28 @@
         let own = self.gateway.settings.instance.id.clone();
         let mut steps = Vec::new();
         for one in self.rollouts.ordered.values() {
-            if one.written.is_some_and(|at| now < at + WRITE_TIME) {
+            let row = self.rollouts.stage_of(&one.order);
+            let version = self.rollouts.stage(&one.order).map_or(0, |(_, version)| *version);
+            if one.written.is_some_and(|(at, before)| now < at + WRITE_TIME && before == version) {
                 continue;
             }
-            let row = self.rollouts.stage_of(&one.order);
-            if !self.is_driver(row) {
+            // Whoever sees that a release is bad says so, lest a driver that doesn't see it goes on.
+            if !one.verdict.convicted && (self.gateway.is_leaving() || !self.is_driver(row)) {
                 continue;
             }
             let next = match row {
-                None => Some(Stage::Canary),
-                Some(row) => canary::next_stage(&one.order, row, clock, one.convicted, one.answers),
+                None => (now >= one.seen + SETTLE_TIME).then_some(Stage::Canary),
+                Some(row) => canary::next_stage(&one.order, row, clock, &self.gateway.schedule, one.verdict),
             };
             let Some(stage) = next else { continue };
-            let began = row.map_or(clock, |row| row.began);
+            let began = row.map_or(clock.saturating_sub(now.saturating_sub(one.seen)), |row| row.began);
             let to = one.order.to.clone();
             let row = StageRow { order: one.order.version, to, stage, began, holder: own.clone() };
-            let version = self.rollouts.stage(&one.order).map_or(0, |(_, version)| *version);
             steps.push((one.order.service.clone(), row, version));
         }
         for (service, row, version) in steps {
             for one in self.rollouts.ordered.values_mut().filter(|one| one.order.service == service) {
-                one.written = Some(now);
+                one.written = Some((now, version));
             }
             spawn_local(write_stage(Arc::clone(&self.gateway), self.events.clone(), service, row, version));
         }
@@ -158,19 +189,18 @@
 
 impl Rollout {
     // True when the release is convicted now.
-    fn weigh(&mut self, all: &[ReleaseTally]) -> bool {
-        let mut tallies = Tallies::new();
-        for row in all.iter().filter(|row| row.service == self.order.service) {
-            let pair = tallies.entry(row.work.clone()).or_default();
-            let side = if row.release == self.order.to { &mut pair.1 } else { &mut pair.0 };
-            side.add(&row.tally);
+    fn weigh(&mut self, all: &[(&InstanceId, &[ReleaseTally])], by_pace: bool) -> bool {
+        for (entry, rows) in all {
+            for row in rows.iter().filter(|row| row.service == self.order.service) {
+                self.gathered.take(entry, &row.work, row.release == self.order.to, &row.tally);
+            }
         }
-        self.answers = tallies.values().map(|(_, new)| new.answers).sum();
-        if self.convicted {
+        self.verdict.answers = self.gathered.answers();
+        if self.verdict.convicted {
             return false;
         }
-        let Some(found) = self.judge.weigh(&tallies) else { return false };
-        self.convicted = true;
+        let Some(found) = self.judge.weigh(self.gathered.totals(), by_pace) else { return false };
+        self.verdict.convicted = true;
         log::warn!(
             service = self.order.service.as_str(), to = self.order.to.as_str(), work = found.work.as_str(),
             answers = found.answers, failures = found.failures, failing = found.failing;
--- a/crates/bluebelld/src/gateway/front/admit.rs
+++ b/crates/bluebelld/src/gateway/front/admit.rs
@@ -57,6 +57,12 @@
         self.engine.as_ref().map_or(Tokens::default(), |engine| engine.memory)
     }
 
+    /// Kind of work, for counts by release.
+    #[must_use]
+    pub fn kind(&self, model: Option<&ModelId>) -> String {
+        format!("{}/{}", self.route.id, model.map_or("", ModelId::as_str))
+    }
+
     /// Work that a token makes with a model, against the mean of the models.
     #[must_use]
     pub fn weight(&self, model: Option<&ModelId>) -> f64 {
--- a/crates/bluebelld/src/gateway/front/answer.rs
+++ b/crates/bluebelld/src/gateway/front/answer.rs
@@ -19,9 +19,9 @@
     stream,
 };
 use crate::gateway::{
-    attempt::{Failure, Live},
+    attempt::{Failure, Live, Order},
     state::Gateway,
-    traffic::Demand,
+    traffic::{Counted, Demand, Took},
 };
 
 /// Sends beyond the declared attempts after proofs that nothing ran.
@@ -215,19 +215,28 @@
     refusal.response(Some(&job.asked.request), wait)
 }
 
+/// Counts an attempt that was not waited for any longer, for its release.
+pub fn record_overdue(gateway: &Gateway, job: &Job, order: &Order) {
+    let kind = job.kind(order.model.as_ref());
+    let release = &order.upstream.release;
+    let counted = Counted { service: &job.service, release, kind: &kind, failed: false, pace: Took::Overdue };
+    let beliefs = gateway.beliefs.load();
+    gateway.traffic().count(&counted, beliefs.split(&job.service));
+}
+
 /// Counts an answer for its release, and logs it.
-pub fn record(gateway: &Gateway, job: &Job, live: &Live, pace: Option<f64>, tries: &Tries) {
+pub fn record(gateway: &Gateway, job: &Job, live: &Live, pace: Took, tries: &Tries) {
     let failed = live.status.is_server_error();
     let model = live.model.as_ref().map_or("", ModelId::as_str);
-    let work = format!("{}/{model}", job.route.id);
+    let kind = job.kind(live.model.as_ref());
     let now = gateway.now();
+    let beliefs = gateway.beliefs.load();
+    let pace = if failed { Took::Unknown } else { pace };
+    let counted = Counted { service: &job.service, release: &live.upstream.release, kind: &kind, failed, pace };
     let mut traffic = gateway.traffic();
-    let tally = traffic.tally(&job.service, &live.upstream.release, &work);
-    tally.answers += 1;
-    tally.failures += u64::from(failed);
-    if let Some(pace) = pace.filter(|_| !failed) {
-        tally.log_pace += pace.max(1e-6).ln();
-        tally.paced += 1;
+    traffic.count(&counted, beliefs.split(&job.service));
+    if let Some(session) = &job.asked.session {
+        traffic.sessions.set(now, session, &live.upstream.release);
     }
     if !failed {
         traffic.note(now, &live.upstream.id, HealthEvent::Good);
@@ -236,6 +245,7 @@
     log::info!(
         request = job.asked.request.as_str(),
         route = job.route.id.as_str(),
+        session = job.asked.session.as_ref().map_or("", SessionId::as_str),
         upstream = live.upstream.id.as_str(),
         release = live.upstream.release.as_str(),
         model = model,
--- a/crates/bluebelld/src/gateway/front/mod.rs
+++ b/crates/bluebelld/src/gateway/front/mod.rs
@@ -9,6 +9,7 @@
 use std::{convert::Infallible, io, sync::Arc, time::Duration};
 
 pub use admit::Job;
+pub use answer::record_overdue;
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
--- a/crates/bluebelld/src/gateway/front/plain.rs
+++ b/crates/bluebelld/src/gateway/front/plain.rs
@@ -15,6 +15,7 @@
 use crate::gateway::{
     attempt::{self, Failure, Order, Patience},
     state::Gateway,
+    traffic::Took,
 };
 
 /// Times of the route's target after which work that may be repeated is sent elsewhere.
@@ -75,7 +76,7 @@
         Err(_) => return Err(Failure::Unknown { reason: "the answer was not whole in time".to_owned() }),
     };
     let took = (gateway.now() - live.begun).as_secs_f64();
-    record(gateway, job, &live, Some(took), tries);
+    record(gateway, job, &live, Took::Pace(took), tries);
     let answer = (live.status, live.headers.clone(), body);
     live.finish(gateway);
     Ok(answer)
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -25,6 +25,7 @@
 use crate::gateway::{
     attempt::{self, Failure, Live, Order, Patience, Piece},
     state::Gateway,
+    traffic::Took,
 };
 
 /// Silence of an upstream on all connections after which a request without an answer goes elsewhere; reading the
@@ -33,6 +34,14 @@
 /// Silence of an upstream on all connections after which a stream goes on elsewhere.
 const STREAM_SILENCE: Duration = Duration::from_millis(2500);
 
+/// Time that an answer takes without its prompt and events, in seconds; with the two that follow, against it an
+/// answer's time is compared to others of its kind, so only their proportion matters.
+const EXPECTED_START_S: f64 = 0.02;
+/// Tokens of a prompt that an engine reads in a second.
+const TOKENS_READ_PER_S: f64 = 90_000.0;
+/// Time that an event takes, in seconds.
+const EXPECTED_EVENT_S: f64 = 0.02;
+
 /// Answers a request with a stream.
 pub async fn answer(gateway: &Arc<Gateway>, job: Job, mut in_flight: InFlight) -> Response {
     let mut tries = Tries::default();
@@ -133,7 +142,7 @@
 
 // The upstream's own failure, unless another try may follow.
 async fn failure(gateway: &Arc<Gateway>, job: &Job, mut live: Live, tries: &mut Tries) -> Option<Response> {
-    record(gateway, job, &live, None, tries);
+    record(gateway, job, &live, Took::Unknown, tries);
     let body = timeout(left(gateway, job), live.whole()).await;
     tries.ran += 1;
     let again = live.status.is_server_error() && tries.may_send(job);
@@ -215,8 +224,9 @@
         self.in_flight.end();
         let Some(live) = self.live.take() else { return };
         let took = (self.gateway.now() - live.begun).as_secs_f64();
-        let pace = took / (self.events as f64 + 4.0);
-        record(&self.gateway, &self.job, &live, Some(pace), &self.tries);
+        let read = self.job.asked.prompt.0 as f64 * self.job.weight(live.model.as_ref()) / TOKENS_READ_PER_S;
+        let pace = took / (EXPECTED_START_S + read + EXPECTED_EVENT_S * self.events as f64);
+        record(&self.gateway, &self.job, &live, Took::Pace(pace), &self.tries);
         live.finish(&self.gateway);
     }
 
--- a/crates/bluebelld/src/gateway/settings.rs
+++ b/crates/bluebelld/src/gateway/settings.rs
@@ -35,6 +35,8 @@
     /// Time within which requests of a session follow each other.
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub session_seconds: Duration,
+    /// Share of a service's requests that a new release may get before it is known to be good.
+    pub exposure: f64,
     /// Keys between processes.
     pub keys: KeySettings,
     /// Least level that is logged: error, warn, info, debug or trace.
@@ -110,6 +112,9 @@
         let reason = "at least 0";
         ensure!(self.retry.ratio >= 0.0, ConfigValueSnafu { path, key: "retry.ratio", reason });
         ensure!(self.retry.slack >= 0.0, ConfigValueSnafu { path, key: "retry.slack", reason });
+        let reason = "above 0, at most 1";
+        let allowed = self.exposure > 0.0 && self.exposure <= 1.0;
+        ensure!(allowed, ConfigValueSnafu { path, key: "exposure", reason });
         let reason = "longer than nothing";
         ensure!(!self.retry.window_seconds.is_zero(), ConfigValueSnafu { path, key: "retry.window_seconds", reason });
         Ok(())
--- a/crates/bluebelld/src/gateway/state.rs
+++ b/crates/bluebelld/src/gateway/state.rs
@@ -6,7 +6,7 @@
 };
 
 use arc_swap::ArcSwap;
-use bluebell_core::{clock::Clock, keys::KeyRing, retry::RetryLimit};
+use bluebell_core::{canary::Schedule, clock::Clock, keys::KeyRing, retry::RetryLimit};
 use bluebell_platform::store::Store;
 use bluebell_wire::Identity;
 use tokio::sync::watch;
@@ -32,6 +32,8 @@
     pub metrics: Metrics,
     /// Limit on retries.
     pub limit: RetryLimit,
+    /// When the stages of roll-outs begin.
+    pub schedule: Schedule,
     /// Tells that declarations and upstreams are known.
     pub informed: watch::Sender<bool>,
     /// Tells that the process is leaving.
@@ -55,6 +57,7 @@
             pools: Pools::default(),
             metrics: Metrics::new()?,
             limit: settings.retry_limit(),
+            schedule: Schedule::within(settings.exposure),
             informed: watch::Sender::new(false),
             leaving: watch::Sender::new(false),
             working: watch::Sender::new(0),
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use bluebell_core::{
-    canary::{SessionPins, Tally},
-    ids::{InstanceId, ModelId, ReleaseId, ServiceId, UpstreamId},
+    canary::{SessionPins, Split, Tally, UsualPace},
+    ids::{InstanceId, ModelId, ReleaseId, ServiceId, SessionId, UpstreamId},
     placing::{Candidate, Health, HealthEvent, Life, Load, Part, PartCache, Report, Work, pick},
     retry::RetryWindow,
     units::Tokens,
     upstreams::Upstream,
 };
-use bluebell_wire::messages::{ReleaseTally, UpstreamLoad};
+use bluebell_wire::messages::{ReleaseTally, SessionRelease, UpstreamLoad};
 use indexmap::IndexMap;
 
 /// State of one upstream.
@@ -39,9 +39,36 @@
     upstreams: IndexMap<UpstreamId, UpstreamState>,
     windows: IndexMap<ServiceId, RetryWindow>,
     tallies: IndexMap<TallyKey, Tally>,
+    paces: IndexMap<(ServiceId, String), UsualPace>,
     peers: IndexMap<InstanceId, Vec<UpstreamLoad>>,
 }
 
+/// An answer to be counted.
+#[derive(Debug, Clone)]
+pub struct Counted<'a> {
+    /// The service.
+    pub service: &'a ServiceId,
+    /// The release that answered.
+    pub release: &'a ReleaseId,
+    /// Kind of work.
+    pub kind: &'a str,
+    /// Whether the upstream failed.
+    pub failed: bool,
+    /// How long it took.
+    pub pace: Took,
+}
+
+/// How long an answer took.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Took {
+    /// So long, against what its size lets expect.
+    Pace(f64),
+    /// It was not waited for any longer.
+    Overdue,
+    /// It says nothing about the pace.
+    Unknown,
+}
+
 /// What a request asks for when an upstream is chosen.
 #[derive(Debug, Clone)]
 pub struct Demand<'a> {
@@ -75,9 +102,24 @@
         self.windows.entry(service.clone()).or_default()
     }
 
-    /// Counts of a release in one kind of work.
-    pub fn tally(&mut self, service: &ServiceId, release: &ReleaseId, work: &str) -> &mut Tally {
-        self.tallies.entry((service.clone(), release.clone(), work.to_owned())).or_default()
+    /// Counts an answer of a release in one kind of work, with its time against what its size lets expect.
+    pub fn count(&mut self, work: &Counted<'_>, split: &Split) {
+        let usual = self.paces.entry((work.service.clone(), work.kind.to_owned())).or_default();
+        let slow = match work.pace {
+            Took::Pace(pace) => usual.is_slow(pace),
+            Took::Overdue => true,
+            Took::Unknown => false,
+        };
+        if let Took::Pace(pace) = work.pace
+            && !split.judges(work.release)
+        {
+            usual.take(pace);
+        }
+        let key = (work.service.clone(), work.release.clone(), work.kind.to_owned());
+        let tally = self.tallies.entry(key).or_default();
+        tally.answers += 1;
+        tally.failures += u64::from(work.failed);
+        tally.slow += u64::from(slow);
     }
 
     /// All counts.
@@ -92,6 +134,17 @@
         self.tallies.iter().map(row).collect()
     }
 
+    /// Releases of the sessions that a canary of a share would take up.
+    #[must_use]
+    pub fn session_releases(&self, now: Duration, share: f64) -> Vec<SessionRelease> {
+        let row = |(session, release, at): (&SessionId, &ReleaseId, Duration)| SessionRelease {
+            session: session.clone(),
+            release: release.clone(),
+            age: now.saturating_sub(at),
+        };
+        self.sessions.within(share).map(row).collect()
+    }
+
     /// Work of this gateway at upstreams.
     #[must_use]
     pub fn loads(&self) -> Vec<UpstreamLoad> {
--- a/crates/bluebelld/tests/gateway/site.rs
+++ b/crates/bluebelld/tests/gateway/site.rs
@@ -163,6 +163,7 @@
              retry: {{ ratio: 0.9, slack: 50, window_seconds: 10 }}\n\
              drain_seconds: 6\n\
              session_seconds: 5\n\
+             exposure: 0.3\n\
              keys: {{ active: k, known: {{ k: 000102030405060708090a0b0c0d0e0f }} }}\n\
              log: info\n"
         );
