Larger models stay with urgent requests in a flood

Change: a step up needs room: the wait to be read and the reading itself within 0.3 of the target, urgent requests excepted; in a flood the smallest model answers first even where the budget is short.

--- a/crates/bluebell-core/src/cascade.rs
+++ b/crates/bluebell-core/src/cascade.rs
@@ -32,15 +32,21 @@
     pub attempts: u32,
     /// Rank of the request, 0 the most urgent.
     pub rank: u8,
+    /// Whether the largest model can be asked without delaying others.
+    pub has_room: bool,
 }
 
+/// Part of the target that reading may take, the wait for it included, for a step to a larger model. The largest
+/// model's runs make up most of the work, so leaving them out is what makes room for all others in a flood.
+const READING_PART: f64 = 0.3;
+
 /// Position of the model that should answer instead, if any.
 #[must_use]
 pub fn escalate(glance: &Glance) -> Option<usize> {
     let confidence = glance.confidence?;
     let largest = glance.models.checked_sub(1)?;
     let enough = if glance.rank == 0 { URGENT_CONFIDENCE } else { OTHER_CONFIDENCE };
-    if glance.model >= largest || glance.attempts == 0 || confidence >= enough {
+    if glance.model >= largest || glance.attempts == 0 || confidence >= enough || !glance.has_room {
         return None;
     }
     let has_time = glance.left.as_secs_f64() >= MIN_TIME_LEFT * glance.whole.as_secs_f64();
@@ -48,8 +54,16 @@
 }
 
 /// Position of the model that answers first. Where the retry budget leaves no step to a larger model, the largest
-/// answers at once: a poor answer is worth next to nothing.
+/// answers at once, since a poor answer is worth next to nothing; in a flood the smallest does all the same.
+#[must_use]
+pub fn first(models: usize, may_escalate: bool, has_room: bool) -> usize {
+    if may_escalate || !has_room { 0 } else { models.saturating_sub(1) }
+}
+
+/// Whether the largest model can be asked without delaying others, by the time that prompts wait to be read and the
+/// time that it takes to read this one. Urgent requests are short, so what it takes for them is little beside what it
+/// gives.
 #[must_use]
-pub fn first(models: usize, may_escalate: bool) -> usize {
-    if may_escalate { 0 } else { models.saturating_sub(1) }
+pub fn has_room(rank: u8, backlog: Duration, reading: Duration, target: Duration) -> bool {
+    rank == 0 || backlog + reading <= target.mul_f64(READING_PART)
 }
--- a/crates/bluebell-core/src/placing/mod.rs
+++ b/crates/bluebell-core/src/placing/mod.rs
@@ -11,4 +11,4 @@
 pub use life::Life;
 pub use load::{Load, Report};
 pub use parts::{Part, PartCache};
-pub use pick::{Candidate, Work, pick};
+pub use pick::{Candidate, READ_PER_MS, Work, pick};
--- a/crates/bluebell-core/src/placing/pick.rs
+++ b/crates/bluebell-core/src/placing/pick.rs
@@ -40,7 +40,7 @@
 }
 
 /// Tokens that an engine reads in a millisecond, about; the engines in use read 85 to 101.
-const READ_PER_MS: f64 = 90.0;
+pub const READ_PER_MS: f64 = 90.0;
 /// Milliseconds that each request at work adds to another one's time.
 const REQUEST_MS: f64 = 3.0;
 /// Milliseconds that an upstream with all slots taken costs.
--- a/crates/bluebell-core/tests/cascade.rs
+++ b/crates/bluebell-core/tests/cascade.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bluebell_core::cascade::{Glance, escalate, first};
+use bluebell_core::cascade::{Glance, escalate, first, has_room};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 const GLANCE: Glance = Glance {
@@ -13,6 +13,7 @@
     whole: Duration::from_secs(20),
     attempts: 2,
     rank: 1,
+    has_room: true,
 };
 
 #[test]
@@ -38,9 +39,19 @@
 
 #[test]
 fn largest_model_answers_first_where_no_step_is_left() {
-    assert_eq!(first(3, true), 0);
-    assert_eq!(first(3, false), 2);
-    assert_eq!(first(0, false), 0);
+    assert_eq!(first(3, true, true), 0);
+    assert_eq!(first(3, false, true), 2);
+    assert_eq!(first(0, false, true), 0);
+}
+
+#[test]
+fn flood_leaves_the_larger_models_to_urgent_requests() {
+    let (target, reading) = (Duration::from_secs(4), Duration::from_millis(350));
+    assert!(has_room(2, Duration::from_millis(100), reading, target));
+    assert!(!has_room(2, Duration::from_millis(1500), reading, target));
+    assert!(has_room(0, Duration::from_millis(1500), reading, target));
+    assert_eq!(escalate(&Glance { has_room: false, ..GLANCE }), None);
+    assert_eq!(first(3, false, false), 0);
 }
 
 /// Quality of the models played: the share of requests that each answers well, smallest first.
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -7,7 +7,7 @@
     cascade::{self, Glance},
     events::{Batch, EventCutter, EventError},
     ids::{ModelId, ReleaseId},
-    placing::HealthEvent,
+    placing::{HealthEvent, READ_PER_MS},
     upstreams::Upstream,
 };
 use bytes::Bytes;
@@ -37,8 +37,6 @@
 /// Time that an answer takes without its prompt and events, in seconds; with the two that follow, against it an
 /// answer's time is compared to others of its kind, so only their proportion matters.
 const EXPECTED_START_S: f64 = 0.02;
-/// Tokens of a prompt that an engine reads in a second.
-const TOKENS_READ_PER_S: f64 = 90_000.0;
 /// Time that an event takes, in seconds.
 const EXPECTED_EVENT_S: f64 = 0.02;
 
@@ -79,9 +77,19 @@
     if job.asked.model.is_some() {
         return None;
     }
+    let room = has_room(gateway, job);
     let entries = gateway.beliefs.load().entries;
     let may = gateway.traffic().window(&job.service).may_escalate(gateway.now(), &gateway.limit, entries);
-    job.route.models.get(cascade::first(job.route.models.len(), may)).cloned()
+    job.route.models.get(cascade::first(job.route.models.len(), may, room)).cloned()
+}
+
+// Whether the largest model can be asked without delaying others.
+fn has_room(gateway: &Gateway, job: &Job) -> bool {
+    let beliefs = gateway.beliefs.load();
+    let backlog = gateway.traffic().backlog(gateway.now(), beliefs.upstreams(&job.service));
+    let weight = job.weight(job.route.models.last());
+    let reading = Duration::from_secs_f64(job.asked.prompt.0 as f64 * weight / READ_PER_MS / 1000.0);
+    cascade::has_room(job.rank, backlog, reading, job.route.target)
 }
 
 fn larger_model(gateway: &Gateway, job: &Job, live: &Live, tries: &Tries) -> Option<ModelId> {
@@ -94,6 +102,7 @@
         whole: job.end - job.arrived,
         attempts: job.route.attempts.saturating_sub(tries.ran + 1),
         rank: job.rank,
+        has_room: has_room(gateway, job),
     };
     let larger = cascade::escalate(&glance)?;
     let entries = gateway.beliefs.load().entries;
@@ -224,7 +233,7 @@
         self.in_flight.end();
         let Some(live) = self.live.take() else { return };
         let took = (self.gateway.now() - live.begun).as_secs_f64();
-        let read = self.job.asked.prompt.0 as f64 * self.job.weight(live.model.as_ref()) / TOKENS_READ_PER_S;
+        let read = self.job.asked.prompt.0 as f64 * self.job.weight(live.model.as_ref()) / READ_PER_MS / 1000.0;
         let pace = took / (EXPECTED_START_S + read + EXPECTED_EVENT_S * self.events as f64);
         record(&self.gateway, &self.job, &live, Took::Pace(pace), &self.tries);
         live.finish(&self.gateway);
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -1,12 +1,12 @@
 //! What the traffic of a gateway keeps between requests: load and health of upstreams, cached parts of prompts, the
 //! retry budget, counts by release.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
     canary::{SessionPins, Split, Tally, UsualPace},
     ids::{InstanceId, ModelId, ReleaseId, ServiceId, SessionId, UpstreamId},
-    placing::{Candidate, Health, HealthEvent, Life, Load, Part, PartCache, Report, Work, pick},
+    placing::{Candidate, Health, HealthEvent, Life, Load, Part, PartCache, READ_PER_MS, Report, Work, pick},
     retry::RetryWindow,
     units::Tokens,
     upstreams::Upstream,
@@ -198,6 +198,13 @@
         life.remaining(now, since, patience)
     }
 
+    /// Time that prompts wait to be read at upstreams, on average.
+    pub fn backlog(&mut self, now: Duration, upstreams: &[Arc<Upstream>]) -> Duration {
+        let unread: f64 = upstreams.iter().map(|one| self.upstream(one).load.unread(now)).sum();
+        let mean = unread / upstreams.len().max(1) as f64;
+        Duration::from_secs_f64(mean / READ_PER_MS / 1000.0)
+    }
+
     /// Takes what an upstream's answer shows of its health.
     pub fn note(&mut self, now: Duration, id: &UpstreamId, event: HealthEvent) {
         let Some(state) = self.upstreams.get_mut(id) else { return };
