Bounded logs on standard output, metrics by organisation and route, refusals with what decided them

Cause: log lines were written synchronously to standard error without bound; the gateway counted nothing by organisation.

--- a/crates/bluebell-core/src/cascade.rs
+++ b/crates/bluebell-core/src/cascade.rs
@@ -36,9 +36,12 @@
     pub has_room: bool,
 }
 
-/// Part of the target that reading may take, the wait for it included, for a step to a larger model. The largest
-/// model's runs make up most of the work, so leaving them out is what makes room for all others in a flood.
-const READING_PART: f64 = 0.3;
+/// Part of the target up to which prompts may wait to be read for a step to a larger model. The largest model's runs
+/// make up most of the work, and while engines read they hardly generate, so leaving these runs out makes room for all
+/// others in a flood.
+const BACKLOG_PART: f64 = 0.4;
+/// Part of the target that the largest model may take to read the prompt.
+const READING_PART: f64 = 0.2;
 
 /// Position of the model that should answer instead, if any.
 #[must_use]
@@ -65,5 +68,6 @@
 /// gives.
 #[must_use]
 pub fn has_room(rank: u8, backlog: Duration, reading: Duration, target: Duration) -> bool {
-    rank == 0 || backlog + reading <= target.mul_f64(READING_PART)
+    let is_calm = backlog <= target.mul_f64(BACKLOG_PART) && reading <= target.mul_f64(READING_PART);
+    rank == 0 || is_calm
 }
--- a/crates/bluebell-core/src/retry/window.rs
+++ b/crates/bluebell-core/src/retry/window.rs
@@ -49,6 +49,12 @@
         self.has_room(now, limit, entries, 1.0 - RESERVED)
     }
 
+    /// Retries left.
+    pub fn left(&mut self, now: Duration, limit: &RetryLimit, entries: usize) -> f64 {
+        self.forget(now, limit.window);
+        self.allowed(limit, entries) - self.retries.len() as f64
+    }
+
     fn has_room(&mut self, now: Duration, limit: &RetryLimit, entries: usize, part: f64) -> bool {
         self.forget(now, limit.window);
         self.retries.len() as f64 + 1.0 <= self.allowed(limit, entries) * part
--- a/crates/bluebelld/src/gateway/control/mod.rs
+++ b/crates/bluebelld/src/gateway/control/mod.rs
@@ -247,6 +247,9 @@
         let mut traffic = self.gateway.traffic();
         traffic.retain(|id| listed.iter().any(|(known, _)| known == id));
         traffic.sessions.sweep(now, self.gateway.settings.session_seconds);
+        for (service, left) in traffic.budgets(now, &self.gateway.limit, self.members.count(now)) {
+            self.gateway.metrics.set_budget(&service, left);
+        }
     }
 
     fn is_connected(&self, now: Duration) -> bool {
@@ -291,6 +294,10 @@
             entries: self.members.count(now),
             heard: heard.unwrap_or_default().max(self.gateway.beliefs.load().heard),
         };
+        for (service, open) in &beliefs.open {
+            self.gateway.metrics.set_upstreams(service, open.len());
+        }
+        self.gateway.metrics.set_beliefs(beliefs.entries, now.saturating_sub(beliefs.heard));
         let informed = beliefs.declared.is_some() && !beliefs.open.is_empty();
         self.gateway.beliefs.store(Arc::new(beliefs));
         if informed && !*self.gateway.informed.borrow() {
--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -47,7 +47,7 @@
                         source = source;
                         "declarations in force"
                     );
-                    self.gateway.metrics.set_revision(declared.version);
+                    self.gateway.metrics.set_declared(declared.version);
                     self.declared = Some(Arc::new(declared));
                 }
                 Err(error) => log::error!(row = row.version, source = source; "declarations kept as before: {error}"),
--- a/crates/bluebelld/src/gateway/front/admit.rs
+++ b/crates/bluebelld/src/gateway/front/admit.rs
@@ -13,7 +13,7 @@
 use hyper::{HeaderMap, Method, Request, Uri, body::Incoming, header};
 
 use super::refusal::Refusal;
-use crate::gateway::{beliefs::Beliefs, state::Gateway};
+use crate::gateway::state::Gateway;
 
 /// Longest time that a caller waits where neither it nor the route says.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
@@ -142,9 +142,3 @@
 pub fn asked(request: &Request<Incoming>) -> Result<Asked, Refusal> {
     headers::decode_asked(request.headers()).ok_or(Refusal::NoId)
 }
-
-/// Whether a refusal depends on beliefs that may be out of date.
-#[must_use]
-pub fn beliefs_age(beliefs: &Beliefs, now: Duration) -> Duration {
-    now.saturating_sub(beliefs.heard)
-}
--- a/crates/bluebelld/src/gateway/front/answer.rs
+++ b/crates/bluebelld/src/gateway/front/answer.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
-    ids::{ModelId, ReleaseId, RequestId, SessionId, UpstreamId},
+    ids::{ModelId, OrgId, ReleaseId, RequestId, RouteId, SessionId, UpstreamId},
     placing::HealthEvent,
     upstreams::Upstream,
 };
@@ -18,10 +18,13 @@
     refusal::{Refusal, pause},
     stream,
 };
-use crate::gateway::{
-    attempt::{Failure, Live, Order},
-    state::Gateway,
-    traffic::{Counted, Demand, Took},
+use crate::{
+    gateway::{
+        attempt::{Failure, Live, Order},
+        state::Gateway,
+        traffic::{Counted, Demand, Took},
+    },
+    metrics::Outcome,
 };
 
 /// Sends beyond the declared attempts after proofs that nothing ran.
@@ -36,18 +39,31 @@
     gateway: Arc<Gateway>,
     request: RequestId,
     arrived: Duration,
+    labels: Option<(Option<OrgId>, RouteId)>,
     ended: bool,
 }
 
 impl InFlight {
     fn new(gateway: &Arc<Gateway>, request: RequestId) -> Self {
         gateway.working.send_modify(|count| *count += 1);
-        Self { gateway: Arc::clone(gateway), request, arrived: gateway.now(), ended: false }
+        Self { gateway: Arc::clone(gateway), request, arrived: gateway.now(), labels: None, ended: false }
+    }
+
+    fn label(&mut self, job: &Job) {
+        self.labels = Some((job.organisation.clone(), job.route.id.clone()));
     }
 
     /// The caller has its answer, or what there is of it.
-    pub fn end(&mut self) {
+    pub fn end(&mut self, outcome: Outcome) {
         self.ended = true;
+        self.count(outcome);
+    }
+
+    fn count(&self, outcome: Outcome) {
+        if let Some((organisation, route)) = &self.labels {
+            let took = self.gateway.now() - self.arrived;
+            self.gateway.metrics.request(organisation.as_ref(), route, outcome, took);
+        }
     }
 }
 
@@ -55,6 +71,7 @@
     fn drop(&mut self) {
         self.gateway.working.send_modify(|count| *count -= 1);
         if !self.ended {
+            self.count(Outcome::Abandoned);
             let waited = (self.gateway.now() - self.arrived).as_millis() as u64;
             log::info!(request = self.request.as_str(), waited_ms = waited; "caller left before its answer was whole");
         }
@@ -120,19 +137,23 @@
     let mut response = match admit::admit(gateway, asked, request).await {
         Ok(job) => {
             gateway.traffic().window(&job.service).request(arrived);
+            in_flight.label(&job);
             if job.route.repeat.is_stream() {
                 stream::answer(gateway, job, in_flight).await
             } else {
                 let response = plain::answer(gateway, job).await;
-                in_flight.end();
+                in_flight.end(outcome(&response));
                 response
             }
         }
         Err(refusal) => {
-            let age = admit::beliefs_age(&gateway.beliefs.load(), arrived).as_millis();
-            log::info!(request = id.as_str(), beliefs_ms = age as u64; "refused: {refusal}");
+            let (declared, age) = known(gateway);
+            log::info!(
+                request = id.as_str(), status = refusal.status().as_u16(), declared = declared, beliefs_ms = age;
+                "refused: {refusal}"
+            );
             let wait = (refusal.status() == StatusCode::SERVICE_UNAVAILABLE).then_some(START_PAUSE);
-            in_flight.end();
+            in_flight.end(Outcome::Refused);
             refusal.response(Some(&id), wait)
         }
     };
@@ -142,6 +163,22 @@
     response
 }
 
+// Version of the declarations in force, and the age of what is believed, in milliseconds.
+fn known(gateway: &Gateway) -> (u64, u64) {
+    let beliefs = gateway.beliefs.load();
+    let version = beliefs.declared.as_ref().map_or(0, |declared| declared.version);
+    (version, gateway.now().saturating_sub(beliefs.heard).as_millis() as u64)
+}
+
+/// How a request ended, by its answer.
+pub fn outcome(response: &Response) -> Outcome {
+    match response.status().as_u16() {
+        200..=299 => Outcome::Served,
+        408 | 421 | 429 | 503 => Outcome::Refused,
+        _ => Outcome::Failed,
+    }
+}
+
 /// An upstream for a request, other than those tried already if there is one. A stream that goes on elsewhere stays
 /// on its release.
 pub fn choose(
@@ -201,6 +238,7 @@
         (false, false) => Refusal::Busy { reason: tries.reason.clone() },
     };
     let wait = pause(left(gateway, job), tries.pause.unwrap_or(BUSY_PAUSE));
+    let (declared, age) = known(gateway);
     log::info!(
         request = job.asked.request.as_str(),
         route = job.route.id.as_str(),
@@ -208,6 +246,8 @@
         sends = tries.sends(),
         ran = tries.ran,
         waited_ms = (gateway.now() - job.arrived).as_millis() as u64,
+        declared = declared,
+        beliefs_ms = age,
         status = refusal.status().as_u16();
         "given up: {refusal}"
     );
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -19,13 +19,16 @@
 use super::{
     Response,
     admit::Job,
-    answer::{InFlight, Tries, choose, give_up, pass_on, pass_whole, record, take_retry},
+    answer::{InFlight, Tries, choose, give_up, outcome, pass_on, pass_whole, record, take_retry},
     left,
 };
-use crate::gateway::{
-    attempt::{self, Failure, Live, Order, Patience, Piece},
-    state::Gateway,
-    traffic::Took,
+use crate::{
+    gateway::{
+        attempt::{self, Failure, Live, Order, Patience, Piece},
+        state::Gateway,
+        traffic::Took,
+    },
+    metrics::Outcome,
 };
 
 /// Silence of an upstream on all connections after which a request without an answer goes elsewhere; reading the
@@ -48,7 +51,7 @@
         let live = match begin(gateway, &job, model.clone(), job.asked.last_event, None, &mut tries).await {
             Ok(live) => live,
             Err(response) => {
-                in_flight.end();
+                in_flight.end(outcome(&response));
                 return *response;
             }
         };
@@ -59,6 +62,7 @@
                 model = larger.as_str();
                 "a larger model answers instead"
             );
+            gateway.metrics.escalation();
             tries.ran += 1;
             model = Some(larger);
             continue;
@@ -222,6 +226,10 @@
         self.heard = now;
         self.gateway.traffic().hear(now, &self.upstream.id);
         let batch = self.cutter.push(data)?;
+        if self.events == 0 && batch.count > 0 {
+            let took = now - self.job.arrived;
+            self.gateway.metrics.first_event(self.job.organisation.as_ref(), &self.job.route.id, took);
+        }
         self.events += batch.count;
         if let Some(live) = self.live.as_mut().filter(|_| batch.count > 0) {
             live.place.read();
@@ -230,7 +238,7 @@
     }
 
     fn finish(&mut self) {
-        self.in_flight.end();
+        self.in_flight.end(Outcome::Served);
         let Some(live) = self.live.take() else { return };
         let took = (self.gateway.now() - live.begun).as_secs_f64();
         let read = self.job.asked.prompt.0 as f64 * self.job.weight(live.model.as_ref()) / READ_PER_MS / 1000.0;
@@ -264,7 +272,7 @@
                 return Ok(());
             }
         }
-        self.in_flight.end();
+        self.in_flight.end(Outcome::Failed);
         Err(io::Error::new(io::ErrorKind::UnexpectedEof, self.tries.reason.clone()))
     }
 }
--- a/crates/bluebelld/src/gateway/mod.rs
+++ b/crates/bluebelld/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod beliefs;
 mod control;
 mod front;
+mod metrics;
 mod pool;
 mod ready;
 mod settings;
--- a/crates/bluebelld/src/gateway/ready.rs
+++ b/crates/bluebelld/src/gateway/ready.rs
@@ -1,6 +1,6 @@
 //! Answers to the balancer's question whether new connections are welcome, and metrics.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use bluebell_platform::headers::READY_PATH;
 use poem::{EndpointExt, Response, Route, Server, get, handler, http::StatusCode, web::Data};
@@ -22,13 +22,19 @@
 /// Starts to answer.
 ///
 /// # Errors
-/// When the address can't be listened on.
+/// When an address can't be listened on.
 pub fn start(gateway: &Arc<Gateway>) -> Result<(), DaemonError> {
-    let app = Route::new().at(READY_PATH, get(ready)).at("/metrics", get(metrics)).data(Arc::clone(gateway));
-    let server = Server::new_with_acceptor(public_acceptor(gateway.settings.listen.ready)?);
+    let listen = &gateway.settings.listen;
+    serve(gateway, listen.ready, Route::new().at(READY_PATH, get(ready)))?;
+    serve(gateway, listen.metrics, Route::new().at("/metrics", get(metrics)))
+}
+
+fn serve(gateway: &Arc<Gateway>, address: SocketAddr, routes: Route) -> Result<(), DaemonError> {
+    let app = routes.data(Arc::clone(gateway));
+    let server = Server::new_with_acceptor(public_acceptor(address)?);
     tokio::spawn(async move {
         if let Err(error) = server.run(app).await {
-            log::error!("readiness is not answered any more: {error}");
+            log::error!(address = address.to_string().as_str(); "nothing is answered here any more: {error}");
         }
     });
     Ok(())
--- a/crates/bluebelld/src/gateway/settings.rs
+++ b/crates/bluebelld/src/gateway/settings.rs
@@ -59,8 +59,10 @@
 pub struct Listen {
     /// For callers.
     pub callers: SocketAddr,
-    /// For the balancer's question whether it is ready, and for metrics.
+    /// For the balancer's question whether it is ready.
     pub ready: SocketAddr,
+    /// For metrics.
+    pub metrics: SocketAddr,
     /// For other gateways.
     pub peers: SocketAddr,
 }
--- a/crates/bluebelld/src/gateway/state.rs
+++ b/crates/bluebelld/src/gateway/state.rs
@@ -11,8 +11,8 @@
 use bluebell_wire::Identity;
 use tokio::sync::watch;
 
-use super::{beliefs::Beliefs, pool::Pools, settings::GatewaySettings, traffic::Traffic};
-use crate::{error::DaemonError, metrics::Metrics};
+use super::{beliefs::Beliefs, metrics::GatewayMetrics, pool::Pools, settings::GatewaySettings, traffic::Traffic};
+use crate::error::DaemonError;
 
 /// What the threads of a gateway share.
 pub struct Gateway {
@@ -29,7 +29,7 @@
     /// Connections to upstreams.
     pub pools: Pools,
     /// Counters and histograms.
-    pub metrics: Metrics,
+    pub metrics: GatewayMetrics,
     /// Limit on retries.
     pub limit: RetryLimit,
     /// When the stages of roll-outs begin.
@@ -55,7 +55,7 @@
             store: Store::new(&settings.store.to_string())?,
             beliefs: ArcSwap::default(),
             pools: Pools::default(),
-            metrics: Metrics::new()?,
+            metrics: GatewayMetrics::new()?,
             limit: settings.retry_limit(),
             schedule: Schedule::within(settings.exposure),
             informed: watch::Sender::new(false),
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -7,7 +7,7 @@
     canary::{SessionPins, Split, Tally, UsualPace},
     ids::{InstanceId, ModelId, ReleaseId, ServiceId, SessionId, UpstreamId},
     placing::{Candidate, Health, HealthEvent, Life, Load, Part, PartCache, READ_PER_MS, Report, Work, pick},
-    retry::RetryWindow,
+    retry::{RetryLimit, RetryWindow},
     units::Tokens,
     upstreams::Upstream,
 };
@@ -102,6 +102,13 @@
         self.windows.entry(service.clone()).or_default()
     }
 
+    /// Sends left in the retry budget of each service.
+    pub fn budgets(&mut self, now: Duration, limit: &RetryLimit, entries: usize) -> Vec<(ServiceId, f64)> {
+        let left =
+            |(service, window): (&ServiceId, &mut RetryWindow)| (service.clone(), window.left(now, limit, entries));
+        self.windows.iter_mut().map(left).collect()
+    }
+
     /// Counts an answer of a release in one kind of work, with its time against what its size lets expect.
     pub fn count(&mut self, work: &Counted<'_>, split: &Split) {
         let usual = self.paces.entry((work.service.clone(), work.kind.to_owned())).or_default();
--- a/crates/bluebelld/src/lib.rs
+++ b/crates/bluebelld/src/lib.rs
@@ -36,7 +36,9 @@
 /// When the settings are wrong, or the daemon can't start.
 pub fn run(options: &Options) -> Result<(), DaemonError> {
     if let Some(args::Mode::Gateway) = options.mode {
-        return gateway::run(&options.config, options.check);
+        let ended = gateway::run(&options.config, options.check);
+        logs::flush();
+        return ended;
     }
     let config = Config::load(&options.config)?;
     if options.check {
@@ -50,11 +52,13 @@
         .enable_all()
         .build()
         .context(RuntimeSnafu)?;
-    runtime.block_on(async {
+    let ended = runtime.block_on(async {
         let shared = Shared::new(config, clock)?;
         match shared.config.instance.role {
             Role::Entry => entry::run(shared).await,
             Role::Sidecar => sidecar::run(shared).await,
         }
-    })
+    });
+    logs::flush();
+    ended
 }
--- a/crates/bluebelld/src/metrics.rs
+++ b/crates/bluebelld/src/metrics.rs
@@ -5,7 +5,7 @@
 use bluebell_core::{ids::OrgId, units::Priority};
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, MeterProvider},
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -29,7 +29,9 @@
 }
 
 impl Outcome {
-    fn name(self) -> &'static str {
+    /// Its name in metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
         match self {
             Self::Served => "served",
             Self::Refused => "refused",
@@ -39,10 +41,52 @@
     }
 }
 
+/// Shows what the instruments of one process hold.
+pub struct Exporter {
+    registry: Registry,
+    provider: SdkMeterProvider,
+}
+
+impl Exporter {
+    /// An exporter without instruments.
+    ///
+    /// # Errors
+    /// When it can't be set up.
+    pub fn new() -> Result<Self, DaemonError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build();
+        let exporter = exporter.map_err(|error| MetricsSnafu { reason: error.to_string() }.build())?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Ok(Self { registry, provider })
+    }
+
+    /// Makes instruments.
+    #[must_use]
+    pub fn meter(&self) -> Meter {
+        self.provider.meter("bluebellstack")
+    }
+
+    /// All metrics as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut out = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut out) {
+            log::warn!("metrics can't be shown: {error}");
+        }
+        String::from_utf8_lossy(&out).into_owned()
+    }
+}
+
+/// A histogram of latencies.
+#[must_use]
+pub fn latency(meter: &Meter, name: &'static str, about: &'static str) -> Histogram<f64> {
+    let builder = meter.f64_histogram(name).with_unit("s").with_description(about);
+    builder.with_boundaries(LATENCY_BOUNDS.to_vec()).build()
+}
+
 /// Instruments of one process.
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exporter: Exporter,
     requests: Counter<u64>,
     total: Histogram<f64>,
     first: Histogram<f64>,
@@ -57,24 +101,16 @@
     /// # Errors
     /// When the exporter can't be set up.
     pub fn new() -> Result<Self, DaemonError> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone()).build();
-        let exporter = exporter.map_err(|error| MetricsSnafu { reason: error.to_string() }.build())?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("bluebellstack");
-        let latency = |name: &'static str, about: &'static str| {
-            let builder = meter.f64_histogram(name).with_unit("s").with_description(about);
-            builder.with_boundaries(LATENCY_BOUNDS.to_vec()).build()
-        };
+        let exporter = Exporter::new()?;
+        let meter = exporter.meter();
         Ok(Self {
             requests: meter.u64_counter("bluebell_requests").with_description("Requests by how they ended").build(),
-            total: latency("bluebell_request_time", "Time from arrival to the end of the answer"),
-            first: latency("bluebell_first_token_time", "Time from arrival to the first token"),
+            total: latency(&meter, "bluebell_request_time", "Time from arrival to the end of the answer"),
+            first: latency(&meter, "bluebell_first_token_time", "Time from arrival to the first token"),
             retries: meter.u64_counter("bluebell_retries").with_description("Attempts after the first").build(),
             revision: meter.u64_gauge("bluebell_revision").with_description("Settings revision in force").build(),
             unbilled: meter.u64_gauge("bluebell_unbilled").with_description("Billing rows not yet stored").build(),
-            registry,
-            _provider: provider,
+            exporter,
         })
     }
 
@@ -109,11 +145,7 @@
     /// All metrics as text.
     #[must_use]
     pub fn text(&self) -> String {
-        let mut out = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut out) {
-            log::warn!("metrics can't be shown: {error}");
-        }
-        String::from_utf8_lossy(&out).into_owned()
+        self.exporter.text()
     }
 }
 
--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod caller;
+mod explain;
 mod members;
 #[allow(dead_code, reason = "the other tests use more of it")]
 #[path = "../integration/util/process.rs"]
--- a/crates/bluebelld/tests/gateway/site.rs
+++ b/crates/bluebelld/tests/gateway/site.rs
@@ -30,6 +30,7 @@
     pub process: Process,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
+    pub metrics: SocketAddr,
     pub door: watch::Sender<Door>,
 }
 
@@ -154,11 +155,11 @@
     /// Starts a gateway.
     pub async fn add_gateway(&mut self, number: usize) {
         let (store, door) = self.store.open(&format!("{}:0", self.host)).await.expect("a door");
-        let [callers, ready, peers] = self.free_addresses();
+        let [callers, ready, peers, metrics] = self.free_addresses();
         let name = format!("gateway-{number}");
         let settings = format!(
             "instance: {{ id: {name}, zone: z1 }}\n\
-             listen: {{ callers: \"{callers}\", ready: \"{ready}\", peers: \"{peers}\" }}\n\
+             listen: {{ callers: \"{callers}\", ready: \"{ready}\", metrics: \"{metrics}\", peers: \"{peers}\" }}\n\
              store: \"{store}\"\n\
              retry: {{ ratio: 0.9, slack: 50, window_seconds: 10 }}\n\
              drain_seconds: 6\n\
@@ -171,12 +172,12 @@
         std::fs::write(&path, settings).expect("settings");
         let args = ["--config".to_owned(), path.display().to_string(), "gateway".to_owned()];
         let process = Process::start(&name, "bluebelld", &args, &self.folder);
-        self.gateways.push(Gateway { name, process, callers, ready, door });
+        self.gateways.push(Gateway { name, process, callers, ready, metrics, door });
     }
 
-    fn free_addresses(&self) -> [SocketAddr; 3] {
+    fn free_addresses(&self) -> [SocketAddr; 4] {
         let listen = || std::net::TcpListener::bind(format!("{}:0", self.host)).expect("a free port");
-        let held = [listen(), listen(), listen()];
+        let held = [listen(), listen(), listen(), listen()];
         held.map(|listener| listener.local_addr().expect("an address"))
     }
 
--- a/crates/bluebelld/tests/integration/util/process.rs
+++ b/crates/bluebelld/tests/integration/util/process.rs
@@ -32,7 +32,7 @@
 }
 
 impl Process {
-    /// Starts a program; its standard error goes to a file in the folder.
+    /// Starts a program; what it writes goes to a file in the folder.
     pub fn start(name: &str, program_name: &str, args: &[String], folder: &Path) -> Self {
         let program = program(program_name);
         let log = folder.join(format!("{name}.log"));
@@ -105,7 +105,8 @@
 fn spawn(program: &Path, args: &[String], log: &Path) -> Child {
     let file = File::options().create(true).append(true).open(log).expect("the log can be opened");
     let mut command = Command::new(program);
-    command.args(args).stdin(Stdio::null()).stdout(Stdio::null()).stderr(file);
+    let errors = file.try_clone().expect("the log can be shared");
+    command.args(args).stdin(Stdio::null()).stdout(file).stderr(errors);
     command.spawn().unwrap_or_else(|error| panic!("{}: {error}", program.display()))
 }
 
--- a/demo.sh
+++ b/demo.sh
@@ -37,7 +37,7 @@
 start() { # name, program, arguments...
     local name="$1" program="$2"
     shift 2
-    "$bin/$program" "$@" >"$dir/$name.out" 2>"$dir/$name.log" &
+    "$bin/$program" "$@" >"$dir/$name.log" 2>&1 &
     if [ "$program" = bluebelld ]; then daemons+=($!); else others+=($!); fi
     printf '%s' "$!" >"$dir/$name.pid"
 }
--- a/measure/lib.sh
+++ b/measure/lib.sh
@@ -24,7 +24,7 @@
 start() { # name, program, arguments...
     local name="$1" program="$2"
     shift 2
-    "$bin/$program" "$@" >"$dir/$name.out" 2>"$dir/$name.log" &
+    "$bin/$program" "$@" >"$dir/$name.log" 2>&1 &
     echo "$!" >"$dir/$name.pid"
     if [ "$program" = bluebelld ]; then daemons+=($!); else others+=($!); fi
 }
