Streams that a stop would cut are refused; pace of heads and of running streams counts

Change: late connections get one answer; a stream is refused as not run when the process ends within 2.5 s; heads and running streams count for a release's pace; slow means four times the usual.

--- a/crates/bluebell-core/src/canary.rs
+++ b/crates/bluebell-core/src/canary.rs
@@ -16,17 +16,17 @@
 };
 
 /// Part of the exposure allowed that the release gets while it is judged by a small share of the requests.
-const CANARY_PART: f64 = 0.35;
+const CANARY_PART: f64 = 0.45;
 /// Part of the exposure allowed that is left for the last stage, in which the release gets all requests. Both parts
 /// together stay below the whole, so a release whose badness never shows stays within it, too.
-const LAST_PART: f64 = 0.72;
+const LAST_PART: f64 = 0.6;
 /// Part of the time ordered after which the roll-out is declared complete; the rest is for the write to arrive.
 const COMPLETE_AT: f64 = 0.97;
 /// Time between an order and the first requests for its release, in which gateways tell each other which sessions are
 /// under way.
 pub const SETTLE_TIME: Duration = Duration::from_millis(700);
 /// Answers of the new release without which the share doesn't grow.
-const MIN_ANSWERS: u64 = 12;
+const MIN_ANSWERS: u64 = 20;
 /// Evidence at which a release is convicted: one false alarm in about e^8, or 3,000, beginnings.
 const CONVICTION: f64 = 8.0;
 /// Failure rate of a sound release at least assumed.
@@ -46,7 +46,7 @@
 /// Least pace told apart from none.
 const MIN_PACE: f64 = 1e-6;
 /// Times the usual pace from which an answer counts as slow; bad releases are several times slower.
-const SLOW_TIMES: f64 = 3.0;
+const SLOW_TIMES: f64 = 4.0;
 
 /// An operator's order to bring in a release.
 #[derive(Debug, Clone, PartialEq)]
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -233,7 +233,7 @@
         let sending = lease.sender.try_send_request(request(job, order, left));
         let waited = wait_for(gateway, order, begun, job.end, sending).await;
         let Some(answered) = waited else {
-            front::record_overdue(gateway, job, order);
+            front::record_overdue(gateway, job, order.model.as_ref(), &order.upstream.release);
             return Err(Failure::Unknown { reason: format!("no answer in time: {:?}", order.patience) });
         };
         match answered {
--- a/crates/bluebelld/src/gateway/front/answer.rs
+++ b/crates/bluebelld/src/gateway/front/answer.rs
@@ -9,7 +9,11 @@
 };
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::{HeaderMap, Request, StatusCode, body::Incoming};
+use hyper::{
+    HeaderMap, Request, StatusCode,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+};
 
 use super::{
     AnswerBody, Response,
@@ -20,7 +24,7 @@
 };
 use crate::{
     gateway::{
-        attempt::{Failure, Live, Order},
+        attempt::{Failure, Live},
         state::Gateway,
         traffic::{Counted, Demand, Took},
     },
@@ -31,6 +35,12 @@
 const EXTRA_SENDS: u32 = 2;
 /// Pause suggested while no declarations are known.
 const START_PAUSE: Duration = Duration::from_millis(700);
+/// Pause suggested by a process that ends, in which another one takes its place.
+const LEAVING_PAUSE: Duration = Duration::from_millis(1000);
+/// Time that a stream takes, nearly always.
+const STREAM_TIME: Duration = Duration::from_millis(2500);
+/// Time that a call of a plain service takes, nearly always.
+const CALL_TIME: Duration = Duration::from_millis(300);
 /// Pause suggested while no upstream takes a request.
 const BUSY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -134,8 +144,14 @@
     };
     let id = asked.request.clone();
     let mut in_flight = InFlight::new(gateway, id.clone());
-    let mut response = match admit::admit(gateway, asked, request).await {
+    let response = match admit::admit(gateway, asked, request).await {
         Ok(job) => {
+            if ends_too_soon(gateway, &job) {
+                log::info!(request = id.as_str(), status = 503u16; "refused: {}", Refusal::Leaving);
+                in_flight.end(Outcome::Refused);
+                let wait = pause(left(gateway, &job), LEAVING_PAUSE);
+                return close(Refusal::Leaving.response(Some(&id), Some(wait)));
+            }
             gateway.traffic().window(&job.service).request(arrived);
             in_flight.label(&job);
             if job.route.repeat.is_stream() {
@@ -157,9 +173,17 @@
             refusal.response(Some(&id), wait)
         }
     };
-    if gateway.is_leaving() {
-        response.headers_mut().insert(hyper::header::CONNECTION, hyper::header::HeaderValue::from_static("close"));
-    }
+    if gateway.is_leaving() { close(response) } else { response }
+}
+
+// Whether the process ends before the answer would be whole. Until then it goes on, since the balancer may have nobody
+// else in its zone.
+fn ends_too_soon(gateway: &Gateway, job: &Job) -> bool {
+    gateway.ends_within(if job.route.repeat.is_stream() { STREAM_TIME } else { CALL_TIME })
+}
+
+fn close(mut response: Response) -> Response {
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
@@ -256,14 +280,25 @@
 }
 
 /// Counts an attempt that was not waited for any longer, for its release.
-pub fn record_overdue(gateway: &Gateway, job: &Job, order: &Order) {
-    let kind = job.kind(order.model.as_ref());
-    let release = &order.upstream.release;
+pub fn record_overdue(gateway: &Gateway, job: &Job, model: Option<&ModelId>, release: &ReleaseId) {
+    let kind = job.kind(model);
     let counted = Counted { service: &job.service, release, kind: &kind, failed: false, pace: Took::Overdue };
     let beliefs = gateway.beliefs.load();
     gateway.traffic().count(&counted, beliefs.split(&job.service));
 }
 
+/// Counts how long the head of an answer took, for its release: a slow release shows by it long before its answers
+/// are whole, and by answers that are dropped for a larger model's.
+pub fn record_head(gateway: &Gateway, job: &Job, live: &Live) {
+    let kind = format!("{}/head", job.kind(live.model.as_ref()));
+    let took = (gateway.now() - live.begun).as_secs_f64();
+    let pace = Took::Pace(took / job.expected_seconds(live.model.as_ref(), 0));
+    let release = &live.upstream.release;
+    let counted = Counted { service: &job.service, release, kind: &kind, failed: false, pace };
+    let beliefs = gateway.beliefs.load();
+    gateway.traffic().count(&counted, beliefs.split(&job.service));
+}
+
 /// Counts an answer for its release, and logs it.
 pub fn record(gateway: &Gateway, job: &Job, live: &Live, pace: Took, tries: &Tries) {
     let failed = live.status.is_server_error();
--- a/crates/bluebelld/src/gateway/front/mod.rs
+++ b/crates/bluebelld/src/gateway/front/mod.rs
@@ -86,9 +86,11 @@
     }
 }
 
+// A connection that comes after the order gets one answer, which closes it: its balancer has nowhere else to send it.
 // Never returns where nobody can tell any more.
 async fn told(closes: &mut watch::Receiver<bool>) {
-    if closes.wait_for(|closes| *closes).await.is_err() {
+    let late = *closes.borrow_and_update();
+    if late || closes.wait_for(|closes| *closes).await.is_err() {
         std::future::pending::<()>().await;
     }
 }
--- a/crates/bluebelld/src/gateway/front/refusal.rs
+++ b/crates/bluebelld/src/gateway/front/refusal.rs
@@ -52,6 +52,9 @@
         /// Why.
         reason: String,
     },
+    /// The process ends before an answer would be whole.
+    #[snafu(display("the gateway ends too soon for the request"))]
+    Leaving,
     /// Its time is over, and it did not run.
     #[snafu(display("the time is over, the request did not run"))]
     Late,
@@ -81,7 +84,9 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NotReady | Self::Outdated | Self::Busy { .. } | Self::Late => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::Outdated | Self::Busy { .. } | Self::Leaving | Self::Late => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Failed { .. } => StatusCode::BAD_GATEWAY,
             Self::Overdue => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -19,7 +19,9 @@
 use super::{
     Response,
     admit::Job,
-    answer::{InFlight, Tries, choose, give_up, outcome, pass_on, pass_whole, record, take_retry},
+    answer::{
+        InFlight, Tries, choose, give_up, outcome, pass_on, pass_whole, record, record_head, record_overdue, take_retry,
+    },
     left,
 };
 use crate::{
@@ -37,11 +39,8 @@
 /// Silence of an upstream on all connections after which a stream goes on elsewhere.
 const STREAM_SILENCE: Duration = Duration::from_millis(2500);
 
-/// Time that an answer takes without its prompt and events, in seconds; with the two that follow, against it an
-/// answer's time is compared to others of its kind, so only their proportion matters.
-const EXPECTED_START_S: f64 = 0.02;
-/// Time that an event takes, in seconds.
-const EXPECTED_EVENT_S: f64 = 0.02;
+/// Events of a stream from which its pace is looked at.
+const PACED_EVENTS: u64 = 3;
 
 /// Answers a request with a stream.
 pub async fn answer(gateway: &Arc<Gateway>, job: Job, mut in_flight: InFlight) -> Response {
@@ -136,7 +135,10 @@
         tries.upstreams.push(upstream.id.clone());
         let order = Order { upstream, model: model.clone(), last_event, patience: patience(job, tries) };
         match attempt::send(gateway, job, &order).await {
-            Ok(live) if live.status.is_success() => return Ok(live),
+            Ok(live) if live.status.is_success() => {
+                record_head(gateway, job, &live);
+                return Ok(live);
+            }
             Ok(live) => {
                 tries.reason = format!("status {}", live.status);
                 if let Some(response) = failure(gateway, job, live, tries).await {
@@ -180,6 +182,8 @@
     cutter: EventCutter,
     tries: Tries,
     events: u64,
+    live_events: u64,
+    overdue: bool,
     heard: Duration,
     upstream: Arc<Upstream>,
     model: Option<ModelId>,
@@ -191,7 +195,21 @@
         let cutter = EventCutter::after(job.asked.last_event);
         let (upstream, model) = (Arc::clone(&live.upstream), live.model.clone());
         let heard = gateway.now();
-        Self { gateway, job, live: Some(live), cutter, tries, events: 0, heard, upstream, model, in_flight }
+        let live = Some(live);
+        Self {
+            gateway,
+            job,
+            live,
+            cutter,
+            tries,
+            events: 0,
+            live_events: 0,
+            overdue: false,
+            heard,
+            upstream,
+            model,
+            in_flight,
+        }
     }
 
     async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
@@ -231,19 +249,38 @@
             self.gateway.metrics.first_event(self.job.organisation.as_ref(), &self.job.route.id, took);
         }
         self.events += batch.count;
+        self.live_events += batch.count;
+        self.watch_pace();
         if let Some(live) = self.live.as_mut().filter(|_| batch.count > 0) {
             live.place.read();
         }
         Ok(batch)
     }
 
+    // Time so far against what so many events are expected to take.
+    fn pace(&self, live: &Live) -> f64 {
+        let took = (self.gateway.now() - live.begun).as_secs_f64();
+        took / self.job.expected_seconds(live.model.as_ref(), self.live_events)
+    }
+
+    // A stream that is several times as slow as usual counts while it runs; its caller may not wait for its end.
+    fn watch_pace(&mut self) {
+        let Some(live) = self.live.as_ref().filter(|_| !self.overdue && self.live_events >= PACED_EVENTS) else {
+            return;
+        };
+        let kind = self.job.kind(live.model.as_ref());
+        let is_slow = self.gateway.traffic().is_slow(&self.job.service, &kind, self.pace(live));
+        if is_slow {
+            record_overdue(&self.gateway, &self.job, live.model.as_ref(), &live.upstream.release);
+            self.overdue = true;
+        }
+    }
+
     fn finish(&mut self) {
         self.in_flight.end(Outcome::Served);
         let Some(live) = self.live.take() else { return };
-        let took = (self.gateway.now() - live.begun).as_secs_f64();
-        let read = self.job.asked.prompt.0 as f64 * self.job.weight(live.model.as_ref()) / READ_PER_MS / 1000.0;
-        let pace = took / (EXPECTED_START_S + read + EXPECTED_EVENT_S * self.events as f64);
-        record(&self.gateway, &self.job, &live, Took::Pace(pace), &self.tries);
+        let pace = if self.overdue { Took::Unknown } else { Took::Pace(self.pace(&live)) };
+        record(&self.gateway, &self.job, &live, pace, &self.tries);
         live.finish(&self.gateway);
     }
 
@@ -268,6 +305,7 @@
             if let Ok(live) = begun {
                 self.upstream = Arc::clone(&live.upstream);
                 self.heard = self.gateway.now();
+                (self.live_events, self.overdue) = (0, false);
                 self.live = Some(live);
                 return Ok(());
             }
--- a/crates/bluebelld/src/gateway/state.rs
+++ b/crates/bluebelld/src/gateway/state.rs
@@ -1,7 +1,7 @@
 //! What the threads of a gateway share.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
     time::Duration,
 };
 
@@ -38,6 +38,8 @@
     pub informed: watch::Sender<bool>,
     /// Tells that the process is leaving.
     pub leaving: watch::Sender<bool>,
+    /// When a process that was told to stop ends.
+    pub end: OnceLock<Duration>,
     /// Number of requests in flight.
     pub working: watch::Sender<usize>,
     traffic: Mutex<Traffic>,
@@ -60,6 +62,7 @@
             schedule: Schedule::within(settings.exposure),
             informed: watch::Sender::new(false),
             leaving: watch::Sender::new(false),
+            end: OnceLock::new(),
             working: watch::Sender::new(0),
             traffic: Mutex::default(),
             settings,
@@ -84,6 +87,12 @@
         *self.leaving.borrow()
     }
 
+    /// Whether the process ends within a time.
+    #[must_use]
+    pub fn ends_within(&self, time: Duration) -> bool {
+        self.end.get().is_some_and(|end| self.now() + time >= *end)
+    }
+
     /// Whether new connections are welcome.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/bluebelld/src/gateway/stop.rs
+++ b/crates/bluebelld/src/gateway/stop.rs
@@ -20,6 +20,8 @@
     shutdown::ordered().await;
     let in_flight = *gateway.working.borrow();
     log::info!(in_flight = in_flight; "stop ordered");
+    // The order comes once; whoever waits for it a second time finds it set.
+    let _ = gateway.end.set(gateway.now() + gateway.settings.drain_seconds.saturating_sub(END_MARGIN));
     gateway.leaving.send_replace(true);
     tokio::time::sleep(NOTICE).await;
 }
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -109,6 +109,12 @@
         self.windows.iter_mut().map(left).collect()
     }
 
+    /// Whether a pace is several times slower than usual for a kind of work.
+    #[must_use]
+    pub fn is_slow(&self, service: &ServiceId, kind: &str, pace: f64) -> bool {
+        self.paces.get(&(service.clone(), kind.to_owned())).is_some_and(|usual| usual.is_slow(pace))
+    }
+
     /// Counts an answer of a release in one kind of work, with its time against what its size lets expect.
     pub fn count(&mut self, work: &Counted<'_>, split: &Split) {
         let usual = self.paces.entry((work.service.clone(), work.kind.to_owned())).or_default();
--- a/crates/bluebelld/tests/gateway/stops.rs
+++ b/crates/bluebelld/tests/gateway/stops.rs
@@ -31,6 +31,38 @@
     assert!(site.store.keys("bluebell").is_empty(), "the member's row is left");
 }
 
+#[tokio::test]
+async fn stream_that_would_be_cut_by_the_end_is_refused_as_not_run() {
+    let mut site = Site::start(1).await;
+    site.chat.iter().for_each(|one| one.set_always(Some(Fault::Slow(Duration::from_secs(1)))));
+    // Something in flight keeps the process until its end.
+    site.put_config(2, |config| config["routes"][2]["timeoutMs"] = serde_json::json!(9000));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let address = site.gateways[0].callers;
+    site.ledger.iter().for_each(|one| one.set_always(Some(Fault::Silent)));
+    let keeps = tokio::spawn(async move {
+        Caller::connect(address).await.expect("a connection").ask(&Ask::new("/book/1", "r-0")).await
+    });
+    until("the call to run", || async { !site.runs("r-0").is_empty() }).await;
+    site.gateways[0].process.terminate();
+    let talk = |id: &str| Ask::new("/talk/1", id).header("model", "small").header("token-count", "10,5");
+    let mut statuses = Vec::new();
+    for round in 0..40 {
+        let Ok(mut caller) = Caller::connect(address).await else { break };
+        let Some(answer) = caller.ask(&talk(&format!("t-{round}"))).await else { break };
+        if answer.status == 503 {
+            assert!(site.runs(&format!("t-{round}")).is_empty(), "it ran");
+            assert!(!answer.header("retry-after").is_empty());
+        }
+        assert!(answer.whole, "round {round} was cut");
+        statuses.push(answer.status);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(statuses.contains(&200) && statuses.contains(&503), "{statuses:?}");
+    assert_eq!(site.gateways[0].process.ended().await, Some(0));
+    drop(keeps.await);
+}
+
 #[tokio::test]
 async fn reload_changes_nothing_and_loses_nothing() {
     let site = Site::start(1).await;
