The mean slowdown judges a release's pace

Change: the logarithms of the paces are compared by their means, with the part of a prompt that was not cached as the expected work; bad from a shift of 0.25 and 3.5 standard deviations, while both releases get requests.

--- a/crates/bluebell-core/src/canary.rs
+++ b/crates/bluebell-core/src/canary.rs
@@ -45,6 +45,15 @@
 const PACE_MEMORY: f64 = 40.0;
 /// Least pace told apart from none.
 const MIN_PACE: f64 = 1e-6;
+/// Least variance of a logarithm of a pace.
+const MIN_VARIANCE: f64 = 0.1;
+/// Answers of one kind of each release from which their paces are compared.
+const COMPARED_ANSWERS: u64 = 5;
+/// Mean slowdown, as a logarithm, from which a release is bad: a fifth of the answers four times as slow. Sound
+/// releases are faster than the old one while they get few requests.
+const SLOW_SHIFT: f64 = 0.25;
+/// Standard deviations by which the slowdown must differ from none.
+const SLOW_DEVIATIONS: f64 = 3.5;
 /// Times the usual pace from which an answer counts as slow; bad releases are several times slower.
 const SLOW_TIMES: f64 = 4.0;
 
@@ -219,6 +228,50 @@
     pub failures: u64,
     /// Answers that took several times as long as is usual for their work.
     pub slow: u64,
+    /// Time of the answers against what their size lets expect, as logarithms.
+    pub pace: Spread,
+}
+
+/// Sums from which the mean and the spread of a quantity follow.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Spread {
+    count: u64,
+    sum: f64,
+    squares: f64,
+}
+
+impl Spread {
+    /// Takes a value.
+    pub fn take(&mut self, value: f64) {
+        self.count += 1;
+        self.sum += value;
+        self.squares += value * value;
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.count += other.count;
+        self.sum += other.sum;
+        self.squares += other.squares;
+    }
+
+    fn since(&self, earlier: &Self) -> Self {
+        Self {
+            count: self.count.saturating_sub(earlier.count),
+            sum: self.sum - earlier.sum,
+            squares: self.squares - earlier.squares,
+        }
+    }
+
+    fn mean(&self) -> f64 {
+        self.sum / self.count.max(1) as f64
+    }
+
+    // Variance of the mean; the least variance keeps a few equal values from looking certain.
+    fn mean_variance(&self) -> f64 {
+        let count = self.count.max(1) as f64;
+        let variance = (self.squares / count - self.mean().powi(2)).max(MIN_VARIANCE);
+        variance / count
+    }
 }
 
 impl Tally {
@@ -227,6 +280,7 @@
         self.answers += other.answers;
         self.failures += other.failures;
         self.slow += other.slow;
+        self.pace.add(&other.pace);
     }
 
     fn since(&self, earlier: &Self) -> Self {
@@ -234,6 +288,7 @@
             answers: self.answers.saturating_sub(earlier.answers),
             failures: self.failures.saturating_sub(earlier.failures),
             slow: self.slow.saturating_sub(earlier.slow),
+            pace: self.pace.since(&earlier.pace),
         }
     }
 }
@@ -246,6 +301,12 @@
 }
 
 impl UsualPace {
+    /// Logarithm of a pace, as it is averaged.
+    #[must_use]
+    pub fn log(pace: f64) -> f64 {
+        pace.max(MIN_PACE).ln()
+    }
+
     /// Takes the pace of an answer: its time against the time that its size lets expect.
     pub fn take(&mut self, pace: f64) {
         self.count += 1;
@@ -344,6 +405,12 @@
             total.0.add(old);
             total.1.add(new);
         }
+        if by_pace
+            && slowdown(tallies).is_some_and(|(shift, deviations)| shift >= SLOW_SHIFT && deviations >= SLOW_DEVIATIONS)
+        {
+            let (answers, failures) = (total.1.answers, total.1.failures);
+            return Some(Conviction { work: "all".to_owned(), failing: false, answers, failures });
+        }
         let kinds = tallies.iter().map(|(work, pair)| (work.as_str(), pair));
         for (work, (old, new)) in std::iter::once(("all", &total)).chain(kinds) {
             let evidence = self.evidence.entry(work.to_owned()).or_default();
@@ -373,6 +440,21 @@
     }
 }
 
+/// Mean slowdown of the new release over all kinds of work, as a logarithm, and the number of standard deviations by
+/// which it differs from none; nothing while there are too few answers.
+#[must_use]
+pub fn slowdown(tallies: &Tallies) -> Option<(f64, f64)> {
+    let enough = |(old, new): &&(Tally, Tally)| old.pace.count.min(new.pace.count) >= COMPARED_ANSWERS;
+    let (mut shift, mut variance, mut weights) = (0.0, 0.0, 0.0);
+    for (old, new) in tallies.values().filter(enough) {
+        let weight = new.pace.count as f64;
+        shift += weight * (new.pace.mean() - old.pace.mean());
+        variance += weight.powi(2) * (new.pace.mean_variance() + old.pace.mean_variance());
+        weights += weight;
+    }
+    (weights > 0.0).then(|| (shift / weights, shift / variance.sqrt()))
+}
+
 /// What to do next about a roll-out.
 #[must_use]
 pub fn next_stage(
--- a/crates/bluebell-core/tests/canary.rs
+++ b/crates/bluebell-core/tests/canary.rs
@@ -98,6 +98,7 @@
             let hit = hit && random.random_bool(bad.share);
             let pace = 0.05 * noise * if hit { bad.slower } else { 1.0 };
             tally.slow += u64::from(usual[kind.0].is_slow(pace));
+            tally.pace.take(UsualPace::log(pace));
             if !is_new {
                 usual[kind.0].take(pace);
             }
@@ -170,6 +171,7 @@
 #[test]
 fn slow_releases_stay_within_the_exposure_allowed() {
     assert_caught(&Bad { slower: 8.0, ..GOOD });
+    assert_caught(&Bad { slower: 4.0, share: 0.4, ..GOOD });
     assert_caught(&Bad { slower: 8.0, only: Some("question"), share: 0.8, ..GOOD });
 }
 
@@ -250,7 +252,7 @@
 fn counts_of_an_entry_that_starts_anew_are_added_to_those_before() {
     let mut gathered = Gathered::default();
     let entry = "entry-1".parse().expect("id");
-    let tally = |answers, failures| Tally { answers, failures, slow: 0 };
+    let tally = |answers, failures| Tally { answers, failures, ..Tally::default() };
     gathered.take(&entry, "report", true, &tally(40, 2));
     gathered.take(&entry, "report", true, &tally(50, 5));
     gathered.take(&entry, "report", true, &tally(3, 3));
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{
     ids::{ModelId, UpstreamId},
-    placing::HealthEvent,
+    placing::{HealthEvent, READ_PER_MS},
     units::Tokens,
     upstreams::Upstream,
 };
@@ -24,6 +24,11 @@
 /// the upstream may still be reading.
 const KEEP_AFTER_FAILURE_BYTES: usize = 4096;
 
+/// Time that an answer takes without its prompt and events, in seconds.
+const EXPECTED_START_S: f64 = 0.02;
+/// Time that an event takes, in seconds.
+const EXPECTED_EVENT_S: f64 = 0.02;
+
 /// An attempt without an answer.
 #[derive(Debug)]
 pub enum Failure {
@@ -71,6 +76,7 @@
 pub struct Place {
     gateway: Arc<Gateway>,
     id: UpstreamId,
+    reading: Tokens,
     unread: Tokens,
 }
 
@@ -88,7 +94,7 @@
         if let Some(model) = model {
             state.parts.read(now, model, &job.asked.parts, job.memory());
         }
-        Self { gateway: Arc::clone(gateway), id: order.upstream.id.clone(), unread }
+        Self { gateway: Arc::clone(gateway), id: order.upstream.id.clone(), reading: unread, unread }
     }
 
     /// The upstream has read the prompt.
@@ -144,6 +150,15 @@
 }
 
 impl Live {
+    /// Time that the answer has taken so far, against what so many events of it are expected to take after the part
+    /// of the prompt that was not cached; only the proportion to other answers matters.
+    #[must_use]
+    pub fn pace(&self, now: Duration, events: u64) -> f64 {
+        let read = self.place.reading.0 as f64 / READ_PER_MS / 1000.0;
+        let expected = EXPECTED_START_S + read + EXPECTED_EVENT_S * events as f64;
+        (now - self.begun).as_secs_f64() / expected
+    }
+
     /// The next piece of the body.
     pub async fn next(&mut self) -> Piece {
         loop {
--- a/crates/bluebelld/src/gateway/front/admit.rs
+++ b/crates/bluebelld/src/gateway/front/admit.rs
@@ -5,7 +5,6 @@
 use bluebell_core::{
     ids::{ModelId, OrgId, ServiceId},
     ingress::{Declared, Engine, Organisation, Route},
-    placing::READ_PER_MS,
     units::Tokens,
 };
 use bluebell_platform::headers::{self, Asked};
@@ -22,11 +21,6 @@
 /// Time for which a request waits for a process that has just started to know its declarations.
 const START_TIME: Duration = Duration::from_millis(400);
 
-/// Time that an answer takes without its prompt and events, in seconds.
-const EXPECTED_START_S: f64 = 0.02;
-/// Time that an event takes, in seconds.
-const EXPECTED_EVENT_S: f64 = 0.02;
-
 /// A request that was admitted.
 #[derive(Debug)]
 pub struct Job {
@@ -69,13 +63,6 @@
         format!("{}/{}", self.route.id, model.map_or("", ModelId::as_str))
     }
 
-    /// Time that an answer of so many events is expected to take, in seconds; only its proportion to others matters.
-    #[must_use]
-    pub fn expected_seconds(&self, model: Option<&ModelId>, events: u64) -> f64 {
-        let read = self.asked.prompt.0 as f64 * self.weight(model) / READ_PER_MS / 1000.0;
-        EXPECTED_START_S + read + EXPECTED_EVENT_S * events as f64
-    }
-
     /// Work that a token makes with a model, against the mean of the models.
     #[must_use]
     pub fn weight(&self, model: Option<&ModelId>) -> f64 {
--- a/crates/bluebelld/src/gateway/front/answer.rs
+++ b/crates/bluebelld/src/gateway/front/answer.rs
@@ -291,8 +291,7 @@
 /// are whole, and by answers that are dropped for a larger model's.
 pub fn record_head(gateway: &Gateway, job: &Job, live: &Live) {
     let kind = format!("{}/head", job.kind(live.model.as_ref()));
-    let took = (gateway.now() - live.begun).as_secs_f64();
-    let pace = Took::Pace(took / job.expected_seconds(live.model.as_ref(), 0));
+    let pace = Took::Pace(live.pace(gateway.now(), 0));
     let release = &live.upstream.release;
     let counted = Counted { service: &job.service, release, kind: &kind, failed: false, pace };
     let beliefs = gateway.beliefs.load();
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -257,19 +257,14 @@
         Ok(batch)
     }
 
-    // Time so far against what so many events are expected to take.
-    fn pace(&self, live: &Live) -> f64 {
-        let took = (self.gateway.now() - live.begun).as_secs_f64();
-        took / self.job.expected_seconds(live.model.as_ref(), self.live_events)
-    }
-
     // A stream that is several times as slow as usual counts while it runs; its caller may not wait for its end.
     fn watch_pace(&mut self) {
         let Some(live) = self.live.as_ref().filter(|_| !self.overdue && self.live_events >= PACED_EVENTS) else {
             return;
         };
         let kind = self.job.kind(live.model.as_ref());
-        let is_slow = self.gateway.traffic().is_slow(&self.job.service, &kind, self.pace(live));
+        let is_slow =
+            self.gateway.traffic().is_slow(&self.job.service, &kind, live.pace(self.gateway.now(), self.live_events));
         if is_slow {
             record_overdue(&self.gateway, &self.job, live.model.as_ref(), &live.upstream.release);
             self.overdue = true;
@@ -279,7 +274,8 @@
     fn finish(&mut self) {
         self.in_flight.end(Outcome::Served);
         let Some(live) = self.live.take() else { return };
-        let pace = if self.overdue { Took::Unknown } else { Took::Pace(self.pace(&live)) };
+        let pace =
+            if self.overdue { Took::Unknown } else { Took::Pace(live.pace(self.gateway.now(), self.live_events)) };
         record(&self.gateway, &self.job, &live, pace, &self.tries);
         live.finish(&self.gateway);
     }
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -133,6 +133,9 @@
         tally.answers += 1;
         tally.failures += u64::from(work.failed);
         tally.slow += u64::from(slow);
+        if let Took::Pace(pace) = work.pace {
+            tally.pace.take(UsualPace::log(pace));
+        }
     }
 
     /// All counts.
