A stopping gateway refuses what would come after its last answers

Change: once there are none, whatever comes is refused as not run; the wait begins again for these answers. Figures: test 'no_request_is_taken_and_then_cut_by_the_end' with callers that connect all the while.

--- a/crates/bluebelld/src/gateway/state.rs
+++ b/crates/bluebelld/src/gateway/state.rs
@@ -1,7 +1,10 @@
 //! What the threads of a gateway share.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -40,6 +43,8 @@
     pub leaving: watch::Sender<bool>,
     /// When a process that was told to stop ends.
     pub end: OnceLock<Duration>,
+    /// Whether no request is taken any more.
+    pub closed: AtomicBool,
     /// Number of requests in flight.
     pub working: watch::Sender<usize>,
     traffic: Mutex<Traffic>,
@@ -63,6 +68,7 @@
             informed: watch::Sender::new(false),
             leaving: watch::Sender::new(false),
             end: OnceLock::new(),
+            closed: AtomicBool::new(false),
             working: watch::Sender::new(0),
             traffic: Mutex::default(),
             settings,
@@ -87,10 +93,10 @@
         *self.leaving.borrow()
     }
 
-    /// Whether the process ends within a time.
+    /// Whether the process ends within a time, or as soon as its last answers are out.
     #[must_use]
     pub fn ends_within(&self, time: Duration) -> bool {
-        self.end.get().is_some_and(|end| self.now() + time >= *end)
+        self.closed.load(Ordering::Relaxed) || self.end.get().is_some_and(|end| self.now() + time >= *end)
     }
 
     /// Whether new connections are welcome.
--- a/crates/bluebelld/src/gateway/stop.rs
+++ b/crates/bluebelld/src/gateway/stop.rs
@@ -1,6 +1,6 @@
 //! A planned stop: the balancer is told first, requests in flight are finished, then the process ends.
 
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -26,14 +26,23 @@
     tokio::time::sleep(NOTICE).await;
 }
 
-/// Waits until requests in flight are done, or the time for the stop is over.
+/// Waits until requests in flight are done, or the time for the stop is over. A request that comes once there are none
+/// is refused, so that none is taken and then cut by the end.
 pub async fn last_answers(gateway: &Gateway) {
     let left = gateway.settings.drain_seconds.saturating_sub(NOTICE + END_MARGIN);
     let mut working = gateway.working.subscribe();
-    if tokio::time::timeout(left, working.wait_for(|count| *count == 0)).await.is_err() {
+    let idle = async {
+        // The sender lives as long as the gateway.
+        let _ = working.wait_for(|count| *count == 0).await;
+        gateway.closed.store(true, Ordering::Relaxed);
+        tokio::time::sleep(CLOSE_TIME).await;
+        let _ = working.wait_for(|count| *count == 0).await;
+    };
+    if tokio::time::timeout(left, idle).await.is_err() {
+        gateway.closed.store(true, Ordering::Relaxed);
         log::warn!(in_flight = *gateway.working.borrow(); "requests are given up at the end of the drain time");
+        tokio::time::sleep(CLOSE_TIME).await;
     }
-    tokio::time::sleep(CLOSE_TIME).await;
 }
 
 /// Logs orders to read the settings again: all of a gateway's settings hold for the life of its process.
--- a/crates/bluebelld/tests/gateway/stops.rs
+++ b/crates/bluebelld/tests/gateway/stops.rs
@@ -63,6 +63,30 @@
     drop(keeps.await);
 }
 
+#[tokio::test]
+async fn no_request_is_taken_and_then_cut_by_the_end() {
+    let mut site = Site::start(1).await;
+    let address = site.gateways[0].callers;
+    site.ledger.iter().for_each(|one| one.set_always(Some(Fault::Slow(Duration::from_millis(30)))));
+    site.gateways[0].process.terminate();
+    let callers = (0..4).map(|caller| async move {
+        let mut unanswered = Vec::new();
+        for number in 0..400 {
+            let id = format!("c-{caller}-{number}");
+            let Ok(mut connection) = Caller::connect(address).await else { break };
+            if connection.ask(&Ask::new("/book/1", &id)).await.is_none() {
+                unanswered.push(id);
+            }
+            tokio::time::sleep(Duration::from_millis(7 * (1 + caller))).await;
+        }
+        unanswered
+    });
+    let unanswered = futures_util::future::join_all(callers).await.concat();
+    let cut: Vec<_> = unanswered.iter().filter(|id| !site.runs(id).is_empty()).collect();
+    assert!(cut.is_empty(), "taken, run and not answered: {cut:?}");
+    assert_eq!(site.gateways[0].process.ended().await, Some(0));
+}
+
 #[tokio::test]
 async fn reload_changes_nothing_and_loses_nothing() {
     let site = Site::start(1).await;
