--- a/crates/bluebelld/tests/sample_configs.rs
+++ b/crates/bluebelld/tests/sample_configs.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use bluebelld::config::Config;
+use bluebelld::{config::Config, gateway::GatewaySettings};
 
 type TestResult = datatest_stable::Result<()>;
 
@@ -12,9 +12,21 @@
 }
 
 fn invalid(path: &Path) -> TestResult {
+    assert_fault(path, &Config::load(path).expect_err("the sample is invalid").to_string())
+}
+
+fn valid_gateway(path: &Path) -> TestResult {
+    GatewaySettings::load(path)?;
+    Ok(())
+}
+
+fn invalid_gateway(path: &Path) -> TestResult {
+    assert_fault(path, &GatewaySettings::load(path).expect_err("the sample is invalid").to_string())
+}
+
+fn assert_fault(path: &Path, fault: &str) -> TestResult {
     let text = std::fs::read_to_string(path)?;
     let expected = text.lines().next().and_then(|line| line.strip_prefix("# expect: ")).ok_or("no expectation")?;
-    let fault = Config::load(path).expect_err("the sample is invalid").to_string();
     assert!(fault.contains(expected), "expected {expected:?}, found {fault:?}");
     Ok(())
 }
@@ -22,4 +34,6 @@
 datatest_stable::harness! {
     { test = valid, root = "../../sample_configs/daemon/valid", pattern = r".*\.yaml$" },
     { test = invalid, root = "../../sample_configs/daemon/invalid", pattern = r".*\.yaml$" },
+    { test = valid_gateway, root = "../../sample_configs/gateway/valid", pattern = r".*\.yaml$" },
+    { test = invalid_gateway, root = "../../sample_configs/gateway/invalid", pattern = r".*\.yaml$" },
 }
