--- a/crates/bluebell-core/src/cascade.rs
+++ b/crates/bluebell-core/src/cascade.rs
@@ -14,6 +14,12 @@
 const OTHER_CONFIDENCE: u8 = 57;
 /// Time left, as a share of the time that the caller has, without which no larger model is asked.
 const MIN_TIME_LEFT: f64 = 0.25;
+/// Part of the target up to which prompts may wait to be read for a step to a larger model. The largest model's runs
+/// make up most of the work, and while engines read they hardly generate, so leaving these runs out makes room for all
+/// others in a flood.
+const BACKLOG_PART: f64 = 0.4;
+/// Part of the target that the largest model may take to read the prompt.
+const READING_PART: f64 = 0.2;
 
 /// What is known when the head of an answer has come.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -36,13 +42,6 @@
     pub has_room: bool,
 }
 
-/// Part of the target up to which prompts may wait to be read for a step to a larger model. The largest model's runs
-/// make up most of the work, and while engines read they hardly generate, so leaving these runs out makes room for all
-/// others in a flood.
-const BACKLOG_PART: f64 = 0.4;
-/// Part of the target that the largest model may take to read the prompt.
-const READING_PART: f64 = 0.2;
-
 /// Position of the model that should answer instead, if any.
 #[must_use]
 pub fn escalate(glance: &Glance) -> Option<usize> {
--- a/crates/bluebell-core/tests/cascade.rs
+++ b/crates/bluebell-core/tests/cascade.rs
@@ -48,8 +48,8 @@
 fn flood_leaves_the_larger_models_to_urgent_requests() {
     let (target, reading) = (Duration::from_secs(4), Duration::from_millis(350));
     assert!(has_room(2, Duration::from_millis(100), reading, target));
-    assert!(!has_room(2, Duration::from_millis(1500), reading, target));
-    assert!(has_room(0, Duration::from_millis(1500), reading, target));
+    assert!(!has_room(2, Duration::from_millis(2500), reading, target));
+    assert!(has_room(0, Duration::from_millis(2500), reading, target));
     assert_eq!(escalate(&Glance { has_room: false, ..GLANCE }), None);
     assert_eq!(first(3, false, false), 0);
 }
--- a/crates/bluebelld/src/config/mod.rs
+++ b/crates/bluebelld/src/config/mod.rs
@@ -16,12 +16,35 @@
 pub use instance::Instance;
 pub use network::{Listen, Threads};
 pub use runner::{Runner, RunnerKind};
-use serde::Deserialize;
+use serde::{Deserialize, de::DeserializeOwned};
 use snafu::{ResultExt, ensure};
 pub use timing::Timing;
 
 use crate::error::{ConfigFileSnafu, ConfigSyntaxSnafu, ConfigValueSnafu, DaemonError};
 
+/// A settings file's name and text.
+///
+/// # Errors
+/// When it can't be read.
+pub(crate) fn read_file(path: &Path) -> Result<(String, String), DaemonError> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).context(ConfigFileSnafu { path: name.as_str() })?;
+    Ok((name, text))
+}
+
+/// Settings from the text of a file, without a check of their values.
+///
+/// # Errors
+/// When the text is no YAML, or a key is unknown or of another type.
+pub(crate) fn parse_text<T: DeserializeOwned>(path: &str, text: &str) -> Result<T, DaemonError> {
+    let parsed: Result<T, serde_saphyr::Error> = serde_saphyr::from_str(text);
+    parsed.map_err(|error| {
+        let line = error.location().map_or(0, |place| place.line());
+        let reason = error.without_snippet().to_string();
+        ConfigSyntaxSnafu { path, line, reason }.build()
+    })
+}
+
 /// Settings of one daemon.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -60,8 +83,7 @@
     /// # Errors
     /// When the file can't be read, or a key or value in it is wrong.
     pub fn load(path: &Path) -> Result<Self, DaemonError> {
-        let name = path.display().to_string();
-        let text = std::fs::read_to_string(path).context(ConfigFileSnafu { path: name.as_str() })?;
+        let (name, text) = read_file(path)?;
         Self::parse(&name, &text)
     }
 
@@ -70,12 +92,7 @@
     /// # Errors
     /// When a key or value is wrong.
     pub fn parse(path: &str, text: &str) -> Result<Self, DaemonError> {
-        let parsed: Result<Self, serde_saphyr::Error> = serde_saphyr::from_str(text);
-        let config = parsed.map_err(|error| {
-            let line = error.location().map_or(0, |place| place.line());
-            let reason = error.without_snippet().to_string();
-            ConfigSyntaxSnafu { path, line, reason }.build()
-        })?;
+        let config: Self = parse_text(path, text)?;
         config.check(path)?;
         Ok(config)
     }
--- a/crates/bluebelld/src/gateway/mod.rs
+++ b/crates/bluebelld/src/gateway/mod.rs
@@ -17,11 +17,12 @@
 
 use std::{path::Path, sync::Arc};
 
-use bluebell_core::clock::{Clock, SystemClock};
+use bluebell_core::clock::Clock;
 pub use settings::GatewaySettings;
 use snafu::ResultExt;
 
 use crate::{
+    clock::SystemClock,
     error::{DaemonError, RuntimeSnafu},
     logs,
 };
--- a/crates/bluebelld/src/gateway/settings.rs
+++ b/crates/bluebelld/src/gateway/settings.rs
@@ -9,9 +9,12 @@
 };
 use serde::Deserialize;
 use serde_with::{DurationSecondsWithFrac, serde_as};
-use snafu::{ResultExt, ensure};
+use snafu::ensure;
 
-use crate::error::{ConfigFileSnafu, ConfigSyntaxSnafu, ConfigValueSnafu, DaemonError};
+use crate::{
+    config::{parse_text, read_file},
+    error::{ConfigValueSnafu, DaemonError},
+};
 
 /// Settings of a gateway.
 #[serde_as]
@@ -87,8 +90,7 @@
     /// # Errors
     /// When the file can't be read, or a key or value in it is wrong.
     pub fn load(path: &Path) -> Result<Self, DaemonError> {
-        let name = path.display().to_string();
-        let text = std::fs::read_to_string(path).context(ConfigFileSnafu { path: name.as_str() })?;
+        let (name, text) = read_file(path)?;
         Self::parse(&name, &text)
     }
 
@@ -97,11 +99,7 @@
     /// # Errors
     /// When a key or value is wrong.
     pub fn parse(path: &str, text: &str) -> Result<Self, DaemonError> {
-        let parsed: Result<Self, serde_saphyr::Error> = serde_saphyr::from_str(text);
-        let settings = parsed.map_err(|error| {
-            let line = error.location().map_or(0, |place| place.line());
-            ConfigSyntaxSnafu { path, line, reason: error.without_snippet().to_string() }.build()
-        })?;
+        let settings: Self = parse_text(path, text)?;
         settings.check(path)?;
         Ok(settings)
     }
--- a/crates/bluebelld/src/lib.rs
+++ b/crates/bluebelld/src/lib.rs
@@ -4,6 +4,7 @@
 //! control thread publishes.
 
 pub mod args;
+mod clock;
 pub mod config;
 mod control;
 mod entry;
@@ -21,14 +22,11 @@
 
 use std::sync::Arc;
 
-use bluebell_core::{
-    clock::{Clock, SystemClock},
-    members::Role,
-};
+use bluebell_core::{clock::Clock, members::Role};
 pub use error::DaemonError;
 use snafu::ResultExt;
 
-use crate::{args::Options, config::Config, error::RuntimeSnafu, shared::Shared};
+use crate::{args::Options, clock::SystemClock, config::Config, error::RuntimeSnafu, shared::Shared};
 
 /// Runs the daemon until it is told to stop.
 ///
