--- a/crates/bluebell-core/src/canary/judge.rs
+++ b/crates/bluebell-core/src/canary/analysis.rs
@@ -4,8 +4,8 @@
 
 use super::tally::{Tallies, Tally};
 
-/// Evidence at which a release is convicted: one false alarm in about e^8, or 3,000, beginnings.
-const CONVICTION: f64 = 8.0;
+/// Evidence at which a release is rejected: one false alarm in about e^8, or 3,000, beginnings.
+const REJECTION: f64 = 8.0;
 /// Failure rate of a sound release at least assumed.
 const SOUND_FAILURES: f64 = 0.02;
 /// Failure rate of a bad release at least assumed.
@@ -36,7 +36,7 @@
     fn add(sum: f64, old: (u64, u64), fresh: (u64, u64)) -> f64 {
         let count = old.1 as f64 + 5.0;
         let rate = (old.0 as f64 + 0.5) / count;
-        // A rate that a few answers show too low would convict a release that merely fails like the old one.
+        // A rate that a few answers show too low would reject a release that merely fails like the old one.
         let sound = (rate + 2.0 * (rate * (1.0 - rate) / count).sqrt()).clamp(SOUND_FAILURES, MAX_SOUND);
         let bad = (sound * BAD_FACTOR).clamp(BAD_FAILURES, MAX_BAD);
         let passed = fresh.1.saturating_sub(fresh.0) as f64;
@@ -45,9 +45,9 @@
     }
 }
 
-/// Why a release was convicted.
+/// Why a release was rejected.
 #[derive(Debug, Clone, PartialEq)]
-pub struct Conviction {
+pub struct Rejection {
     /// Kind of work in which it showed.
     pub work: String,
     /// Whether answers failed; otherwise they were slow.
@@ -60,14 +60,14 @@
 
 /// Judges one release against the old one, by cumulative sums.
 #[derive(Debug, Default)]
-pub struct Judge {
+pub struct Analysis {
     evidence: IndexMap<String, Evidence>,
 }
 
-impl Judge {
-    /// Takes the counts as they are now; gives a conviction once the evidence allows it. Pace counts only while both
+impl Analysis {
+    /// Takes the counts as they are now; gives a rejection once the evidence allows it. Pace counts only while both
     /// releases get requests, since the load that one of them gets alone slows it as well.
-    pub fn weigh(&mut self, tallies: &Tallies, by_pace: bool) -> Option<Conviction> {
+    pub fn weigh(&mut self, tallies: &Tallies, by_pace: bool) -> Option<Rejection> {
         let mut total = (Tally::default(), Tally::default());
         for (old, new) in tallies.values() {
             total.0.add(old);
@@ -77,14 +77,14 @@
             && slowdown(tallies).is_some_and(|(shift, deviations)| shift >= SLOW_SHIFT && deviations >= SLOW_DEVIATIONS)
         {
             let (answers, failures) = (total.1.answers, total.1.failures);
-            return Some(Conviction { work: "all".to_owned(), failing: false, answers, failures });
+            return Some(Rejection { work: "all".to_owned(), failing: false, answers, failures });
         }
         let kinds = tallies.iter().map(|(work, pair)| (work.as_str(), pair));
         for (work, (old, new)) in std::iter::once(("all", &total)).chain(kinds) {
             let evidence = self.evidence.entry(work.to_owned()).or_default();
             if let Some(failing) = evidence.take(old, new, by_pace) {
                 let work = work.to_owned();
-                return Some(Conviction { work, failing, answers: new.answers, failures: new.failures });
+                return Some(Rejection { work, failing, answers: new.answers, failures: new.failures });
             }
         }
         None
@@ -92,19 +92,19 @@
 }
 
 impl Evidence {
-    // Some(true) for a conviction by failures, Some(false) for one by pace.
+    // Some(true) for a rejection by failures, Some(false) for one by pace.
     fn take(&mut self, old: &Tally, new: &Tally, by_pace: bool) -> Option<bool> {
         let fresh = new.since(&self.last);
         self.last = *new;
         self.failing = Self::add(self.failing, (old.failures, old.answers), (fresh.failures, fresh.answers));
-        if self.failing >= CONVICTION {
+        if self.failing >= REJECTION {
             return Some(true);
         }
         if !by_pace {
             return None;
         }
         self.slow = Self::add(self.slow, (old.slow, old.answers), (fresh.slow, fresh.answers));
-        (self.slow >= CONVICTION).then_some(false)
+        (self.slow >= REJECTION).then_some(false)
     }
 }
 
--- a/crates/bluebell-core/src/canary/mod.rs
+++ b/crates/bluebell-core/src/canary/mod.rs
@@ -2,15 +2,15 @@
 //! and pace against the old release, then all of them.
 //!
 //! The stage lies in one row of the store. Any entry may drive it on; conditional writes keep two drivers from
-//! stepping on each other. Every entry judges by the counts of all, and stops sending to a convicted release at
+//! stepping on each other. Every entry judges by the counts of all, and stops sending to a rejected release at
 //! once, before the stage says so.
 
-mod judge;
+mod analysis;
 mod split;
 mod stage;
 mod tally;
 
-pub use judge::{Conviction, Judge, slowdown};
+pub use analysis::{Analysis, Rejection, slowdown};
 pub use split::{SessionPins, Split};
 pub use stage::{Order, SETTLE_TIME, Schedule, Stage, StageRow, Verdict, next_stage};
 pub use tally::{Gathered, Spread, Tallies, Tally, UsualPace};
--- a/crates/bluebell-core/src/canary/split.rs
+++ b/crates/bluebell-core/src/canary/split.rs
@@ -34,11 +34,11 @@
 impl Split {
     /// The split that a roll-out stands at.
     #[must_use]
-    pub fn of(order: &Order, stage: Option<Stage>, convicted: bool, schedule: &Schedule) -> Self {
+    pub fn of(order: &Order, stage: Option<Stage>, rejected: bool, schedule: &Schedule) -> Self {
         let to = order.to.clone();
         match stage {
             Some(Stage::Completed) => Self::Only(to),
-            _ if convicted => Self::Without(to),
+            _ if rejected => Self::Without(to),
             Some(Stage::Full) => Self::Share { to, share: 1.0, holds: false },
             Some(Stage::Canary) => Self::Share { to, share: schedule.canary, holds: true },
             None | Some(Stage::Reverted) => Self::Without(to),
@@ -47,7 +47,7 @@
 
     /// Whether a release is being judged.
     #[must_use]
-    pub fn judges(&self, release: &ReleaseId) -> bool {
+    pub fn evaluates(&self, release: &ReleaseId) -> bool {
         matches!(self, Self::Share { to, .. } if to == release)
     }
 
--- a/crates/bluebell-core/src/canary/stage.rs
+++ b/crates/bluebell-core/src/canary/stage.rs
@@ -97,7 +97,7 @@
     if row.stage.is_final() {
         return None;
     }
-    if verdict.convicted {
+    if verdict.rejected {
         return Some(Stage::Reverted);
     }
     let passed = now.saturating_sub(row.began).as_secs_f64() / order.within.as_secs_f64().max(0.001);
@@ -113,7 +113,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Verdict {
     /// Whether it is bad.
-    pub convicted: bool,
+    pub rejected: bool,
     /// Answers of it that were counted.
     pub answers: u64,
 }
--- a/crates/bluebell-core/src/cascade.rs
+++ b/crates/bluebell-core/src/cascade.rs
@@ -23,7 +23,7 @@
 
 /// What is known when the head of an answer has come.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Glance {
+pub struct AnswerHead {
     /// Position of the model that answers, smallest first.
     pub model: usize,
     /// Number of models.
@@ -44,14 +44,14 @@
 
 /// Position of the model that should answer instead, if any.
 #[must_use]
-pub fn escalate(glance: &Glance) -> Option<usize> {
-    let confidence = glance.confidence?;
-    let largest = glance.models.checked_sub(1)?;
-    let enough = if glance.rank == 0 { URGENT_CONFIDENCE } else { OTHER_CONFIDENCE };
-    if glance.model >= largest || glance.attempts == 0 || confidence >= enough || !glance.has_room {
+pub fn escalate(head: &AnswerHead) -> Option<usize> {
+    let confidence = head.confidence?;
+    let largest = head.models.checked_sub(1)?;
+    let enough = if head.rank == 0 { URGENT_CONFIDENCE } else { OTHER_CONFIDENCE };
+    if head.model >= largest || head.attempts == 0 || confidence >= enough || !head.has_room {
         return None;
     }
-    let has_time = glance.left.as_secs_f64() >= MIN_TIME_LEFT * glance.whole.as_secs_f64();
+    let has_time = head.left.as_secs_f64() >= MIN_TIME_LEFT * head.whole.as_secs_f64();
     has_time.then_some(largest)
 }
 
--- a/crates/bluebell-core/src/placing/life.rs
+++ b/crates/bluebell-core/src/placing/liveness.rs
@@ -5,11 +5,11 @@
 
 /// When an upstream showed signs of life.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Life {
+pub struct Liveness {
     heard: Duration,
 }
 
-impl Life {
+impl Liveness {
     /// Something came from the upstream.
     pub fn hear(&mut self, now: Duration) {
         self.heard = self.heard.max(now);
--- a/crates/bluebell-core/src/placing/mod.rs
+++ b/crates/bluebell-core/src/placing/mod.rs
@@ -2,13 +2,13 @@
 //! and by distance.
 
 mod health;
-mod life;
+mod liveness;
 mod load;
 mod parts;
 mod pick;
 
 pub use health::{Health, HealthEvent};
-pub use life::Life;
+pub use liveness::Liveness;
 pub use load::{Load, Report};
 pub use parts::{Part, PartCache};
 pub use pick::{Candidate, READ_PER_MS, Work, pick};
--- a/crates/bluebell-core/tests/canary.rs
+++ b/crates/bluebell-core/tests/canary.rs
@@ -1,10 +1,10 @@
-//! Roll-outs: bad releases are convicted before they get their share, good ones never, sessions stay where they are.
+//! Roll-outs: bad releases are rejected before they get their share, good ones never, sessions stay where they are.
 
 use std::time::Duration;
 
 use bluebell_core::{
     canary::{
-        Gathered, Judge, Order, Schedule, SessionPins, Split, Stage, StageRow, Tallies, Tally, UsualPace, Verdict,
+        Analysis, Gathered, Order, Schedule, SessionPins, Split, Stage, StageRow, Tallies, Tally, UsualPace, Verdict,
         next_stage,
     },
     ids::ReleaseId,
@@ -17,7 +17,7 @@
     [("report", 0.25, 0.004), ("question", 0.4, 0.004), ("log", 0.25, 0.0), ("look", 0.1, 0.14)];
 /// Requests a second.
 const RATE: usize = 55;
-/// Time between two looks of the judge, in milliseconds.
+/// Time between two looks of the analysis, in milliseconds.
 const LOOK_MS: usize = 250;
 
 fn order() -> Order {
@@ -31,8 +31,8 @@
     Schedule::within(EXPOSURE.0)
 }
 
-fn verdict(convicted: bool, answers: u64) -> Verdict {
-    Verdict { convicted, answers }
+fn verdict(rejected: bool, answers: u64) -> Verdict {
+    Verdict { rejected, answers }
 }
 
 fn release(name: &str) -> ReleaseId {
@@ -50,7 +50,7 @@
 const GOOD: Bad = Bad { fails: 0.0, slower: 1.0, share: 0.5, only: None, from: 0.0 };
 
 struct Played {
-    convicted: Option<f64>,
+    rejected: Option<f64>,
     bad_answers: u64,
     requests: f64,
     exposed: f64,
@@ -65,13 +65,13 @@
     let schedule = Schedule::within(exposure);
     let mut random = StdRng::seed_from_u64(seed);
     let mut tallies = Tallies::new();
-    let mut judge = Judge::default();
+    let mut analysis = Analysis::default();
     let mut usual: IndexMap<&str, UsualPace> = KINDS.iter().map(|kind| (kind.0, UsualPace::default())).collect();
     let mut stage = Stage::Canary;
-    let mut played = Played { convicted: None, bad_answers: 0, requests: 0.0, exposed: 0.0 };
+    let mut played = Played { rejected: None, bad_answers: 0, requests: 0.0, exposed: 0.0 };
     for look in 0..order().within.as_millis() as usize / LOOK_MS {
         let time = (look * LOOK_MS) as f64 / 1000.0;
-        let split = Split::of(&order(), Some(stage), played.convicted.is_some(), &schedule);
+        let split = Split::of(&order(), Some(stage), played.rejected.is_some(), &schedule);
         for _ in 0..RATE * LOOK_MS / 1000 {
             let mut at = random.random_range(0.0..1.0);
             let kind = KINDS
@@ -104,11 +104,11 @@
             }
         }
         let answers = tallies.values().map(|(_, new)| new.answers).sum();
-        if played.convicted.is_none() && judge.weigh(&tallies, stage < Stage::Full).is_some() {
-            played.convicted = Some(time);
+        if played.rejected.is_none() && analysis.weigh(&tallies, stage < Stage::Full).is_some() {
+            played.rejected = Some(time);
         }
         let now = row(stage).began + Duration::from_secs_f64(time);
-        let verdict = verdict(played.convicted.is_some(), answers);
+        let verdict = verdict(played.rejected.is_some(), answers);
         stage = next_stage(&order(), &row(stage), now, &schedule, verdict).unwrap_or(stage);
     }
     played
@@ -118,7 +118,7 @@
     for seed in 0..50 {
         let played = play(bad, seed);
         let allowed = EXPOSURE.0 * played.requests + EXPOSURE.1;
-        assert!(played.convicted.is_some(), "seed {seed}");
+        assert!(played.rejected.is_some(), "seed {seed}");
         assert!(played.exposed <= allowed, "seed {seed}: {} of {allowed} requests", played.exposed);
     }
 }
@@ -126,7 +126,7 @@
 #[test]
 fn good_releases_are_never_convicted() {
     for seed in 0..200 {
-        assert_eq!(play(&GOOD, seed).convicted, None, "seed {seed}");
+        assert_eq!(play(&GOOD, seed).rejected, None, "seed {seed}");
     }
 }
 
@@ -134,7 +134,7 @@
 fn failing_releases_are_convicted_before_fifty_bad_answers() {
     for seed in 0..50 {
         let played = play(&Bad { fails: 0.42, ..GOOD }, seed);
-        assert!(played.convicted.is_some(), "seed {seed}");
+        assert!(played.rejected.is_some(), "seed {seed}");
         assert!(played.bad_answers < 50, "seed {seed}: {} bad answers", played.bad_answers);
     }
 }
@@ -222,9 +222,9 @@
         let split = Split::of(&order(), stage, false, &schedule());
         assert!((0..500).all(|n| !split.admits(&n.to_string(), None, &release("v2"))));
     }
-    let convicted = Split::of(&order(), Some(Stage::Full), true, &schedule());
-    assert!(!convicted.admits("x", None, &release("v2")));
-    assert!(convicted.admits("x", None, &release("v1")));
+    let rejected = Split::of(&order(), Some(Stage::Full), true, &schedule());
+    assert!(!rejected.admits("x", None, &release("v2")));
+    assert!(rejected.admits("x", None, &release("v1")));
 }
 
 #[test]
--- a/crates/bluebell-core/tests/cascade.rs
+++ b/crates/bluebell-core/tests/cascade.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use bluebell_core::cascade::{Glance, escalate, first, has_room};
+use bluebell_core::cascade::{AnswerHead, escalate, first, has_room};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
-const GLANCE: Glance = Glance {
+const HEAD: AnswerHead = AnswerHead {
     model: 0,
     models: 3,
     confidence: Some(20),
@@ -18,23 +18,23 @@
 
 #[test]
 fn unsure_answers_go_to_the_largest_model_and_sure_ones_stand() {
-    assert_eq!(escalate(&GLANCE), Some(2));
-    assert_eq!(escalate(&Glance { confidence: Some(90), ..GLANCE }), None);
-    assert_eq!(escalate(&Glance { confidence: None, ..GLANCE }), None);
+    assert_eq!(escalate(&HEAD), Some(2));
+    assert_eq!(escalate(&AnswerHead { confidence: Some(90), ..HEAD }), None);
+    assert_eq!(escalate(&AnswerHead { confidence: None, ..HEAD }), None);
 }
 
 #[test]
 fn urgent_answers_must_be_surer() {
-    let unsure = Glance { confidence: Some(62), ..GLANCE };
+    let unsure = AnswerHead { confidence: Some(62), ..HEAD };
     assert_eq!(escalate(&unsure), None);
-    assert_eq!(escalate(&Glance { rank: 0, ..unsure }), Some(2));
+    assert_eq!(escalate(&AnswerHead { rank: 0, ..unsure }), Some(2));
 }
 
 #[test]
 fn no_step_without_time_attempts_or_a_larger_model() {
-    assert_eq!(escalate(&Glance { left: Duration::from_secs(2), ..GLANCE }), None);
-    assert_eq!(escalate(&Glance { attempts: 0, ..GLANCE }), None);
-    assert_eq!(escalate(&Glance { model: 2, ..GLANCE }), None);
+    assert_eq!(escalate(&AnswerHead { left: Duration::from_secs(2), ..HEAD }), None);
+    assert_eq!(escalate(&AnswerHead { attempts: 0, ..HEAD }), None);
+    assert_eq!(escalate(&AnswerHead { model: 2, ..HEAD }), None);
 }
 
 #[test]
@@ -50,7 +50,7 @@
     assert!(has_room(2, Duration::from_millis(100), reading, target));
     assert!(!has_room(2, Duration::from_millis(2500), reading, target));
     assert!(has_room(0, Duration::from_millis(2500), reading, target));
-    assert_eq!(escalate(&Glance { has_room: false, ..GLANCE }), None);
+    assert_eq!(escalate(&AnswerHead { has_room: false, ..HEAD }), None);
     assert_eq!(first(3, false, false), 0);
 }
 
@@ -82,7 +82,7 @@
 fn cascade(difficulty: f64, random: &mut StdRng) -> Vec<usize> {
     let margin = 50.0 + 120.0 * (QUALITY[0] - difficulty) + random.random_range(-NOISE..NOISE);
     let confidence = Some(margin.clamp(0.0, 100.0) as u8);
-    match escalate(&Glance { confidence, rank: 0, ..GLANCE }) {
+    match escalate(&AnswerHead { confidence, rank: 0, ..HEAD }) {
         Some(larger) => vec![0, larger],
         None => vec![0],
     }
--- a/crates/bluebell-core/tests/placing.rs
+++ b/crates/bluebell-core/tests/placing.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{
     ids::{ModelId, PartId},
-    placing::{Candidate, Health, HealthEvent, Life, Load, Part, PartCache, Report, Work, pick},
+    placing::{Candidate, Health, HealthEvent, Liveness, Load, Part, PartCache, Report, Work, pick},
     units::Tokens,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -108,7 +108,7 @@
 #[test]
 fn busy_upstream_is_given_up_only_without_a_sign_of_life() {
     let patience = Duration::from_secs(2);
-    let mut life = Life::default();
+    let mut life = Liveness::default();
     let sent = Duration::from_secs(10);
     assert_eq!(life.remaining(Duration::from_secs(12), sent, patience), Duration::ZERO);
     life.hear(Duration::from_millis(11_500));
--- a/crates/bluebell-wire/src/messages.rs
+++ b/crates/bluebell-wire/src/messages.rs
@@ -240,7 +240,7 @@
     /// Sessions under way that a new release might take up.
     pub sessions: Vec<SessionRelease>,
     /// Versions of the store at which roll-outs were ordered whose releases the sender found to be bad.
-    pub convicted: Vec<u64>,
+    pub rejected: Vec<u64>,
 }
 
 /// The release that a session is on.
--- a/crates/bluebelld/src/gateway/control/mod.rs
+++ b/crates/bluebelld/src/gateway/control/mod.rs
@@ -184,7 +184,7 @@
             traffic.sessions.set(now.saturating_sub(one.age), &one.session, &one.release);
         }
         drop(traffic);
-        if self.rollouts.convict(&peer, &standing.convicted) {
+        if self.rollouts.reject(&peer, &standing.rejected) {
             self.publish();
         }
         let connected = standing.connected;
@@ -267,7 +267,7 @@
             loads,
             tallies,
             sessions,
-            convicted: self.rollouts.convicted(),
+            rejected: self.rollouts.rejected(),
         };
         drop(traffic);
         self.members.broadcast(&News::Standing(Box::new(standing)), None);
--- a/crates/bluebelld/src/gateway/control/rollouts.rs
+++ b/crates/bluebelld/src/gateway/control/rollouts.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
-    canary::{self, Gathered, Judge, Order, SETTLE_TIME, Schedule, Split, Stage, StageRow, Verdict},
+    canary::{self, Analysis, Gathered, Order, SETTLE_TIME, Schedule, Split, Stage, StageRow, Verdict},
     ids::{InstanceId, ServiceId},
     replica::{Origin, Row},
 };
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 struct Rollout {
     order: Order,
-    judge: Judge,
+    analysis: Analysis,
     gathered: Gathered,
     verdict: Verdict,
     seen: Duration,
@@ -46,10 +46,10 @@
 
 impl Rollouts {
     pub(super) fn put_order(&mut self, key: &str, order: Order, now: Duration) {
-        let verdict = Verdict { convicted: false, answers: 0 };
+        let verdict = Verdict { rejected: false, answers: 0 };
         let rollout = Rollout {
             order,
-            judge: Judge::default(),
+            analysis: Analysis::default(),
             gathered: Gathered::default(),
             verdict,
             seen: now,
@@ -92,15 +92,15 @@
     }
 
     /// Orders whose releases were found to be bad.
-    pub(super) fn convicted(&self) -> Vec<u64> {
-        self.ordered.values().filter(|one| one.verdict.convicted).map(|one| one.order.version).collect()
+    pub(super) fn rejected(&self) -> Vec<u64> {
+        self.ordered.values().filter(|one| one.verdict.rejected).map(|one| one.order.version).collect()
     }
 
     /// A peer found releases to be bad; tells whether that is news.
-    pub(super) fn convict(&mut self, peer: &InstanceId, orders: &[u64]) -> bool {
+    pub(super) fn reject(&mut self, peer: &InstanceId, orders: &[u64]) -> bool {
         let mut news = false;
         for one in self.ordered.values_mut().filter(|one| orders.contains(&one.order.version)) {
-            if !std::mem::replace(&mut one.verdict.convicted, true) {
+            if !std::mem::replace(&mut one.verdict.rejected, true) {
                 let (service, to) = (one.order.service.as_str(), one.order.to.as_str());
                 log::warn!(service = service, to = to, peer = peer.as_str(); "a peer found the release to be bad");
                 news = true;
@@ -113,7 +113,7 @@
     pub(super) fn splits(&self, schedule: &Schedule) -> IndexMap<ServiceId, Split> {
         let split = |one: &Rollout| {
             let stage = self.stage_of(&one.order).map(|row| row.stage);
-            (one.order.service.clone(), Split::of(&one.order, stage, one.verdict.convicted, schedule))
+            (one.order.service.clone(), Split::of(&one.order, stage, one.verdict.rejected, schedule))
         };
         self.ordered.values().map(split).collect()
     }
@@ -129,13 +129,13 @@
         let own = self.gateway.traffic().tallies();
         let peers = self.standings.iter().map(|(peer, (_, standing))| (peer, standing.tallies.as_slice()));
         let all: Vec<(&InstanceId, &[ReleaseTally])> = std::iter::once((&name, own.as_slice())).chain(peers).collect();
-        let mut convicted = false;
+        let mut rejected = false;
         let stages = &self.rollouts.stages;
         for one in self.rollouts.ordered.values_mut() {
             let stage = stages.get(&stage_key(&one.order.service)).map(|(row, _)| row.stage);
-            convicted |= one.weigh(&all, stage < Some(Stage::Full));
+            rejected |= one.weigh(&all, stage < Some(Stage::Full));
         }
-        if convicted {
+        if rejected {
             self.publish();
         }
         if self.is_connected(now) {
@@ -165,7 +165,7 @@
                 continue;
             }
             // Whoever sees that a release is bad says so, lest a driver that doesn't see it goes on.
-            if !one.verdict.convicted && (self.gateway.is_leaving() || !self.is_driver(row)) {
+            if !one.verdict.rejected && (self.gateway.is_leaving() || !self.is_driver(row)) {
                 continue;
             }
             let next = match row {
@@ -188,7 +188,7 @@
 }
 
 impl Rollout {
-    // True when the release is convicted now.
+    // True when the release is rejected now.
     fn weigh(&mut self, all: &[(&InstanceId, &[ReleaseTally])], by_pace: bool) -> bool {
         for (entry, rows) in all {
             for row in rows.iter().filter(|row| row.service == self.order.service) {
@@ -196,11 +196,11 @@
             }
         }
         self.verdict.answers = self.gathered.answers();
-        if self.verdict.convicted {
+        if self.verdict.rejected {
             return false;
         }
-        let Some(found) = self.judge.weigh(self.gathered.totals(), by_pace) else { return false };
-        self.verdict.convicted = true;
+        let Some(found) = self.analysis.weigh(self.gathered.totals(), by_pace) else { return false };
+        self.verdict.rejected = true;
         log::warn!(
             service = self.order.service.as_str(), to = self.order.to.as_str(), work = found.work.as_str(),
             answers = found.answers, failures = found.failures, failing = found.failing;
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -4,7 +4,7 @@
 use std::{io, sync::Arc, time::Duration};
 
 use bluebell_core::{
-    cascade::{self, Glance},
+    cascade::{self, AnswerHead},
     events::{Batch, EventCutter, EventError},
     ids::{ModelId, ReleaseId},
     placing::{HealthEvent, READ_PER_MS},
@@ -97,7 +97,7 @@
 
 fn larger_model(gateway: &Gateway, job: &Job, live: &Live, tries: &Tries) -> Option<ModelId> {
     let current = live.model.as_ref()?;
-    let glance = Glance {
+    let head = AnswerHead {
         model: job.route.models.iter().position(|model| model == current)?,
         models: job.route.models.len(),
         confidence: live.proof.confidence,
@@ -107,7 +107,7 @@
         rank: job.rank,
         has_room: has_room(gateway, job),
     };
-    let larger = cascade::escalate(&glance)?;
+    let larger = cascade::escalate(&head)?;
     let entries = gateway.beliefs.load().entries;
     let allowed = gateway.traffic().window(&job.service).escalate(gateway.now(), &gateway.limit, entries);
     allowed.then(|| job.route.models.get(larger).cloned()).flatten()
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -6,7 +6,7 @@
 use bluebell_core::{
     canary::{SessionPins, Split, Tally, UsualPace},
     ids::{InstanceId, ModelId, ReleaseId, ServiceId, SessionId, UpstreamId},
-    placing::{Candidate, Health, HealthEvent, Life, Load, Part, PartCache, READ_PER_MS, Report, Work, pick},
+    placing::{Candidate, Health, HealthEvent, Liveness, Load, Part, PartCache, READ_PER_MS, Report, Work, pick},
     retry::{RetryLimit, RetryWindow},
     units::Tokens,
     upstreams::Upstream,
@@ -24,7 +24,7 @@
     /// Parts of prompts that it has read.
     pub parts: PartCache,
     /// Signs of life that it showed.
-    pub life: Life,
+    pub liveness: Liveness,
     born: u64,
 }
 
@@ -124,7 +124,7 @@
             Took::Unknown => false,
         };
         if let Took::Pace(pace) = work.pace
-            && !split.judges(work.release)
+            && !split.evaluates(work.release)
         {
             usual.take(pace);
         }
@@ -203,14 +203,14 @@
     /// Something came from an upstream.
     pub fn hear(&mut self, now: Duration, id: &UpstreamId) {
         if let Some(state) = self.upstreams.get_mut(id) {
-            state.life.hear(now);
+            state.liveness.hear(now);
         }
     }
 
     /// Time for which a request may still wait for an upstream from which nothing comes.
     #[must_use]
     pub fn patience(&self, now: Duration, id: &UpstreamId, since: Duration, patience: Duration) -> Duration {
-        let life = self.upstreams.get(id).map(|state| state.life).unwrap_or_default();
+        let life = self.upstreams.get(id).map(|state| state.liveness).unwrap_or_default();
         life.remaining(now, since, patience)
     }
 
