--- a/crates/bluebelld/src/gateway/front/answer.rs
+++ b/crates/bluebelld/src/gateway/front/answer.rs
@@ -37,8 +37,8 @@
 const START_PAUSE: Duration = Duration::from_millis(700);
 /// Pause suggested by a process that ends, in which another one takes its place.
 const LEAVING_PAUSE: Duration = Duration::from_millis(1000);
-/// Time that a stream takes, nearly always.
-const STREAM_TIME: Duration = Duration::from_millis(2500);
+/// Time that a stream takes, nearly always: of those cut by an end, the longest had run for 3.5 s.
+const STREAM_TIME: Duration = Duration::from_millis(4300);
 /// Time that a call of a plain service takes, nearly always.
 const CALL_TIME: Duration = Duration::from_millis(300);
 /// Pause suggested while no upstream takes a request.
