Tests of gateways listen on ports that outgoing connections don't take

The port was found free, given up, and taken by a connection of the first gateway before the second one listened on it. Ruled out: the roll-out; the gateway never started. Change: fixed ports below the system's range, on the site's own address. No check changed.

--- a/crates/bluebelld/tests/gateway/site.rs
+++ b/crates/bluebelld/tests/gateway/site.rs
@@ -22,6 +22,9 @@
 /// Time that a route's callers are kept waiting.
 pub const TIMEOUT_MS: u64 = 4000;
 
+/// First port of the gateways of a site.
+const FIRST_PORT: u16 = 10_000;
+
 static SITES: AtomicU32 = AtomicU32::new(0);
 
 /// A gateway with its own door to the store.
@@ -155,7 +158,7 @@
     /// Starts a gateway.
     pub async fn add_gateway(&mut self, number: usize) {
         let (store, door) = self.store.open(&format!("{}:0", self.host)).await.expect("a door");
-        let [callers, ready, peers, metrics] = self.free_addresses();
+        let [callers, ready, peers, metrics] = self.addresses(number);
         let name = format!("gateway-{number}");
         let settings = format!(
             "instance: {{ id: {name}, zone: z1 }}\n\
@@ -175,10 +178,11 @@
         self.gateways.push(Gateway { name, process, callers, ready, metrics, door });
     }
 
-    fn free_addresses(&self) -> [SocketAddr; 4] {
-        let listen = || std::net::TcpListener::bind(format!("{}:0", self.host)).expect("a free port");
-        let held = [listen(), listen(), listen(), listen()];
-        held.map(|listener| listener.local_addr().expect("an address"))
+    // Below the range from which the system takes ports for outgoing connections: a port found free there may be taken
+    // again before the gateway listens on it. Each site has an address of its own, so these are free.
+    fn addresses(&self, gateway: usize) -> [SocketAddr; 4] {
+        let first = FIRST_PORT + 4 * gateway as u16;
+        [0, 1, 2, 3].map(|port| format!("{}:{}", self.host, first + port).parse().expect("an address"))
     }
 
     /// Runs of a request wherever, in the order in which they began.
