--- a/crates/bluebell-core/src/replica.rs
+++ b/crates/bluebell-core/src/replica.rs
@@ -15,6 +15,12 @@
     Fleet,
     /// The entries, for operators.
     Reports,
+    /// Entries and sidecars: settings, intents, sessions and bills.
+    Records,
+    /// The deployment: instances of entries and sidecars.
+    Instances,
+    /// Whoever rates answers.
+    Ratings,
 }
 
 /// A row at one version.
--- a/crates/bluebell-standins/src/args.rs
+++ b/crates/bluebell-standins/src/args.rs
@@ -14,9 +14,9 @@
 /// What to run.
 #[derive(Debug, Clone, Bpaf)]
 pub enum Command {
-    /// Table, object store, instance list, ratings and weights
-    #[bpaf(command("platform"))]
-    Platform(#[bpaf(external(listen))] String),
+    /// The platform's store of rows and objects
+    #[bpaf(command("store"))]
+    Store(#[bpaf(external(listen))] String),
     /// A model engine
     #[bpaf(command("engine"))]
     Engine(#[bpaf(external(engine_options))] EngineOptions),
--- a/crates/bluebell-standins/src/lib.rs
+++ b/crates/bluebell-standins/src/lib.rs
@@ -9,13 +9,13 @@
 pub mod floor;
 pub mod ledger;
 pub mod load;
-pub mod platform;
 pub mod proxy;
 pub mod site;
 mod web;
 
 use args::{Command, Options};
-use error::StandinError;
+use error::{ServeSnafu, StandinError};
+use snafu::ResultExt;
 
 /// Runs what the command line asks for.
 ///
@@ -23,10 +23,17 @@
 /// When a server can't listen, or a load run can't be made.
 pub async fn run(options: Options) -> Result<(), StandinError> {
     match options.command {
-        Command::Platform(listen) => platform::serve(&listen).await,
+        Command::Store(listen) => serve_store(&listen).await,
         Command::Engine(options) => engine::serve(options).await,
         Command::Ledger(options) => ledger::serve(options).await,
         Command::FloorEntry(options) => floor::serve(options).await,
         Command::Load(options) => load::run(options).await,
     }
 }
+
+async fn serve_store(listen: &str) -> Result<(), StandinError> {
+    let context = ServeSnafu { address: listen };
+    let address = listen.parse().map_err(std::io::Error::other).context(context)?;
+    site::serve(bluebell_wire::listen(address).context(context)?).await;
+    Ok(())
+}
--- a/crates/bluebell-standins/src/site/http1.rs
+++ b/crates/bluebell-standins/src/site/http1.rs
@@ -88,6 +88,14 @@
     Ok(Some((request, head, length)))
 }
 
+/// Writes a whole answer of JSON.
+///
+/// # Errors
+/// When the connection broke.
+pub async fn write_json(socket: &mut TcpStream, status: u16, body: &serde_json::Value) -> io::Result<()> {
+    write(socket, status, &[("content-type", "application/json")], body.to_string().as_bytes()).await
+}
+
 /// Writes a whole answer.
 ///
 /// # Errors
--- a/crates/bluebell-standins/src/site/store.rs
+++ b/crates/bluebell-standins/src/site/store.rs
@@ -1,4 +1,4 @@
-//! The store of rows. It listens at several doors, so that a test can have it turn some callers away and serve others.
+//! The store. It listens at several doors, so that a test can have it turn some callers away and serve others.
 
 use std::{
     collections::BTreeMap,
@@ -9,32 +9,57 @@
 };
 
 use base64::{Engine, engine::general_purpose::STANDARD};
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
-    time::timeout,
+    time::{sleep, timeout},
 };
 
-use super::http1::{self, Request};
+use super::{
+    control,
+    http1::{self, Request, write_json},
+};
+
+/// Most rows of one answer.
+const PAGE_ROWS: usize = 500;
+/// Table of the product's records.
+const RECORDS: &str = "bluebell-records";
 
 /// How the store treats the callers of one door.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Door {
     /// It serves them.
     #[default]
     Open,
     /// It answers that nothing was done.
     Busy,
+    /// It answers so where the product's records or objects are concerned, and serves the rest.
+    RecordsBusy,
     /// It resets their connections.
     Reset,
     /// It doesn't answer.
     Silent,
     /// It does what they ask and loses the answers to writes.
     Lossy,
+    /// Each call takes this much longer, in milliseconds.
+    Slow(u64),
 }
 
-type Key = (String, String);
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Key {
+    table: String,
+    part: String,
+    key: String,
+}
+
+impl Key {
+    fn new(table: &str, part: &str, key: &str) -> Self {
+        Self { table: table.to_owned(), part: part.to_owned(), key: key.to_owned() }
+    }
+}
 
 #[derive(Debug, Clone)]
 struct Held {
@@ -45,13 +70,27 @@
 #[derive(Debug, Default)]
 struct State {
     rows: BTreeMap<Key, Held>,
+    objects: BTreeMap<String, Vec<u8>>,
     version: u64,
     // Changes at or before this version are forgotten.
     floor: u64,
     calls: u64,
 }
 
-/// The store of rows.
+/// A row as tests see it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Scanned {
+    /// Its partition.
+    pub part: String,
+    /// Its key.
+    pub key: String,
+    /// Version of the store at which it was written.
+    pub version: u64,
+    /// Its content.
+    pub value: Value,
+}
+
+/// The store of rows and objects.
 #[derive(Clone)]
 pub struct SiteStore {
     state: Arc<Mutex<State>>,
@@ -77,20 +116,21 @@
     pub async fn open(&self, address: &str) -> io::Result<(SocketAddr, watch::Sender<Door>)> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let (door, state) = watch::channel(Door::default());
-        let store = self.clone();
-        tokio::spawn(async move {
-            while let Ok((socket, _)) = listener.accept().await {
-                let (store, state) = (store.clone(), state.clone());
-                tokio::spawn(async move {
-                    // A caller that breaks off concerns only its own test.
-                    let _ = store.serve(socket, state).await;
-                });
-            }
-        });
+        let door = watch::Sender::new(Door::default());
+        tokio::spawn(self.clone().accept(listener, door.clone()));
         Ok((address, door))
     }
 
+    pub(super) async fn accept(self, listener: TcpListener, door: watch::Sender<Door>) {
+        while let Ok((socket, _)) = listener.accept().await {
+            let (store, door) = (self.clone(), door.clone());
+            tokio::spawn(async move {
+                // A caller that breaks off concerns only its own test.
+                let _ = store.serve(socket, &door).await;
+            });
+        }
+    }
+
     /// Writes a row as the platform or an operator does; gives its version.
     pub fn put(&self, table: &str, key: &str, value: &Value) -> u64 {
         self.write(table, key, Some(STANDARD.encode(value.to_string())))
@@ -110,7 +150,7 @@
     #[must_use]
     pub fn get(&self, table: &str, key: &str) -> Option<Value> {
         let state = self.lock();
-        let held = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        let held = state.rows.get(&Key::new(table, "", key))?;
         let bytes = STANDARD.decode(held.value.as_ref()?).ok()?;
         serde_json::from_slice(&bytes).ok()
     }
@@ -119,8 +159,21 @@
     #[must_use]
     pub fn keys(&self, table: &str) -> Vec<String> {
         let state = self.lock();
-        let live = state.rows.iter().filter(|((name, _), held)| name == table && held.value.is_some());
-        live.map(|((_, key), _)| key.clone()).collect()
+        let live = state.rows.iter().filter(|(at, held)| at.table == table && held.value.is_some());
+        live.map(|(at, _)| at.key.clone()).collect()
+    }
+
+    /// Rows of a table, as far as the partition's name begins so.
+    #[must_use]
+    pub fn scan(&self, table: &str, part: &str) -> Vec<Scanned> {
+        let state = self.lock();
+        let found = state.rows.iter().filter(|(at, _)| at.table == table && at.part.starts_with(part));
+        let read = |(at, held): (&Key, &Held)| {
+            let bytes = STANDARD.decode(held.value.as_ref()?).ok()?;
+            let value = serde_json::from_slice(&bytes).ok()?;
+            Some(Scanned { part: at.part.clone(), key: at.key.clone(), version: held.version, value })
+        };
+        found.filter_map(read).collect()
     }
 
     /// Forgets what changed until now, so that feeds must begin anew.
@@ -139,20 +192,25 @@
         let mut state = self.lock();
         state.version += 1;
         let version = state.version;
-        state.rows.insert((table.to_owned(), key.to_owned()), Held { value, version });
+        state.rows.insert(Key::new(table, "", key), Held { value, version });
         drop(state);
         self.changed.send_replace(version);
         version
     }
 
-    async fn serve(&self, mut socket: TcpStream, door: watch::Receiver<Door>) -> io::Result<()> {
+    async fn serve(&self, mut socket: TcpStream, door: &watch::Sender<Door>) -> io::Result<()> {
         let mut buffer = Vec::new();
         while let Some(request) = http1::read(&mut socket, &mut buffer).await? {
+            if let Some((status, body)) = control::answer(self, door, &request) {
+                write_json(&mut socket, status, &body).await?;
+                continue;
+            }
             self.lock().calls += 1;
             let now = *door.borrow();
             match now {
                 Door::Open => {}
-                Door::Busy => {
+                Door::RecordsBusy if !concerns_records(&request) => {}
+                Door::Busy | Door::RecordsBusy => {
                     http1::write(&mut socket, 503, &[], b"").await?;
                     continue;
                 }
@@ -163,10 +221,14 @@
                     return Ok(());
                 }
                 Door::Lossy => {}
+                Door::Slow(millis) => sleep(Duration::from_millis(millis)).await,
+            }
+            if let Some((status, body)) = self.object(&request) {
+                http1::write(&mut socket, status, &[], &body).await?;
+                continue;
             }
-            let (status, body) = self.answer(&request, &door).await;
-            http1::write(&mut socket, status, &[("content-type", "application/json")], body.to_string().as_bytes())
-                .await?;
+            let (status, body) = self.answer(&request, &door.subscribe()).await;
+            write_json(&mut socket, status, &body).await?;
         }
         Ok(())
     }
@@ -180,6 +242,17 @@
         }
     }
 
+    // None where the call is not about an object.
+    fn object(&self, request: &Request) -> Option<(u16, Vec<u8>)> {
+        let path = request.path();
+        if let Some(id) = path.strip_prefix("/api/blob-put/") {
+            self.lock().objects.insert(id.to_owned(), request.body.clone());
+            return Some((200, Vec::new()));
+        }
+        let id = path.strip_prefix("/api/blob-get/")?;
+        Some(self.lock().objects.get(id).map_or((404, Vec::new()), |content| (200, content.clone())))
+    }
+
     fn clock(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
     }
@@ -189,13 +262,18 @@
     }
 
     fn snapshot(&self, request: &Request) -> Value {
-        let table = request.param("table");
-        let from = request.param("from");
+        let from = Key::new(&request.param("table"), &request.param("part"), &request.param("from"));
+        let to = request.param("to");
+        let limit = request.param("limit").parse().unwrap_or(PAGE_ROWS).min(PAGE_ROWS);
         let state = self.lock();
-        let found =
-            state.rows.iter().filter(|((name, key), held)| *name == table && *key >= from && held.value.is_some());
-        let rows = found.map(|(key, held)| row(key, held)).collect();
-        self.reply(&state, rows)
+        let inside = |at: &Key| at.table == from.table && at.part == from.part && (to.is_empty() || at.key < to);
+        let mut found = state.rows.range(from.clone()..).take_while(|(at, _)| inside(at));
+        let mut live = found.by_ref().filter(|(_, held)| held.value.is_some());
+        let rows = live.by_ref().take(limit).map(|(at, held)| row(at, held)).collect();
+        let truncated = live.next().is_some();
+        let mut reply = self.reply(&state, rows);
+        reply["truncated"] = json!(truncated);
+        reply
     }
 
     async fn feed(&self, request: &Request, mut door: watch::Receiver<Door>) -> (u16, Value) {
@@ -230,7 +308,7 @@
             return Some((410, json!({})));
         }
         let mut found: Vec<_> =
-            state.rows.iter().filter(|((name, _), held)| name == table && held.version > after).collect();
+            state.rows.iter().filter(|(at, held)| at.table == table && held.version > after).collect();
         found.sort_by_key(|(_, held)| held.version);
         let rows: Vec<Value> = found.into_iter().map(|(key, held)| row(key, held)).collect();
         (!rows.is_empty()).then(|| (200, self.reply(&state, rows)))
@@ -240,8 +318,8 @@
         let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
         let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
         let name = |entry: &Value| -> Key {
-            let text = |field: &str| entry[field].as_str().unwrap_or_default().to_owned();
-            (text("table"), text("key"))
+            let text = |field: &str| entry[field].as_str().unwrap_or_default();
+            Key::new(text("table"), text("part"), text("key"))
         };
         let mut state = self.lock();
         for entry in list("expected") {
@@ -266,8 +344,12 @@
     }
 }
 
-fn row((table, key): &Key, held: &Held) -> Value {
-    let mut row = json!({ "table": table, "part": "", "key": key, "ver": held.version });
+fn concerns_records(request: &Request) -> bool {
+    request.method != "GET" || request.path().starts_with("/api/blob") || request.param("table") == RECORDS
+}
+
+fn row(at: &Key, held: &Held) -> Value {
+    let mut row = json!({ "table": at.table, "part": at.part, "key": at.key, "ver": held.version });
     match &held.value {
         Some(value) => row["value"] = json!(value),
         None => row["deleted"] = json!(true),
--- a/crates/bluebelld/src/config/mod.rs
+++ b/crates/bluebelld/src/config/mod.rs
@@ -5,13 +5,12 @@
 mod runner;
 mod timing;
 
-use std::path::Path;
+use std::{net::SocketAddr, path::Path};
 
 use bluebell_core::{
     keys::{KeyRing, KeySettings},
     members::Role,
 };
-use bluebell_platform::Endpoint;
 use indexmap::IndexMap;
 pub use instance::Instance;
 pub use network::{Listen, Threads};
@@ -53,8 +52,8 @@
     pub instance: Instance,
     /// Where it listens.
     pub listen: Listen,
-    /// Where the platform's services are.
-    pub platform: Endpoint,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
     /// Keys between processes.
     pub keys: KeySettings,
     /// SHA-256 of each operator's key, in hexadecimal, by the operator's name.
--- a/crates/bluebelld/src/control/effects.rs
+++ b/crates/bluebelld/src/control/effects.rs
@@ -82,10 +82,10 @@
 async fn fetch_table(shared: &Shared, control: &ControlHandle) -> Option<Snapshot> {
     let known = control.query(|kernel| kernel.settings().map(|follower| Arc::clone(follower.state()))).await??;
     if known.revision > Revision::default() {
-        let records = shared.platform.records(known.revision).await;
+        let records = shared.records.records(known.revision).await;
         return records.map_err(|error| log::warn!("settings can't be fetched: {error}")).ok().map(Snapshot::Records);
     }
-    let state = shared.platform.latest_state(&known).await;
+    let state = shared.records.latest_state(&known).await;
     let state = state.map_err(|error| log::warn!("settings can't be fetched: {error}")).ok()?;
     Some(Snapshot::Whole(Arc::new(state)))
 }
@@ -97,7 +97,7 @@
 }
 
 async fn insert(shared: Arc<Shared>, control: ControlHandle, rows: Vec<BillRow>) {
-    match shared.platform.insert_bills(&rows).await {
+    match shared.records.insert_bills(&rows).await {
         Ok(()) => {
             control.input(Input::Billing(BillingEvent::Stored));
             settle(&shared, &rows).await;
--- a/crates/bluebelld/src/control/timers.rs
+++ b/crates/bluebelld/src/control/timers.rs
@@ -1,4 +1,4 @@
-//! What the control thread does again and again: look at the table and the list of instances, and let time pass.
+//! What the control thread does again and again: look at the settings and the list of instances, and let time pass.
 
 use std::{sync::Arc, time::Duration};
 
@@ -40,16 +40,16 @@
         Role::Entry => shared.config.timing.list,
         Role::Sidecar => shared.config.timing.list * SIDECAR_LIST_PERIODS,
     };
-    let mut version = 0;
+    let mut version = None;
     loop {
-        match shared.platform.instances(version).await {
-            Ok(changes) => {
-                version = changes.version;
-                control.input(Input::Members(changes.into_event()));
+        match shared.records.instances(version).await {
+            Ok(listing) => {
+                version = Some(listing.version);
+                control.input(Input::Members(listing.event));
             }
             Err(error) => log::warn!("instances can't be listed: {error}"),
         }
-        let known = version > 0;
+        let known = version.is_some();
         tokio::time::sleep(if known { period } else { shared.config.timing.poll }).await;
     }
 }
@@ -57,12 +57,12 @@
 async fn poll_head(shared: Arc<Shared>, control: ControlHandle) {
     loop {
         if polls(&shared) {
-            match shared.platform.head().await {
+            match shared.records.head().await {
                 Ok(revision) => {
                     control.input(Input::Settings(FollowerEvent::Seen { origin: Origin::Table, revision }));
                 }
                 Err(error) => {
-                    log::debug!("the table can't be read: {error}");
+                    log::debug!("the store can't be read: {error}");
                     control.input(Input::Settings(FollowerEvent::TableDown));
                 }
             }
--- a/crates/bluebelld/src/entry/admin.rs
+++ b/crates/bluebelld/src/entry/admin.rs
@@ -7,7 +7,6 @@
     members::Listed,
     settings::{Action, SettingsError, tree},
 };
-use bluebell_platform::settings::{CommitError, Proposal};
 use poem::{
     Request, Response, handler,
     http::StatusCode,
@@ -16,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Entry, auth, fault::Fault};
+use crate::records::{CommitError, Proposal};
 
 /// An answer to an operator that is not what was asked for.
 #[derive(Debug, Serialize)]
@@ -78,7 +78,7 @@
     if let Err(fault) = auth::operator(&entry, request) {
         return fault.response();
     }
-    match entry.shared.platform.records(Revision(query.after)).await {
+    match entry.shared.records.records(Revision(query.after)).await {
         Ok(records) => json(StatusCode::OK, &records),
         Err(error) => problem(StatusCode::SERVICE_UNAVAILABLE, "platform_down", error.to_string()),
     }
@@ -106,7 +106,7 @@
     };
     let proposal = Proposal { change: change.change, author, action: change.action };
     let known = Arc::clone(&entry.shared.published.load().state);
-    match entry.shared.platform.commit(&known, &proposal, None).await {
+    match entry.shared.records.commit(&known, &proposal, None).await {
         Ok(revision) => {
             log::info!(revision = revision.0, change = proposal.change.as_str(); "change committed");
             json(StatusCode::OK, &Committed { revision })
@@ -122,7 +122,7 @@
             problem(StatusCode::CONFLICT, "conflict", message)
         }
         CommitError::Settings { .. } => problem(StatusCode::UNPROCESSABLE_ENTITY, "invalid", message),
-        CommitError::Platform { source } if source.is_unknown() => {
+        CommitError::Record { source } if source.is_unknown() => {
             problem(StatusCode::SERVICE_UNAVAILABLE, "outcome_unknown", message)
         }
         _ => problem(StatusCode::SERVICE_UNAVAILABLE, "platform_down", message),
--- a/crates/bluebelld/src/entry/judge.rs
+++ b/crates/bluebelld/src/entry/judge.rs
@@ -9,14 +9,11 @@
     settings::{Action, State, state::Standing},
     units::Percent,
 };
-use bluebell_platform::{
-    ratings::Rating,
-    settings::{HeldLease, Proposal},
-};
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use super::Entry;
+use crate::records::{HeldLease, Proposal, Rating};
 
 /// Key of the estimates in the object store.
 const ESTIMATES_KEY: &str = "quality-latest";
@@ -56,20 +53,21 @@
 
     /// Reads new ratings and stops what has turned bad.
     pub async fn work(&mut self, entry: &Entry, state: &State, lease: &HeldLease) {
-        let platform = &entry.shared.platform;
+        let records = &entry.shared.records;
         if self.estimates.is_none() {
-            let Ok(saved) = platform.object(ESTIMATES_KEY).await else { return };
+            let Ok(saved) = records.object(ESTIMATES_KEY).await else { return };
             self.estimates = Some(saved.unwrap_or_default());
         }
         let Some(estimates) = self.estimates.as_mut() else { return };
         forget_restored(estimates, &mut self.withdrawn, state);
-        let Ok(ratings) = platform.ratings(estimates.position).await else { return };
-        for version in take(estimates, entry, &ratings) {
+        let Ok(new) = records.ratings(estimates.position).await else { return };
+        estimates.position = new.position;
+        for version in take(estimates, entry, &new.ratings) {
             stop(entry, state, lease, &version).await;
         }
         if self.saved.is_none_or(|saved| saved.elapsed() >= SAVE_PERIOD) {
             self.saved = Some(Instant::now());
-            if let Err(error) = platform.put_object(ESTIMATES_KEY, estimates).await {
+            if let Err(error) = records.put_object(ESTIMATES_KEY, estimates).await {
                 log::debug!("estimates are not saved: {error}");
             }
         }
@@ -90,7 +88,6 @@
     let plan = Arc::clone(&entry.shared.published.load().plan);
     let mut bad = Vec::new();
     for rating in ratings {
-        estimates.position = estimates.position.max(rating.number);
         let Some(declared) = plan.declared_quality(&rating.version) else { continue };
         if estimates.quality.rate(&rating.version, declared, rating.good) {
             bad.push(rating.version.clone());
@@ -113,7 +110,7 @@
 async fn commit(entry: &Entry, state: &State, lease: &HeldLease, what: &str, version: &VersionId, action: Action) {
     let Ok(change) = format!("judge-{what}-{version}-{}", state.revision).parse::<ChangeId>() else { return };
     let proposal = Proposal { change, author: AUTHOR.to_owned(), action };
-    match entry.shared.platform.commit(state, &proposal, Some(lease)).await {
+    match entry.shared.records.commit(state, &proposal, Some(lease)).await {
         Ok(revision) => log::warn!(revision = revision.0, version = version.as_str(); "a bad version was stopped"),
         Err(error) => log::error!(version = version.as_str(); "a bad version could not be stopped: {error}"),
     }
@@ -122,7 +119,7 @@
 /// Reads the estimates again and again, for the routing of this entry.
 pub async fn follow(entry: Arc<Entry>) {
     loop {
-        match entry.shared.platform.object::<Estimates>(ESTIMATES_KEY).await {
+        match entry.shared.records.object::<Estimates>(ESTIMATES_KEY).await {
             Ok(Some(estimates)) => entry.shared.quality.store(Arc::new(estimates.quality)),
             Ok(None) => {}
             Err(error) => log::debug!("estimates can't be read: {error}"),
--- a/crates/bluebelld/src/entry/rollouts.rs
+++ b/crates/bluebelld/src/entry/rollouts.rs
@@ -9,9 +9,9 @@
     settings::Action,
     units::Percent,
 };
-use bluebell_platform::settings::{HeldLease, Proposal};
 
 use super::{Entry, judge::Judge};
+use crate::records::{HeldLease, Proposal};
 
 /// Time between two looks at the roll-outs.
 const PERIOD: Duration = Duration::from_millis(1000);
@@ -43,19 +43,19 @@
 }
 
 async fn hold(entry: &Entry) -> Option<HeldLease> {
-    let platform = &entry.shared.platform;
-    let found = platform.rollout_lease().await.ok()?;
+    let records = &entry.shared.records;
+    let found = records.rollout_lease().await.ok()?;
     let own = &entry.shared.config.instance.id;
     let wall = entry.shared.clock.wall();
     let LeaseStep::Write(row) = lease::next_step(found.as_ref().map(|held| &held.row), own, wall) else {
         return None;
     };
-    let written = platform.write_lease(&row, found.map(|held| held.version)).await;
+    let written = records.write_lease(&row, found.map(|held| held.version)).await;
     if let Err(error) = &written {
         log::debug!("the lease on roll-outs can't be written: {error}");
     }
     // Reading back gives the row's version, and tells whose it is when the answer to the write was lost.
-    platform.rollout_lease().await.ok()?.filter(|held| held.row.holder == *own)
+    records.rollout_lease().await.ok()?.filter(|held| held.row.holder == *own)
 }
 
 async fn step(entry: &Entry, driver: &mut Driver, judge: &Judge, lease: &HeldLease) {
@@ -72,7 +72,7 @@
     // The id makes a step that was committed, but whose answer was lost, apply once.
     let Ok(change) = format!("step-{model}-{step}-{}", state.revision).parse::<ChangeId>() else { return };
     let proposal = Proposal { change, author: AUTHOR.to_owned(), action };
-    match entry.shared.platform.commit(&state, &proposal, Some(lease)).await {
+    match entry.shared.records.commit(&state, &proposal, Some(lease)).await {
         Ok(revision) => log::info!(revision = revision.0, fence = lease.row.fence.0; "roll-out moved on"),
         Err(error) => log::warn!("a roll-out did not move on: {error}"),
     }
--- a/crates/bluebelld/src/entry/service.rs
+++ b/crates/bluebelld/src/entry/service.rs
@@ -30,7 +30,7 @@
     lock,
     stages::{CallKey, Ended, Reserved, Stored},
 };
-use crate::{links, metrics::Outcome};
+use crate::{links, metrics::Outcome, records::RecordError};
 
 /// Work that a call is taken for, in tokens.
 const CALL_COST: u64 = 50;
@@ -171,14 +171,14 @@
     Err(Fault::RunnerFailed { ran: Ran::Unknown })
 }
 
-fn platform_down(error: &bluebell_platform::PlatformError) -> Fault {
+fn platform_down(error: &RecordError) -> Fault {
     PlatformSnafu { reason: error.to_string() }.build()
 }
 
 async fn once(entry: &Arc<Entry>, served: &Served, key: CallKey) -> Result<StoredReply, Fault> {
-    let platform = &entry.shared.platform;
+    let records = &entry.shared.records;
     let mut before = None;
-    if let Some(found) = platform.intent(&key.org, &key.key).await.map_err(|error| platform_down(&error))? {
+    if let Some(found) = records.intent(&key.org, &key.key).await.map_err(|error| platform_down(&error))? {
         // No attempt of this send is there yet, so the row can't be its own.
         let step = step_without_own(&found.row, &key.digest);
         if let Some(reply) = settle_step(entry, &key, step, &found.row).await? {
@@ -192,7 +192,7 @@
             return Err(Fault::NoRunner { work: served.work.name().to_owned() });
         };
         let reserved = Reserved::new(talk, reservation);
-        let stored = reserved.store(platform, &key, before).await.map_err(|error| platform_down(&error))?;
+        let stored = reserved.store(records, &key, before).await.map_err(|error| platform_down(&error))?;
         let (step, version) = match stored {
             Stored::Own(intended) => return run(entry, served, key, intended).await,
             Stored::Other { step, version, reserved } => {
@@ -200,7 +200,7 @@
                 (step, version)
             }
         };
-        let found = platform.intent(&key.org, &key.key).await.map_err(|error| platform_down(&error))?;
+        let found = records.intent(&key.org, &key.key).await.map_err(|error| platform_down(&error))?;
         let Some(found) = found.filter(|found| found.version == version) else { continue };
         if let Some(reply) = settle_step(entry, &key, step, &found.row).await? {
             return Ok(reply);
@@ -283,7 +283,7 @@
     entry.working.send_modify(|count| *count += 1);
     tokio::spawn(async move {
         for _ in 0..REPLY_TRIES {
-            let stored = entry.shared.platform.complete_intent(&key.org, &key.key, &attempt, &reply).await;
+            let stored = entry.shared.records.complete_intent(&key.org, &key.key, &attempt, &reply).await;
             let Err(error) = stored else { break };
             log::debug!("a reply is not stored yet: {error}");
             tokio::time::sleep(REPLY_PAUSE).await;
--- a/crates/bluebelld/src/entry/session.rs
+++ b/crates/bluebelld/src/entry/session.rs
@@ -14,6 +14,7 @@
     auth::Caller,
     fault::{Fault, MalformedSnafu, PlanSnafu, PlatformSnafu, SessionEndedSnafu, SessionSnafu},
 };
+use crate::records::RecordError;
 
 /// Header with the session, in requests and answers.
 pub const SESSION_HEADER: &str = "x-session-id";
@@ -55,13 +56,13 @@
 // The caller's own id is pinned in the table: only there do all entries agree, so without it the request is refused.
 async fn pinned(entry: &Entry, caller: &Caller, text: &str, wanted: &Wanted) -> Result<VersionId, Fault> {
     let session: SessionId = text.parse().ok().context(MalformedSnafu { reason: "x-session-id is not an id" })?;
-    let down = |error: bluebell_platform::PlatformError| PlatformSnafu { reason: error.to_string() }.build();
-    if let Some(version) = entry.shared.platform.session(&caller.org, session.as_str()).await.map_err(down)? {
+    let down = |error: RecordError| PlatformSnafu { reason: error.to_string() }.build();
+    if let Some(version) = entry.shared.records.session(&caller.org, session.as_str()).await.map_err(down)? {
         return Ok(version);
     }
     let quality = entry.shared.quality.load_full();
     let versions = caller.plan.candidates(&caller.policy, wanted, &quality, session.as_str()).context(PlanSnafu)?;
-    let pinned = entry.shared.platform.pin_session(&caller.org, session.as_str(), &versions[0]).await;
+    let pinned = entry.shared.records.pin_session(&caller.org, session.as_str(), &versions[0]).await;
     pinned.map_err(down)
 }
 
--- a/crates/bluebelld/src/entry/stages.rs
+++ b/crates/bluebelld/src/entry/stages.rs
@@ -5,13 +5,13 @@
     ids::{AttemptId, OrgId},
     intent::{self, IntentRow, IntentStep, Reservation, StoredReply},
 };
-use bluebell_platform::{Platform, PlatformError};
 use bluebell_wire::{
     WireError,
     messages::{FromSidecar, ToSidecar},
 };
 
 use super::attempt::Conversation;
+use crate::records::{RecordError, Records};
 
 /// Key and digest of a call.
 #[derive(Debug, Clone)]
@@ -66,18 +66,18 @@
     /// Stores the intent, if the key has no row, or in place of a row of this version.
     ///
     /// # Errors
-    /// When the table can't say whose the row is.
-    pub async fn store(self, platform: &Platform, key: &CallKey, before: Option<u64>) -> Result<Stored, PlatformError> {
+    /// When the store can't say whose the row is.
+    pub async fn store(self, records: &Records, key: &CallKey, before: Option<u64>) -> Result<Stored, RecordError> {
         let row = IntentRow { digest: key.digest.clone(), reservation: self.reservation.clone(), reply: None };
-        let written = platform.write_intent(&key.org, &key.key, &row, before).await;
+        let written = records.write_intent(&key.org, &key.key, &row, before).await;
         if let Err(error) = written
             && !error.is_unknown()
         {
             return Err(error);
         }
         // Reading back tells whose row it is, also when the answer to the write was lost.
-        let Some(found) = platform.intent(&key.org, &key.key).await? else {
-            return Err(PlatformError::NotDone { service: "table", reason: "the intent is not there".to_owned() });
+        let Some(found) = records.intent(&key.org, &key.key).await? else {
+            return Err(RecordError::Missing { key: key.key.clone() });
         };
         let version = found.version;
         match intent::next_step(&found.row, &key.digest, &self.reservation.attempt) {
--- a/crates/bluebelld/src/gateway/control/members.rs
+++ b/crates/bluebelld/src/gateway/control/members.rs
@@ -7,7 +7,7 @@
     ids::InstanceId,
     replica::{Origin, Row},
 };
-use bluebell_platform::store::{Committed, Put, Transaction};
+use bluebell_platform::store::{Committed, Put, RowKey, Transaction};
 use bluebell_wire::messages::{EntryAddress, News};
 use indexmap::IndexMap;
 use tokio::{sync::mpsc, task::spawn_local};
@@ -159,17 +159,17 @@
     std::str::from_utf8(content).ok()?.parse().ok()
 }
 
-fn key(id: &InstanceId) -> String {
-    format!("{PREFIX}{id}")
+fn row_key(id: &InstanceId) -> RowKey {
+    RowKey::unparted(Origin::Fleet, format!("{PREFIX}{id}"))
 }
 
 async fn write_own(gateway: Arc<Gateway>, joins: bool) {
-    let key = key(&gateway.settings.instance.id);
+    let at = row_key(&gateway.settings.instance.id);
     let value = gateway.settings.listen.peers.to_string().into_bytes();
     let transaction = if joins {
-        Transaction { puts: vec![Put { origin: Origin::Fleet, key, value }], ..Transaction::default() }
+        Transaction { puts: vec![Put { at, value }], ..Transaction::default() }
     } else {
-        Transaction { deletes: vec![(Origin::Fleet, key)], ..Transaction::default() }
+        Transaction { deletes: vec![at], ..Transaction::default() }
     };
     while joins != gateway.is_leaving() {
         match gateway.store.transact(&transaction).await {
@@ -181,9 +181,9 @@
 }
 
 async fn delete(gateway: Arc<Gateway>, id: InstanceId, version: u64) {
-    let row = (Origin::Fleet, key(&id));
+    let at = row_key(&id);
     let transaction =
-        Transaction { expected: vec![(row.0, row.1.clone(), version)], deletes: vec![row], ..Transaction::default() };
+        Transaction { expected: vec![(at.clone(), version)], deletes: vec![at], ..Transaction::default() };
     match gateway.store.transact(&transaction).await {
         Ok(Committed::Done { .. } | Committed::Conflict) => {}
         Err(error) => log::warn!(peer = id.as_str(); "member row is not deleted: {error}"),
--- a/crates/bluebelld/src/gateway/control/rollouts.rs
+++ b/crates/bluebelld/src/gateway/control/rollouts.rs
@@ -9,7 +9,7 @@
 };
 use bluebell_platform::{
     operator,
-    store::{Committed, Put, Transaction},
+    store::{Committed, Put, RowKey, Transaction},
 };
 use bluebell_wire::messages::ReleaseTally;
 use indexmap::IndexMap;
@@ -217,12 +217,11 @@
         return;
     };
     let key = stage_key(&service);
+    let at = RowKey::unparted(Origin::Fleet, key.as_str());
+    let report_at = RowKey::unparted(Origin::Reports, operator::report_key(&service));
     let transaction = Transaction {
-        expected: vec![(Origin::Fleet, key.clone(), version)],
-        puts: vec![
-            Put { origin: Origin::Fleet, key: key.clone(), value: content.clone() },
-            Put { origin: Origin::Reports, key: operator::report_key(&service), value: report },
-        ],
+        expected: vec![(at.clone(), version)],
+        puts: vec![Put { at, value: content.clone() }, Put { at: report_at, value: report }],
         ..Transaction::default()
     };
     match gateway.store.transact(&transaction).await {
--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -24,7 +24,8 @@
                 Origin::Operator => self.learn_operator(row, &source),
                 Origin::Upstreams => self.learn_upstream(row, &source),
                 Origin::Fleet => self.learn_fleet(row, &source),
-                Origin::Reports => {}
+                // Gateways read none of these.
+                Origin::Reports | Origin::Records | Origin::Instances | Origin::Ratings => {}
             }
         }
         self.publish();
--- a/crates/bluebelld/src/lib.rs
+++ b/crates/bluebelld/src/lib.rs
@@ -16,6 +16,7 @@
 mod metrics;
 mod peers;
 mod probe;
+mod records;
 mod shared;
 mod shutdown;
 mod sidecar;
--- /dev/null
+++ b/crates/bluebelld/src/records/instances.rs
@@ -0,0 +1,46 @@
+//! The list of instances, which the deployment keeps and which lags behind reality. Only what changed since the last
+//! look is read.
+
+use bluebell_core::{
+    ids::InstanceId,
+    members::{Listed, MembersEvent},
+    replica::{Origin, Row},
+};
+use bluebell_platform::store::Changes;
+
+use super::{NO_WAIT, RecordError, Records, parse};
+
+/// The list, or what changed in it, as of a version.
+#[derive(Debug, Clone)]
+pub struct Listing {
+    /// Version of the store.
+    pub version: u64,
+    /// What the member table is to take.
+    pub event: MembersEvent,
+}
+
+impl Records {
+    /// What changed in the list after a version; the whole list without one, or when the store has forgotten what
+    /// lies between.
+    ///
+    /// # Errors
+    /// When the list can't be read.
+    pub async fn instances(&self, after: Option<u64>) -> Result<Listing, RecordError> {
+        if let Some(after) = after
+            && let Changes::Rows(found) = self.store.changes(Origin::Instances, after, NO_WAIT).await?
+        {
+            let gone = found.rows.iter().filter(|row| row.value.is_none()).filter_map(|row| row.key.parse().ok());
+            let gone: Vec<InstanceId> = gone.collect();
+            let event = MembersEvent::Changes { set: listed(&found.rows), gone };
+            return Ok(Listing { version: found.version.max(after), event });
+        }
+        let found = self.store.snapshot(Origin::Instances).await?;
+        Ok(Listing { version: found.version, event: MembersEvent::List(listed(&found.rows)) })
+    }
+}
+
+fn listed(rows: &[Row]) -> Vec<Listed> {
+    let live = rows.iter().filter(|row| row.value.is_some());
+    let read = live.map(|row| parse(row).map_err(|error| log::warn!("instance is left out: {error}")));
+    read.filter_map(Result::ok).collect()
+}
--- /dev/null
+++ b/crates/bluebelld/src/records/ratings.rs
@@ -0,0 +1,51 @@
+//! Ratings of answers, which come late and not for all of them.
+
+use bluebell_core::{
+    ids::{RequestId, VersionId},
+    replica::Origin,
+};
+use bluebell_platform::store::Changes;
+use serde::{Deserialize, Serialize};
+
+use super::{NO_WAIT, RecordError, Records, parse};
+
+/// Rating of one answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Rating {
+    /// The request answered.
+    pub request: RequestId,
+    /// Version that answered.
+    pub version: VersionId,
+    /// Whether the answer was good.
+    pub good: bool,
+}
+
+/// Ratings up to a position.
+#[derive(Debug, Clone, Default)]
+pub struct Ratings {
+    /// Position that they reach.
+    pub position: u64,
+    /// The ratings.
+    pub ratings: Vec<Rating>,
+}
+
+impl Records {
+    /// Ratings after a position. Those that the store has forgotten by now are not counted.
+    ///
+    /// # Errors
+    /// When the store can't be read.
+    pub async fn ratings(&self, after: u64) -> Result<Ratings, RecordError> {
+        let found = match self.store.changes(Origin::Ratings, after, NO_WAIT).await? {
+            Changes::Rows(found) => found,
+            Changes::Forgotten => {
+                let all = self.store.snapshot(Origin::Ratings).await?;
+                log::warn!(after, reached = all.version; "ratings were forgotten before they were read");
+                all
+            }
+        };
+        let new = found.rows.iter().filter(|row| row.version > after && row.value.is_some());
+        let read = new.map(|row| parse(row).map_err(|error| log::warn!("rating is left out: {error}")));
+        let ratings = read.filter_map(Result::ok).collect();
+        Ok(Ratings { position: found.version.max(after), ratings })
+    }
+}
--- a/platform/src/settings.rs
+++ b/crates/bluebelld/src/records/settings.rs
@@ -1,4 +1,4 @@
-//! The sequence of configuration changes as rows of the table, with snapshots in the object store.
+//! The sequence of configuration changes as rows of one partition, with snapshots as an object.
 //!
 //! One row holds the head revision, one row stands for each record, one for each change id. All three are written in
 //! one transaction, so a change is there whole or not at all, and a change sent again finds its own id.
@@ -8,19 +8,22 @@
     lease::LeaseRow,
     settings::{Action, Record, SettingsError, State},
 };
+use bluebell_platform::store::{RowKey, Transaction};
 use serde::{Deserialize, Serialize};
-use snafu::Snafu;
+use snafu::{Snafu, ensure};
 
-use crate::{
-    Platform, PlatformError,
-    table::{Expect, Row, Write, WriteCall},
-};
+use super::{Expect, RecordError, Records, parse, put, record};
 
-const HEAD_KEY: &str = "settings/head";
-const LEASE_KEY: &str = "lease/rollouts";
+/// Partition of the settings. The lease on roll-outs lies there too, as changes under it are written on condition that
+/// it has not moved.
+const PART: &str = "settings";
+const HEAD_KEY: &str = "head";
+const LEASE_KEY: &str = "lease";
+/// First and last key that a record can have.
+const RECORD_KEYS: (&str, &str) = ("record/", "record/~");
 const SNAPSHOT_KEY: &str = "settings-latest";
 /// Records read in one call.
-const READ_ROWS: u64 = 200;
+const READ_ROWS: usize = 200;
 /// Records between two snapshots.
 const SNAPSHOT_PERIOD: u64 = 64;
 /// Times that a commit begins anew because another one came first.
@@ -35,11 +38,11 @@
         /// Why.
         source: SettingsError,
     },
-    /// The platform failed.
+    /// The records can't be read or written.
     #[snafu(display("{source}"), context(false))]
-    Platform {
+    Record {
         /// How.
-        source: PlatformError,
+        source: RecordError,
     },
     /// Other changes kept coming first.
     #[snafu(display("other changes came first {tries} times; send the change again"))]
@@ -72,38 +75,42 @@
     pub version: u64,
 }
 
-fn record_key(revision: u64) -> String {
-    format!("settings/record/{revision}")
+fn at(key: impl Into<String>) -> RowKey {
+    record(PART, key)
+}
+
+// Padded, so that keys stand in the order of their revisions.
+fn record_at(revision: Revision) -> RowKey {
+    at(format!("{}{:020}", RECORD_KEYS.0, revision.0))
 }
 
-fn change_key(change: &ChangeId) -> String {
-    format!("settings/change/{change}")
+fn change_at(change: &ChangeId) -> RowKey {
+    at(format!("change/{change}"))
 }
 
-impl Platform {
+impl Records {
     /// Revision of the latest accepted change.
     ///
     /// # Errors
-    /// When the table can't be read.
-    pub async fn head(&self) -> Result<Revision, PlatformError> {
-        let row = self.row(HEAD_KEY).await?;
-        row.map_or(Ok(Revision::default()), |row| row.parse())
+    /// When the store can't be read.
+    pub async fn head(&self) -> Result<Revision, RecordError> {
+        let row = self.store.row(&at(HEAD_KEY)).await?;
+        row.map_or(Ok(Revision::default()), |row| parse(&row))
     }
 
     /// Records after a revision, oldest first; at most a few hundred.
     ///
     /// # Errors
-    /// When the table can't be read.
-    pub async fn records(&self, after: Revision) -> Result<Vec<Record>, PlatformError> {
-        let keys = (after.0 + 1..=after.0 + READ_ROWS).map(record_key).collect();
-        let rows = self.rows(keys).await?;
-        rows.iter().map_while(Option::as_ref).map(Row::parse).collect()
+    /// When the store can't be read.
+    pub async fn records(&self, after: Revision) -> Result<Vec<Record>, RecordError> {
+        let rows = self.store.range(&record_at(after.next()), RECORD_KEYS.1, READ_ROWS).await?;
+        rows.iter().map(parse).collect()
     }
 
     /// The state at the head, starting from one that is known.
     ///
     /// # Errors
-    /// When the table can't be read or a record can't be applied.
+    /// When the store can't be read or a record can't be applied.
     pub async fn latest_state(&self, known: &State) -> Result<State, CommitError> {
         let mut state = known.clone();
         if state.revision == Revision::default() {
@@ -124,7 +131,7 @@
     /// Commits a change: durable, and never to be reverted.
     ///
     /// # Errors
-    /// When the change is not acceptable, conflicts, or the table can't say what became of it.
+    /// When the change is not acceptable, conflicts, or the store can't say what became of it.
     pub async fn commit(
         &self,
         known: &State,
@@ -133,12 +140,11 @@
     ) -> Result<Revision, CommitError> {
         let mut known = known.clone();
         for _ in 0..COMMIT_TRIES {
-            let rows = self.rows(vec![HEAD_KEY.to_owned(), change_key(&proposal.change)]).await?;
-            if let Some(done) = rows.get(1).and_then(Option::as_ref) {
-                return Ok(done.parse()?);
+            if let Some(done) = self.store.row(&change_at(&proposal.change)).await.map_err(RecordError::from)? {
+                return Ok(parse(&done)?);
             }
-            let head = rows.first().and_then(Option::as_ref);
-            let revision: Revision = head.map_or(Ok(Revision::default()), Row::parse)?;
+            let head = self.store.row(&at(HEAD_KEY)).await.map_err(RecordError::from)?;
+            let revision: Revision = head.as_ref().map_or(Ok(Revision::default()), parse)?;
             if revision > known.revision {
                 known = self.latest_state(&known).await?;
             }
@@ -153,17 +159,14 @@
             };
             let mut next = known.clone();
             next.apply(&record)?;
-            let call = commit_call(head.map(|row| row.version), &record, lease)?;
-            match self.write(&call).await {
-                Ok(reply) if reply.all() => {
+            let transaction = commit_transaction(head.map(|row| row.version), &record, lease)?;
+            match self.commits(&transaction).await {
+                Ok(true) => {
                     self.keep_snapshot(&next).await;
                     return Ok(record.revision);
                 }
-                // Another change came first, or the answer was lost: the change's own row tells which.
-                Ok(reply) if lease.is_some() && reply.applied.last() == Some(&false) => {
-                    return LeaseLostSnafu.fail();
-                }
-                Ok(_) => {}
+                Ok(false) => self.ensure_held(lease).await?,
+                // The answer was lost: the change's own row tells what became of it.
                 Err(error) if error.is_unknown() => {}
                 Err(error) => return Err(error.into()),
             }
@@ -173,7 +176,7 @@
 
     async fn keep_snapshot(&self, state: &State) {
         if state.revision.0.is_multiple_of(SNAPSHOT_PERIOD) {
-            // The records stand in the table; without this snapshot a new instance only reads more of them.
+            // The records stand in the store; without this snapshot a new instance only reads more of them.
             let _ = self.put_object(SNAPSHOT_KEY, state).await;
         }
     }
@@ -181,34 +184,43 @@
     /// The lease on roll-outs as it stands.
     ///
     /// # Errors
-    /// When the table can't be read.
-    pub async fn rollout_lease(&self) -> Result<Option<HeldLease>, PlatformError> {
-        let Some(row) = self.row(LEASE_KEY).await? else {
+    /// When the store can't be read.
+    pub async fn rollout_lease(&self) -> Result<Option<HeldLease>, RecordError> {
+        let Some(row) = self.store.row(&at(LEASE_KEY)).await? else {
             return Ok(None);
         };
-        Ok(Some(HeldLease { row: row.parse()?, version: row.version }))
+        Ok(Some(HeldLease { row: parse(&row)?, version: row.version }))
     }
 
     /// Writes the lease on roll-outs on condition that it has not moved.
     ///
     /// # Errors
-    /// When the table can't be written or gave no answer.
-    pub async fn write_lease(&self, next: &LeaseRow, before: Option<u64>) -> Result<bool, PlatformError> {
-        let expect = before.map_or(Expect::Absent, Expect::Version);
-        let call = WriteCall { atomic: true, writes: vec![Write::put(LEASE_KEY, expect, next)?] };
-        Ok(self.write(&call).await?.all())
+    /// When the store can't be written or gave no answer.
+    pub async fn write_lease(&self, next: &LeaseRow, before: Option<u64>) -> Result<bool, RecordError> {
+        self.write(at(LEASE_KEY), Expect::from_seen(before), next).await
+    }
+
+    // A transaction that conflicts was behind another change, or under a lease that has moved.
+    async fn ensure_held(&self, lease: Option<&HeldLease>) -> Result<(), CommitError> {
+        let Some(lease) = lease else { return Ok(()) };
+        let found = self.rollout_lease().await?;
+        ensure!(found.is_some_and(|found| found.version == lease.version), LeaseLostSnafu);
+        Ok(())
     }
 }
 
-fn commit_call(head: Option<u64>, record: &Record, lease: Option<&HeldLease>) -> Result<WriteCall, PlatformError> {
-    let at_head = head.map_or(Expect::Absent, Expect::Version);
-    let mut writes = vec![
-        Write::put(HEAD_KEY, at_head, &record.revision)?,
-        Write::put(record_key(record.revision.0), Expect::Absent, record)?,
-        Write::put(change_key(&record.change), Expect::Absent, &record.revision)?,
+fn commit_transaction(
+    head: Option<u64>,
+    record: &Record,
+    lease: Option<&HeldLease>,
+) -> Result<Transaction, RecordError> {
+    let (record_at, change_at) = (record_at(record.revision), change_at(&record.change));
+    let mut expected = vec![
+        (at(HEAD_KEY), Expect::from_seen(head).version()),
+        (record_at.clone(), Expect::Absent.version()),
+        (change_at.clone(), Expect::Absent.version()),
     ];
-    if let Some(lease) = lease {
-        writes.push(Write::check(LEASE_KEY, Expect::Version(lease.version)));
-    }
-    Ok(WriteCall { atomic: true, writes })
+    expected.extend(lease.map(|lease| (at(LEASE_KEY), lease.version)));
+    let puts = vec![put(at(HEAD_KEY), &record.revision)?, put(record_at, record)?, put(change_at, &record.revision)?];
+    Ok(Transaction { expected, puts, ..Transaction::default() })
 }
--- a/crates/bluebelld/src/shared.rs
+++ b/crates/bluebelld/src/shared.rs
@@ -19,11 +19,14 @@
     routing::{Plan, Subset},
     settings::State,
 };
-use bluebell_platform::Platform;
+use bluebell_platform::store::Store;
 use bluebell_wire::Identity;
 use tokio::sync::watch;
 
-use crate::{config::Config, error::DaemonError, links::Links, metrics::Metrics, peers::Followers, sidecar::Admission};
+use crate::{
+    config::Config, error::DaemonError, links::Links, metrics::Metrics, peers::Followers, records::Records,
+    sidecar::Admission,
+};
 
 /// Time after its start for which an entry waits for connections before it is ready.
 const LINK_TIME: Duration = Duration::from_secs(5);
@@ -47,8 +50,8 @@
     pub identity: Arc<Identity>,
     /// Start of this process.
     pub incarnation: Incarnation,
-    /// Client of the platform.
-    pub platform: Platform,
+    /// What is kept in the platform's store.
+    pub records: Records,
     /// Metrics.
     pub metrics: Metrics,
     /// Settings in force.
@@ -91,7 +94,7 @@
         let identity = Arc::new(Identity::new(config.instance.id.clone(), keys, Arc::clone(&clock)));
         let started = clock.wall().duration_since(UNIX_EPOCH).unwrap_or_default();
         Ok(Arc::new(Self {
-            platform: Platform::new(config.platform.clone())?,
+            records: Records::new(Store::new(&config.store.to_string())?),
             metrics: Metrics::new()?,
             admission: gate.map(|gate| Admission::new(Arc::clone(&clock), gate)),
             incarnation: Incarnation(started.as_millis() as u64),
--- a/crates/bluebelld/src/sidecar/service.rs
+++ b/crates/bluebelld/src/sidecar/service.rs
@@ -87,8 +87,8 @@
 async fn store(attempt: &Attempt, call: &Call, reply: &StoredReply) {
     let Some(key) = &call.key else { return };
     for _ in 0..STORE_TRIES {
-        let platform = &attempt.sidecar.shared.platform;
-        let stored = platform.complete_intent(&attempt.ask.org, key, attempt.id(), reply).await;
+        let records = &attempt.sidecar.shared.records;
+        let stored = records.complete_intent(&attempt.ask.org, key, attempt.id(), reply).await;
         let Err(error) = stored else { return };
         log::debug!("a reply is not stored yet: {error}");
         tokio::time::sleep(STORE_PAUSE).await;
--- a/crates/bluebelld/tests/integration/once.rs
+++ b/crates/bluebelld/tests/integration/once.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use serde_json::{Value, json};
+use serde_json::Value;
+
+use bluebell_standins::site::Door;
 
 use crate::util::{ATLAS_VAN, Answer, Fleet, FleetBuilder, until};
 
@@ -81,12 +83,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn refused_at_once_and_not_run_while_the_table_is_down() {
     let fleet = Fleet::start().await;
-    fleet.set_faults(json!({"table": "down"})).await;
+    fleet.set_door(Door::RecordsBusy).await;
     let answer = send(&fleet, 0, "loan-1").await;
     assert_eq!((answer.status, answer.code(), answer.ran()), (503, "platform_down", "no"), "{answer:?}");
     assert!(answer.retry_after.is_some());
     assert!(fleet.ledger_calls().is_empty());
-    fleet.set_faults(json!({})).await;
+    fleet.set_door(Door::Open).await;
     assert_eq!(send(&fleet, 1, "loan-1").await.status, 201);
     assert_at_most_once(&fleet.ledger_calls());
 }
@@ -96,9 +98,9 @@
     let fleet = FleetBuilder::default().ledgers(2).start().await;
     for round in 0..3 {
         let key = format!("loan-{round}");
-        fleet.set_faults(json!({"table": "lose"})).await;
+        fleet.set_door(Door::Lossy).await;
         let during = send(&fleet, 0, &key).await;
-        fleet.set_faults(json!({})).await;
+        fleet.set_door(Door::Open).await;
         let after = send(&fleet, 1, &key).await;
         assert!(during.status == 201 || during.ran() == "no", "{during:?}");
         assert_eq!(after.status, 201, "{after:?}");
@@ -130,12 +132,12 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_entry_frozen_between_the_steps_gives_no_late_order() {
     let fleet = FleetBuilder::default().ledgers(1).start().await;
-    fleet.set_faults(json!({"table": {"slow": 700}})).await;
+    fleet.set_door(Door::Slow(700)).await;
     let caller = fleet.caller(0, ATLAS_VAN);
     let sending = tokio::spawn(async move { caller.call("ledger", "loans", Some("loan-1"), LOAN).await });
     until("the intent", || async { !fleet.rows("intent/").await.is_empty() }).await;
     fleet.entries[0].process.freeze();
-    fleet.set_faults(json!({})).await;
+    fleet.set_door(Door::Open).await;
     let other = send_until_final(&fleet, 1, "loan-1").await;
     assert_eq!(other.status, 201, "{other:?}");
     fleet.entries[0].process.thaw();
--- a/crates/bluebelld/tests/integration/util/config.rs
+++ b/crates/bluebelld/tests/integration/util/config.rs
@@ -7,7 +7,7 @@
 /// Name of the operator in tests.
 pub const OPERATOR: &str = "fatima";
 
-/// Where a process listens and where it finds the platform.
+/// Where a process listens and where it finds the store.
 pub struct Place<'a> {
     /// Name of the instance.
     pub name: &'a str,
@@ -17,17 +17,16 @@
     pub public: String,
     /// Address for peers.
     pub peers: String,
-    /// Address of the platform.
-    pub platform: &'a str,
+    /// Address of the store.
+    pub store: &'a str,
 }
 
 fn common(place: &Place<'_>, role: &str) -> String {
-    let Place { name, zone, public, peers, platform } = place;
+    let Place { name, zone, public, peers, store } = place;
     format!(
         "instance: {{ id: {name}, zone: {zone}, role: {role} }}\n\
          listen: {{ public: \"{public}\", peers: \"{peers}\" }}\n\
-         platform:\n  table: http://{platform}\n  objects: http://{platform}\n  instances: http://{platform}\n  \
-         ratings: http://{platform}\n  weights: http://{platform}\n\
+         store: \"{store}\"\n\
          keys: {{ active: k1, known: {{ k1: 000102030405060708090a0b0c0d0e0f }} }}\n\
          log: debug\n"
     )
--- a/crates/bluebelld/tests/integration/util/fleet.rs
+++ b/crates/bluebelld/tests/integration/util/fleet.rs
@@ -8,8 +8,10 @@
 };
 
 use bluebell_core::members::{Listed, Phase, Role};
-use bluebell_platform::{Endpoint, Platform, table::Row};
-use bluebell_standins::proxy::Proxy;
+use bluebell_standins::{
+    proxy::Proxy,
+    site::{Door, Scanned},
+};
 use serde_json::{Value, json};
 
 use super::{
@@ -55,10 +57,10 @@
     pub engines: Vec<Runner>,
     /// Ledgers with their sidecars.
     pub ledgers: Vec<Runner>,
-    /// The platform.
-    pub platform: Process,
-    /// Address of the platform.
-    pub platform_address: String,
+    /// The platform's store.
+    pub store: Process,
+    /// Address of the store.
+    pub store_address: String,
     /// Instances as the platform lists them.
     pub listed: Vec<Listed>,
     client: reqwest::Client,
@@ -142,14 +144,14 @@
         let ip = format!("127.{}.{}.{number}", 1 + pid % 250, 1 + pid / 250 % 250);
         let folder = std::env::temp_dir().join(format!("bluebell-{pid}-{number}"));
         std::fs::create_dir_all(&folder).expect("a folder for logs can be made");
-        let platform_address = format!("{ip}:{FIRST_PORT}");
-        let args = ["platform", "--listen", &platform_address].map(str::to_owned);
+        let store_address = format!("{ip}:{FIRST_PORT}");
+        let args = ["store", "--listen", &store_address].map(str::to_owned);
         let mut fleet = Fleet {
             entries: Vec::new(),
             engines: Vec::new(),
             ledgers: Vec::new(),
-            platform: Process::start("platform", "bluebell-standins", &args, &folder),
-            platform_address,
+            store: Process::start("store", "bluebell-standins", &args, &folder),
+            store_address,
             listed: Vec::new(),
             client: reqwest::Client::new(),
             folder,
@@ -263,8 +265,8 @@
 
     fn place<'a>(&mut self, name: &'a str, zone: &'a str) -> Place<'a> {
         let (public, peers) = (self.address(), self.address());
-        let platform = Box::leak(self.platform_address.clone().into_boxed_str());
-        Place { name, zone, public, peers, platform }
+        let store = Box::leak(self.store_address.clone().into_boxed_str());
+        Place { name, zone, public, peers, store }
     }
 
     fn start_daemon(&self, name: &str, text: &str) -> Process {
@@ -309,33 +311,23 @@
         self.list().await;
     }
 
-    /// Client of the platform.
-    pub fn platform_client(&self) -> Platform {
-        let url = format!("http://{}", self.platform_address);
-        let endpoint = Endpoint {
-            table: url.clone(),
-            objects: url.clone(),
-            instances: url.clone(),
-            ratings: url.clone(),
-            weights: url,
-        };
-        Platform::new(endpoint).expect("a client can be built")
+    /// Writes the list of instances to the store.
+    pub async fn list(&self) {
+        for item in &self.listed {
+            let path = format!("rows/bluebell-instances/{}", item.instance);
+            until("the store to take the list", || async { self.control(&path, &json!(item)).await }).await;
+        }
     }
 
-    /// Gives the platform its list of instances.
-    pub async fn list(&self) {
-        let url = format!("http://{}/instances", self.platform_address);
-        until("the platform to take the list", || async {
-            self.client.put(&url).json(&self.listed).send().await.is_ok_and(|reply| reply.status().is_success())
-        })
-        .await;
+    // Tells whether the store took the call.
+    async fn control(&self, path: &str, body: &Value) -> bool {
+        let url = format!("http://{}/control/{path}", self.store_address);
+        self.client.put(url).json(body).send().await.is_ok_and(|reply| reply.status().is_success())
     }
 
-    /// Makes the platform fail, or not any more.
-    pub async fn set_faults(&self, faults: Value) {
-        let url = format!("http://{}/faults", self.platform_address);
-        let reply = self.client.post(url).json(&faults).send().await.expect("the platform answers");
-        assert!(reply.status().is_success(), "faults {faults} are not known");
+    /// Says how the store treats its callers.
+    pub async fn set_door(&self, door: Door) {
+        assert!(self.control("door", &json!(door)).await, "the store takes {door:?}");
     }
 
     /// Makes a version give bad answers at all engines.
@@ -348,20 +340,19 @@
 
     /// Rates an answer.
     pub async fn rate(&self, request: &str, version: &str, good: bool) {
-        let rating = json!({"number": 0, "request": request, "version": version, "good": good});
-        let url = format!("http://{}/ratings", self.platform_address);
-        let reply = self.client.post(url).json(&rating).send().await.expect("the platform answers");
-        assert!(reply.status().is_success());
+        let rating = json!({"request": request, "version": version, "good": good});
+        let path = format!("rows/bluebell-ratings/{request}");
+        assert!(self.control(&path, &rating).await, "the store takes the rating");
     }
 
-    /// Rows of the table whose keys begin with a prefix.
-    pub async fn rows(&self, prefix: &str) -> Vec<Row> {
-        let url = format!("http://{}/table/scan?prefix={prefix}", self.platform_address);
-        self.client.get(url).send().await.expect("the platform answers").json().await.expect("rows can be read")
+    /// The product's records in the partitions whose names begin so.
+    pub async fn rows(&self, part: &str) -> Vec<Scanned> {
+        let url = format!("http://{}/control/rows/bluebell-records?part={part}", self.store_address);
+        self.client.get(url).send().await.expect("the store answers").json().await.expect("rows can be read")
     }
 
     /// Waits until the table has a number of billing rows, and checks that it stays so.
-    pub async fn wait_bills(&self, count: usize) -> Vec<Row> {
+    pub async fn wait_bills(&self, count: usize) -> Vec<Scanned> {
         until(&format!("{count} billing rows"), || async { self.rows("bill/").await.len() >= count }).await;
         let rows = self.rows("bill/").await;
         assert_eq!(rows.len(), count, "as many billing rows as answered requests");
--- a/demo.sh
+++ b/demo.sh
@@ -2,29 +2,10 @@
 # Starts a small fleet on a loopback address of its own, shows requests of two organisations passing through it while
 # operators change things, checks what is seen, and stops everything it started.
 set -euo pipefail
-cd "$(dirname "$0")"
-
-cargo build --workspace --locked --quiet
-bin="${CARGO_TARGET_DIR:-target}/debug"
-dir="$(mktemp -d)"
-ip="127.$((1 + $$ % 250)).$((1 + $$ / 250 % 250)).200"
-platform="$ip:3000"
-daemons=()
-others=()
+profile=debug host=200
+source "$(dirname "$0")/measure/fleet.sh"
 failures=0
 
-stop_each() {
-    for pid in "$@"; do kill -TERM "$pid" 2>/dev/null || true; done
-    for pid in "$@"; do wait "$pid" 2>/dev/null || true; done
-}
-# The daemons store their last billing rows before the platform goes.
-stop_all() {
-    stop_each "${daemons[@]}"
-    stop_each "${others[@]}"
-    rm -rf "$dir"
-}
-trap stop_all EXIT
-
 say() { printf '\n\033[1m%s\033[0m\n' "$*"; }
 expect() { # description, wanted, found
     if [ "$2" = "$3" ]; then
@@ -34,50 +15,16 @@
         failures=$((failures + 1))
     fi
 }
-start() { # name, program, arguments...
-    local name="$1" program="$2"
-    shift 2
-    "$bin/$program" "$@" >"$dir/$name.log" 2>&1 &
-    if [ "$program" = bluebelld ]; then daemons+=($!); else others+=($!); fi
-    printf '%s' "$!" >"$dir/$name.pid"
-}
-digest() { printf '%s' "$1" | sha256sum | cut -c1-64; }
-until_ok() { # description, command...
-    local what="$1"
-    shift
-    for _ in $(seq 1 200); do
-        if "$@" >/dev/null 2>&1; then return 0; fi
-        sleep 0.1
-    done
-    echo "gave up waiting for $what" >&2
-    exit 1
-}
 
-common() { # instance, zone, role, public port, peers port
-    cat <<YAML
-instance: { id: $1, zone: $2, role: $3 }
-listen: { public: "$ip:$4", peers: "$ip:$5" }
-platform:
-  table: http://$platform
-  objects: http://$platform
-  instances: http://$platform
-  ratings: http://$platform
-  weights: http://$platform
-keys: { active: k1, known: { k1: 000102030405060708090a0b0c0d0e0f } }
-operators: { fatima: $(digest operator-key) }
-timing: { notice: 200ms }
-YAML
-}
 runner() { # number, zone, kind, serves, slots
     cat <<YAML
 runner: { id: runner-$1, url: "http://$ip:$((4000 + $1))", kind: $3, serves: [$4], slots: $5 }
 YAML
 }
 
-say "Starting the platform, three engines, a ledger, four sidecars and two entries on $ip"
-start platform bluebell-standins platform --listen "$platform"
+say "Starting the store, three engines, a ledger, four sidecars and two entries on $ip"
+start_store
 versions="atlas-small@1, atlas-small@2, atlas-large@1"
-list=""
 zones=(tiznit taroudant)
 for n in 1 2 3 4; do
     zone="${zones[$((n % 2))]}"
@@ -90,17 +37,14 @@
     fi
     { common "sidecar-$n" "$zone" sidecar "$((5000 + n))" "$((5100 + n))"; runner "$n" "$zone" "$kind" "$serves" 16; } >"$dir/sidecar-$n.yaml"
     start "sidecar-$n" bluebelld --config "$dir/sidecar-$n.yaml"
-    quoted="$(printf '%s' "$serves" | sed 's/[^, ][^,]*/"&"/g')"
-    list="$list{\"instance\":\"sidecar-$n\",\"role\":\"sidecar\",\"zone\":\"$zone\",\"address\":\"$ip:$((5100 + n))\",\"serves\":[$quoted]},"
+    list_instance "sidecar-$n" sidecar "$zone" "$((5100 + n))" "$serves"
 done
 for n in 1 2; do
     zone="${zones[$((n % 2))]}"
     common "entry-$n" "$zone" entry "$((6000 + n))" "$((6100 + n))" >"$dir/entry-$n.yaml"
     start "entry-$n" bluebelld --config "$dir/entry-$n.yaml"
-    list="$list{\"instance\":\"entry-$n\",\"role\":\"entry\",\"zone\":\"$zone\",\"address\":\"$ip:$((6100 + n))\"},"
+    list_instance "entry-$n" entry "$zone" "$((6100 + n))"
 done
-put_list() { curl -fsS -X PUT "http://$platform/instances" -H 'content-type: application/json' -d "[${list%,}]"; }
-until_ok "the platform" put_list
 
 export BLUEBELL_ENTRY="http://$ip:6001" BLUEBELL_KEY="operator-key"
 ctl() { "$bin/bluebellctl" "$@"; }
@@ -189,7 +133,7 @@
 answered=$((answered + $(field served)))
 
 say "Accounts"
-bills() { curl -fsS "http://$platform/table/scan?prefix=bill/" | grep -o '"key":"bill/' | wc -l | tr -d ' '; }
+bills() { curl -fsS "http://$store/control/rows/bluebell-records?part=bill/" | grep -o '"part":"bill/' | wc -l | tr -d ' '; }
 billed() { [ "$(bills)" -ge "$answered" ]; }
 until_ok "the billing rows" billed
 expect "billed rows = answered requests" "$answered" "$(bills)"
@@ -197,7 +141,7 @@
 
 say "Closing table"
 printf '  %-22s %s\n' "requests answered" "$answered" "billed rows" "$(bills)"
-curl -fsS "http://$platform/table/scan?prefix=bill/" | grep -o '"version":"[^"]*@[^"]*"' | sort | uniq -c | sed 's/"version"://; s/^/  version /'
+curl -fsS "http://$store/control/rows/bluebell-records?part=bill/" | grep -o '"version":"[^"]*@[^"]*"' | sort | uniq -c | sed 's/"version"://; s/^/  version /'
 for port in 6001 6002; do
     curl -fsS "http://$ip:$port/metrics" | awk -v entry="$port" '
         /^bluebell_request_time_seconds_(sum|count)/ {
