--- a/crates/bluebelld/src/control/effects.rs
+++ b/crates/bluebelld/src/control/effects.rs
@@ -18,10 +18,10 @@
 use indexmap::IndexMap;
 use tokio::task::spawn_local;
 
-use super::{Control, ControlHandle};
+use super::Control;
 use crate::{
-    links,
-    shared::{Published, Shared},
+    peers,
+    shared::{ControlHandle, Published, Shared},
 };
 
 impl Control {
@@ -64,7 +64,7 @@
             let subset = Subset::choose(&own.id, &own.zone, &members.listed_sidecars());
             self.shared.subset.store(Arc::new(subset));
         }
-        links::adopt(&self.shared, &self.handle, members);
+        peers::adopt(&self.shared, &self.handle, members);
         let followed = members.followed(&own.id, &own.zone, own.role).len();
         self.handle.input(Input::Settings(FollowerEvent::Peers(followed)));
     }
@@ -91,7 +91,7 @@
 }
 
 async fn fetch_peer(shared: &Shared, peer: &InstanceId, after: Revision) -> Option<Snapshot> {
-    let connection = links::connection(shared, peer).await?;
+    let connection = peers::connection(shared, peer).await?;
     let reply = connection.ask(Route::Fetch, &FetchAsk { after }).await;
     reply.map_err(|error| log::debug!("settings can't be fetched from {peer}: {error}")).ok()
 }
--- a/crates/bluebelld/src/control/mod.rs
+++ b/crates/bluebelld/src/control/mod.rs
@@ -2,13 +2,13 @@
 //! for. Input and output it starts run as tasks of the same thread and come back as inputs.
 
 mod effects;
-mod handle;
+mod settle;
 mod timers;
 
 use std::{sync::Arc, thread::JoinHandle};
 
 use bluebell_core::kernel::{Effect, Input, Kernel};
-pub use handle::{Command, ControlHandle};
+pub use settle::settle_rows;
 use snafu::ResultExt;
 use tokio::{
     sync::mpsc,
@@ -17,7 +17,7 @@
 
 use crate::{
     error::{DaemonError, RuntimeSnafu},
-    shared::Shared,
+    shared::{self, Command, ControlHandle, Shared},
 };
 
 /// Commands taken before effects are looked at again.
@@ -35,7 +35,7 @@
 /// # Errors
 /// When the thread's runtime can't be built.
 pub fn start(shared: Arc<Shared>, kernel: Kernel) -> Result<(ControlHandle, JoinHandle<()>), DaemonError> {
-    let (handle, commands) = handle::channel();
+    let (handle, commands) = shared::channel();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().context(RuntimeSnafu)?;
     let control = Control { shared, handle: handle.clone(), kernel };
     let work = move || LocalSet::new().block_on(&runtime, control.run(commands));
--- a/crates/bluebelld/src/control/timers.rs
+++ b/crates/bluebelld/src/control/timers.rs
@@ -12,8 +12,7 @@
     time::{MissedTickBehavior, interval},
 };
 
-use super::ControlHandle;
-use crate::shared::Shared;
+use crate::shared::{ControlHandle, Shared};
 
 /// Time between two ticks of the kernel.
 const TICK: Duration = Duration::from_millis(100);
--- a/crates/bluebelld/src/entry/admin.rs
+++ b/crates/bluebelld/src/entry/admin.rs
@@ -14,7 +14,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{Entry, auth, fault::Fault};
+use super::{auth, fault::Fault, state::Entry};
 use crate::records::{CommitError, Proposal};
 
 /// An answer to an operator that is not what was asked for.
--- a/crates/bluebelld/src/entry/answer.rs
+++ b/crates/bluebelld/src/entry/answer.rs
@@ -21,7 +21,7 @@
     attempt::{self, AttemptRequest, Conversation, Job, Setback},
     fault::{Fault, Ran},
     flow::Flow,
-    lock,
+    state::lock,
 };
 use crate::metrics::Outcome;
 
--- a/crates/bluebelld/src/entry/attempt.rs
+++ b/crates/bluebelld/src/entry/attempt.rs
@@ -15,8 +15,8 @@
 };
 use tokio::time::timeout;
 
-use super::Entry;
-use crate::links::{InUse, Link};
+use super::state::Entry;
+use crate::shared::{InUse, Link};
 
 /// Time beyond the patience of an attempt that its sidecar has to say so.
 const ANSWER_MARGIN: Duration = Duration::from_millis(500);
--- a/crates/bluebelld/src/entry/auth.rs
+++ b/crates/bluebelld/src/entry/auth.rs
@@ -7,8 +7,8 @@
 use snafu::OptionExt;
 
 use super::{
-    Entry,
     fault::{Fault, MalformedSnafu, NotReadySnafu, UnauthorisedSnafu},
+    state::Entry,
 };
 
 /// Header with the rank of a request.
--- a/crates/bluebelld/src/entry/chat.rs
+++ b/crates/bluebelld/src/entry/chat.rs
@@ -17,7 +17,6 @@
 use snafu::{ResultExt, ensure};
 
 use super::{
-    Entry,
     answer::{Answer, Piece, Question},
     attempt::Job,
     auth, body,
@@ -25,6 +24,7 @@
     flow::Flow,
     session::{self, Placed, SESSION_HEADER},
     sse::{self, Naming},
+    state::Entry,
 };
 
 /// Header that makes a request recognisable when it is sent again.
--- a/crates/bluebelld/src/entry/flow.rs
+++ b/crates/bluebelld/src/entry/flow.rs
@@ -6,10 +6,9 @@
 use bluebell_core::{ids::OrgId, units::Priority};
 
 use super::{
-    Entry,
     auth::Caller,
     fault::{Fault, NotReadySnafu, TooManySnafu},
-    lock,
+    state::{Entry, lock},
 };
 use crate::metrics::Outcome;
 
--- a/crates/bluebelld/src/entry/in_force.rs
+++ b/crates/bluebelld/src/entry/in_force.rs
@@ -18,8 +18,8 @@
 };
 use serde::{Deserialize, Serialize};
 
-use super::{Entry, admin::json, auth};
-use crate::links;
+use super::{admin::json, auth, state::Entry};
+use crate::peers;
 
 /// Entries asked at the same time.
 const ASKED_AT_ONCE: usize = 32;
@@ -87,7 +87,7 @@
         let own = Revision(*entry.shared.revision.borrow());
         Some(ConfirmedReply { own, followers: entry.shared.followers.confirmations() })
     } else {
-        let connection = links::connection(&entry.shared, &listed.instance).await;
+        let connection = peers::connection(&entry.shared, &listed.instance).await;
         match connection {
             Some(connection) => connection.ask(Route::Confirmed, &ConfirmedAsk {}).await.ok(),
             None => None,
--- a/crates/bluebelld/src/entry/judge.rs
+++ b/crates/bluebelld/src/entry/judge.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use super::Entry;
+use super::state::Entry;
 use crate::records::{HeldLease, Proposal, Rating};
 
 /// Key of the estimates in the object store.
--- a/crates/bluebelld/src/entry/mod.rs
+++ b/crates/bluebelld/src/entry/mod.rs
@@ -16,38 +16,29 @@
 mod session;
 mod sse;
 mod stages;
+mod state;
 mod stop;
 
-pub use stop::settle_rows;
-
-use std::{
-    collections::HashMap,
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
     billing::Outbox,
-    ids::{AttemptId, OrgId, RequestId},
     kernel::{Kernel, Service},
     members::Members,
-    retry::Budget,
     settings::Follower,
 };
 use bluebell_wire::Server as PeerServer;
 use poem::{EndpointExt, Route, Server, get, post};
 use snafu::ResultExt;
+use state::Entry;
 use tokio::sync::{mpsc, watch};
 
 use crate::{
-    control::{self, ControlHandle},
+    control,
     error::{DaemonError, ListenSnafu},
     listen::{listen, public_acceptor},
     peers, probe,
-    shared::Shared,
+    shared::{ControlHandle, Shared},
 };
 
 /// Streams of peers that wait to be looked at.
@@ -55,43 +46,6 @@
 /// Time that an idle connection of a caller is kept.
 const IDLE_TIME: Duration = Duration::from_secs(75);
 
-/// State of an entry.
-pub struct Entry {
-    shared: Arc<Shared>,
-    control: ControlHandle,
-    budget: Mutex<Budget>,
-    in_flight: Mutex<HashMap<OrgId, u32>>,
-    working: watch::Sender<u64>,
-    attempts: AtomicU64,
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-impl Entry {
-    fn new(shared: Arc<Shared>, control: ControlHandle) -> Arc<Self> {
-        Arc::new(Self {
-            shared,
-            control,
-            budget: Mutex::default(),
-            in_flight: Mutex::default(),
-            working: watch::Sender::new(0),
-            attempts: AtomicU64::new(0),
-        })
-    }
-
-    // The incarnation keeps the ids of a restarted entry apart from its earlier ones.
-    fn next_attempt(&self, request: &RequestId) -> Result<AttemptId, bluebell_core::ids::IdError> {
-        let number = self.attempts.fetch_add(1, Ordering::Relaxed);
-        let salt = bluebell_core::routing::rendezvous::score(
-            self.shared.config.instance.id.as_str(),
-            &self.shared.incarnation.to_string(),
-        );
-        format!("{request}.{salt:x}.{number}").parse()
-    }
-}
-
 /// Runs an entry until it is told to stop.
 ///
 /// # Errors
--- a/crates/bluebelld/src/entry/models.rs
+++ b/crates/bluebelld/src/entry/models.rs
@@ -5,7 +5,7 @@
 use poem::{Request, Response, handler, web::Data};
 use serde::Serialize;
 
-use super::{Entry, auth, fault::Fault};
+use super::{auth, fault::Fault, state::Entry};
 
 #[derive(Debug, Serialize)]
 struct ModelList {
--- a/crates/bluebelld/src/entry/rollouts.rs
+++ b/crates/bluebelld/src/entry/rollouts.rs
@@ -10,7 +10,7 @@
     units::Percent,
 };
 
-use super::{Entry, judge::Judge};
+use super::{judge::Judge, state::Entry};
 use crate::records::{HeldLease, Proposal};
 
 /// Time between two looks at the roll-outs.
--- a/crates/bluebelld/src/entry/service.rs
+++ b/crates/bluebelld/src/entry/service.rs
@@ -20,17 +20,16 @@
 use snafu::{OptionExt, ensure};
 
 use super::{
-    Entry,
     attempt::{self, AttemptRequest, Conversation, Job, Setback},
     auth::{self, Caller},
     body,
     chat::{KEY_HEADER, MAX_KEY_BYTES, REQUEST_HEADER, request_id},
     fault::{Fault, MalformedSnafu, NoKeySnafu, PlatformSnafu, Ran, ServiceSnafu},
     flow::Flow,
-    lock,
     stages::{CallKey, Ended, Reserved, Stored},
+    state::{Entry, lock},
 };
-use crate::{links, metrics::Outcome, records::RecordError};
+use crate::{metrics::Outcome, peers, records::RecordError};
 
 /// Work that a call is taken for, in tokens.
 const CALL_COST: u64 = 50;
@@ -247,7 +246,7 @@
 }
 
 async fn resolve(entry: &Entry, reservation: &Reservation) -> Option<Resolution> {
-    let connection = links::connection(&entry.shared, &reservation.sidecar).await?;
+    let connection = peers::connection(&entry.shared, &reservation.sidecar).await?;
     let question = ResolveAsk { attempt: reservation.attempt.clone(), incarnation: reservation.incarnation };
     connection.ask(Route::Resolve, &question).await.ok()
 }
--- a/crates/bluebelld/src/entry/session.rs
+++ b/crates/bluebelld/src/entry/session.rs
@@ -10,9 +10,9 @@
 use snafu::{OptionExt, ResultExt};
 
 use super::{
-    Entry,
     auth::Caller,
     fault::{Fault, MalformedSnafu, PlanSnafu, PlatformSnafu, SessionEndedSnafu, SessionSnafu},
+    state::Entry,
 };
 use crate::records::RecordError;
 
--- a/crates/bluebelld/src/entry/stop.rs
+++ b/crates/bluebelld/src/entry/stop.rs
@@ -1,25 +1,9 @@
-//! A planned stop of an entry: callers are told first, work in flight is finished, billing rows are stored or
-//! handed to a peer.
+//! A planned stop of an entry: callers are told first, and work in flight is finished.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
-use bluebell_core::{
-    billing::{BillRow, BillingEvent},
-    kernel::Input,
-    members::Role,
-};
-use bluebell_wire::{
-    Route,
-    messages::{BillsAsk, BillsReply},
-};
-
-use super::Entry;
-use crate::{control::ControlHandle, links, shared::Shared, shutdown};
-
-/// Time given to the table before rows are handed to a peer.
-const TABLE_TIME: Duration = Duration::from_secs(3);
-/// Time between two looks at the rows that are left.
-const LOOK_PERIOD: Duration = Duration::from_millis(50);
+use super::state::Entry;
+use crate::{control, shutdown};
 
 /// Waits for the order to stop, then until callers have had time to notice and requests in flight are done.
 pub async fn ordered(entry: Arc<Entry>) {
@@ -36,46 +20,6 @@
 
 /// Stores or hands over all billing rows.
 pub async fn settle(entry: &Entry) {
-    settle_rows(&entry.shared, &entry.control).await;
+    control::settle_rows(&entry.shared, &entry.control).await;
     log::info!("left");
 }
-
-/// Stores all billing rows, or hands them to a peer while the table is down.
-pub async fn settle_rows(shared: &Shared, control: &ControlHandle) {
-    let begun = tokio::time::Instant::now();
-    while begun.elapsed() < shared.config.timing.drain {
-        control.input(Input::Billing(BillingEvent::Flush));
-        let rows = rows_left(control).await;
-        if rows.is_empty() {
-            return;
-        }
-        if begun.elapsed() > TABLE_TIME && hand_over(shared, rows).await {
-            return;
-        }
-        tokio::time::sleep(LOOK_PERIOD).await;
-    }
-    let rows = rows_left(control).await;
-    log::error!("{} billing rows could neither be stored nor handed over: {rows:?}", rows.len());
-}
-
-async fn rows_left(control: &ControlHandle) -> Vec<BillRow> {
-    let rows = control.query(|kernel| kernel.billing().map(|outbox| outbox.rows().cloned().collect())).await;
-    rows.flatten().unwrap_or_default()
-}
-
-async fn hand_over(shared: &Shared, rows: Vec<BillRow>) -> bool {
-    let own = &shared.config.instance.id;
-    let members = shared.members.load_full();
-    let other = |item: &&bluebell_core::members::Listed| {
-        item.role == Role::Entry && item.instance != *own && !members.is_leaving(&item.instance)
-    };
-    for peer in members.all().filter(other) {
-        let Some(connection) = links::connection(shared, &peer.instance).await else { continue };
-        let reply = connection.ask(Route::Bills, &BillsAsk::Take(rows.clone())).await;
-        if matches!(reply, Ok(BillsReply::Taken)) {
-            log::info!(rows = rows.len(), peer = peer.instance.as_str(); "billing rows handed over");
-            return true;
-        }
-    }
-    false
-}
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -14,11 +14,7 @@
 use hyper::{Request, StatusCode, body::Incoming};
 use tokio::time::timeout;
 
-use super::{
-    front::{self, Job},
-    pool::Lease,
-    state::Gateway,
-};
+use super::{job::Job, pool::Lease, state::Gateway};
 
 /// Largest body after which a connection is kept although the upstream answered with a failure; behind a longer one
 /// the upstream may still be reading.
@@ -248,7 +244,7 @@
         let sending = lease.sender.try_send_request(request(job, order, left));
         let waited = wait_for(gateway, order, begun, job.end, sending).await;
         let Some(answered) = waited else {
-            front::record_overdue(gateway, job, order.model.as_ref(), &order.upstream.release);
+            job.record_overdue(gateway, order.model.as_ref(), &order.upstream.release);
             return Err(Failure::Unknown { reason: format!("no answer in time: {:?}", order.patience) });
         };
         match answered {
--- /dev/null
+++ b/crates/bluebelld/src/gateway/control/event.rs
@@ -0,0 +1,48 @@
+//! What the control thread takes.
+
+use std::time::Duration;
+
+use bluebell_core::{
+    ids::InstanceId,
+    replica::{Origin, Row},
+};
+use bluebell_wire::messages::{EntryAddress, EntryStanding};
+use tokio::sync::mpsc;
+
+/// What the control thread takes.
+#[derive(Debug)]
+pub enum Event {
+    /// Rows that changed, from the store.
+    Changes {
+        /// The rows.
+        rows: Vec<Row>,
+        /// Time on the store's clock.
+        clock: Duration,
+    },
+    /// All rows of an origin.
+    Snapshot {
+        /// The origin.
+        origin: Origin,
+        /// The rows.
+        rows: Vec<Row>,
+        /// Version of the store.
+        version: u64,
+        /// Time on the store's clock.
+        clock: Duration,
+    },
+    /// The store could not be read or written.
+    StoreFailed(String),
+    /// A peer named itself.
+    Hello(EntryAddress),
+    /// Rows that a peer learnt.
+    PeerRows(InstanceId, Vec<Row>),
+    /// What a peer does.
+    Standing(InstanceId, Box<EntryStanding>),
+    /// A connection to a peer opened or broke.
+    Link(InstanceId, bool),
+    /// This process is leaving.
+    Leave,
+}
+
+/// Sends events to the control thread.
+pub type Events = mpsc::UnboundedSender<Event>;
--- a/crates/bluebelld/src/gateway/control/feeds.rs
+++ b/crates/bluebelld/src/gateway/control/feeds.rs
@@ -8,7 +8,7 @@
 use rand::Rng;
 use tokio::task::spawn_local;
 
-use super::{Event, Events};
+use super::event::{Event, Events};
 use crate::gateway::state::Gateway;
 
 /// Time for which the store is asked to wait for a change. A call that a dead connection swallows must be noticed
--- a/crates/bluebelld/src/gateway/control/links.rs
+++ b/crates/bluebelld/src/gateway/control/links.rs
@@ -15,7 +15,7 @@
     time::{sleep, timeout},
 };
 
-use super::{Event, Events};
+use super::event::{Event, Events};
 use crate::gateway::state::Gateway;
 
 /// Time to connect to a peer, and for it to acknowledge a message.
--- a/crates/bluebelld/src/gateway/control/members.rs
+++ b/crates/bluebelld/src/gateway/control/members.rs
@@ -12,7 +12,7 @@
 use indexmap::IndexMap;
 use tokio::{sync::mpsc, task::spawn_local};
 
-use super::{Events, links};
+use super::{event::Events, links};
 use crate::gateway::state::Gateway;
 
 /// Start of the keys of members.
--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -10,7 +10,7 @@
 use bluebell_platform::{operator, upstream};
 use bluebell_wire::messages::News;
 
-use super::{Control, members, rollouts};
+use super::{members, rollouts, state::Control};
 
 impl Control {
     /// Takes rows that are news, and passes them on to the other peers.
--- /dev/null
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -0,0 +1,249 @@
+//! State of the control thread, and what each event does to it.
+
+use std::{sync::Arc, time::Duration};
+
+use bluebell_core::{
+    ids::InstanceId,
+    ingress::Declared,
+    replica::{Replica, Row},
+    upstreams::Upstreams,
+};
+use bluebell_wire::messages::{EntryStanding, News};
+use indexmap::IndexMap;
+use tokio::{sync::mpsc, task::spawn_local, time::MissedTickBehavior};
+
+use super::{
+    event::{Event, Events},
+    feeds,
+    members::Members,
+    rollouts::Rollouts,
+};
+use crate::gateway::{beliefs::Beliefs, state::Gateway};
+
+/// Time between two looks at what changes by time alone.
+const TICK: Duration = Duration::from_millis(250);
+/// Ticks between two sweeps of kept connections and of upstreams that are gone.
+const SWEEP_TICKS: u64 = 8;
+
+/// State of the control thread.
+pub(super) struct Control {
+    pub(super) gateway: Arc<Gateway>,
+    pub(super) events: Events,
+    pub(super) replica: Replica,
+    pub(super) declared: Option<Arc<Declared>>,
+    pub(super) upstreams: Upstreams,
+    pub(super) members: Members,
+    pub(super) rollouts: Rollouts,
+    pub(super) standings: IndexMap<InstanceId, (Duration, EntryStanding)>,
+    pub(super) store: StoreContact,
+    pub(super) ticks: u64,
+}
+
+/// What is known of the contact with the store.
+#[derive(Debug, Default)]
+pub(super) struct StoreContact {
+    pub(super) heard: Option<Duration>,
+    pub(super) lost: bool,
+    pub(super) clock: Option<(Duration, Duration)>,
+}
+
+impl Control {
+    pub(super) fn new(gateway: Arc<Gateway>, events: Events) -> Self {
+        let members = Members::new(Arc::clone(&gateway), events.clone());
+        Self {
+            gateway,
+            events,
+            replica: Replica::default(),
+            declared: None,
+            upstreams: Upstreams::default(),
+            members,
+            rollouts: Rollouts::default(),
+            standings: IndexMap::new(),
+            store: StoreContact::default(),
+            ticks: 0,
+        }
+    }
+
+    /// Takes events until the process ends.
+    pub(super) async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Event>) {
+        feeds::start(&self.gateway, &self.events);
+        spawn_local(watch_leaving(Arc::clone(&self.gateway), self.events.clone()));
+        self.members.start();
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                event = inbox.recv() => match event {
+                    Some(event) => self.take(event),
+                    None => return,
+                },
+                _ = ticks.tick() => self.tick(),
+            }
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Changes { rows, clock } => {
+                self.hear_store(clock);
+                self.take_rows(rows, None);
+            }
+            Event::Snapshot { origin, rows, version, clock } => {
+                self.hear_store(clock);
+                let news = self.replica.apply_snapshot(origin, rows, version);
+                self.learn(news, None);
+            }
+            Event::StoreFailed(reason) => self.lose_store(&reason),
+            Event::Hello(address) => self.members.hello(address, self.gateway.now()),
+            Event::PeerRows(peer, rows) => self.take_rows(rows, Some(&peer)),
+            Event::Standing(peer, standing) => self.take_standing(peer, *standing),
+            Event::Link(peer, open) => self.take_link(&peer, open),
+            Event::Leave => self.members.leave(),
+        }
+    }
+
+    fn take_rows(&mut self, rows: Vec<Row>, from: Option<&InstanceId>) {
+        let news = rows.into_iter().filter(|row| self.replica.apply(row.clone())).collect();
+        self.learn(news, from);
+    }
+
+    fn take_standing(&mut self, peer: InstanceId, standing: EntryStanding) {
+        let now = self.gateway.now();
+        let mut traffic = self.gateway.traffic();
+        traffic.take_loads(now, peer.clone(), standing.loads.clone());
+        for one in &standing.sessions {
+            traffic.sessions.set(now.saturating_sub(one.age), &one.session, &one.release);
+        }
+        drop(traffic);
+        if self.rollouts.reject(&peer, &standing.rejected) {
+            self.publish();
+        }
+        let connected = standing.connected;
+        self.standings.insert(peer, (now, standing));
+        if connected {
+            self.publish();
+        }
+    }
+
+    fn take_link(&mut self, peer: &InstanceId, open: bool) {
+        let now = self.gateway.now();
+        if open {
+            self.members.send(peer, &News::Rows(self.replica.rows().cloned().collect()));
+        }
+        if self.members.set_link(peer, open, now) {
+            log::info!(peer = peer.as_str(); "connection to peer {}", if open { "opened" } else { "lost" });
+        }
+        if !open {
+            self.gateway.traffic().forget_peer(peer);
+        }
+        self.publish();
+    }
+
+    fn hear_store(&mut self, clock: Duration) {
+        let now = self.gateway.now();
+        if std::mem::take(&mut self.store.lost) || self.store.heard.is_none() {
+            log::info!("store can be reached");
+        }
+        self.store.heard = Some(now);
+        if self.store.clock.is_none_or(|(known, at)| clock + Duration::from_secs(1) >= known + (now - at)) {
+            self.store.clock = Some((clock, now));
+        }
+        self.publish_contact(now);
+    }
+
+    fn lose_store(&mut self, reason: &str) {
+        if !std::mem::replace(&mut self.store.lost, true) {
+            log::warn!("store can't be reached: {reason}");
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.gateway.now();
+        self.ticks += 1;
+        if self.upstreams.has_lapsed() && self.upstreams.expire(now) {
+            self.publish();
+        }
+        self.tell_standing(now);
+        self.drive_rollouts(now);
+        self.members.tick(now, self.is_connected(now));
+        if self.ticks.is_multiple_of(SWEEP_TICKS) {
+            self.sweep(now);
+            self.publish();
+        }
+    }
+
+    fn sweep(&self, now: Duration) {
+        let listed: Vec<_> = self.upstreams.listed().map(|one| (one.id.clone(), one.address)).collect();
+        self.gateway.pools.sweep(now, |address| listed.iter().any(|(_, known)| known == address));
+        let mut traffic = self.gateway.traffic();
+        traffic.retain(|id| listed.iter().any(|(known, _)| known == id));
+        traffic.sessions.sweep(now, self.gateway.settings.session_seconds);
+        for (service, left) in traffic.budgets(now, &self.gateway.limit, self.members.count(now)) {
+            self.gateway.metrics.set_budget(&service, left);
+        }
+    }
+
+    /// Whether the store is heard.
+    pub(super) fn is_connected(&self, now: Duration) -> bool {
+        !self.store.lost && self.store.heard.is_some_and(|at| now < at + feeds::SILENCE)
+    }
+
+    fn tell_standing(&self, now: Duration) {
+        let judged = self.rollouts.is_running();
+        let traffic = self.gateway.traffic();
+        let tallies = if judged { traffic.tallies() } else { Vec::new() };
+        let sessions = if judged { traffic.session_releases(now, self.gateway.schedule.canary) } else { Vec::new() };
+        let loads = traffic.loads();
+        let standing = EntryStanding {
+            connected: self.is_connected(now),
+            loads,
+            tallies,
+            sessions,
+            rejected: self.rollouts.rejected(),
+        };
+        drop(traffic);
+        self.members.broadcast(&News::Standing(Box::new(standing)), None);
+    }
+
+    // Publishing on every word of the store would copy more than one field's change is worth.
+    fn publish_contact(&self, now: Duration) {
+        let beliefs = self.gateway.beliefs.load();
+        if beliefs.heard + TICK < now {
+            self.gateway.beliefs.store(Arc::new(Beliefs { heard: now, ..Beliefs::clone(&beliefs) }));
+        }
+    }
+
+    /// Publishes what is believed now.
+    pub(super) fn publish(&self) {
+        let now = self.gateway.now();
+        let open = self.upstreams.open(now);
+        let open = open.into_iter().map(|(service, all)| (service, all.into_iter().map(Arc::new).collect()));
+        let peers = self.standings.values().filter(|(_, standing)| standing.connected).map(|(at, _)| *at);
+        let heard = peers.chain(self.store.heard.filter(|_| !self.store.lost)).max();
+        let beliefs = Beliefs {
+            declared: self.declared.clone(),
+            open: open.collect(),
+            splits: self.rollouts.splits(&self.gateway.schedule),
+            entries: self.members.count(now),
+            heard: heard.unwrap_or_default().max(self.gateway.beliefs.load().heard),
+        };
+        for (service, open) in &beliefs.open {
+            self.gateway.metrics.set_upstreams(service, open.len());
+        }
+        self.gateway.metrics.set_beliefs(beliefs.entries, now.saturating_sub(beliefs.heard));
+        let informed = beliefs.declared.is_some() && !beliefs.open.is_empty();
+        self.gateway.beliefs.store(Arc::new(beliefs));
+        if informed && !*self.gateway.informed.borrow() {
+            log::info!("declarations and upstreams are known");
+            self.gateway.informed.send_replace(true);
+        }
+    }
+}
+
+async fn watch_leaving(gateway: Arc<Gateway>, events: Events) {
+    let mut leaving = gateway.leaving.subscribe();
+    if leaving.wait_for(|leaves| *leaves).await.is_ok() {
+        // The control thread is gone only when the process ends.
+        let _ = events.send(Event::Leave);
+    }
+}
--- a/crates/bluebelld/src/gateway/front/admit.rs
+++ b/crates/bluebelld/src/gateway/front/admit.rs
@@ -2,18 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bluebell_core::{
-    ids::{ModelId, OrgId, ServiceId},
-    ingress::{Declared, Engine, Organisation, Route},
-    units::Tokens,
-};
+use bluebell_core::ingress::{Declared, Organisation, Route};
 use bluebell_platform::headers::{self, Asked};
-use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::{HeaderMap, Method, Request, Uri, body::Incoming, header};
+use hyper::{Request, Uri, body::Incoming, header};
 
 use super::refusal::Refusal;
-use crate::gateway::state::Gateway;
+use crate::gateway::{job::Job, state::Gateway};
 
 /// Longest time that a caller waits where neither it nor the route says.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
@@ -21,55 +16,6 @@
 /// Time for which a request waits for a process that has just started to know its declarations.
 const START_TIME: Duration = Duration::from_millis(400);
 
-/// A request that was admitted.
-#[derive(Debug)]
-pub struct Job {
-    /// What it asks for.
-    pub asked: Asked,
-    /// Its route.
-    pub route: Arc<Route>,
-    /// The service that takes it.
-    pub service: ServiceId,
-    /// Organisation of the caller.
-    pub organisation: Option<OrgId>,
-    /// Its rank, 0 the most urgent.
-    pub rank: u8,
-    /// Its method.
-    pub method: Method,
-    /// Its path and query.
-    pub uri: Uri,
-    /// Its headers.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Bytes,
-    /// The engine behind the service, where it runs models.
-    pub engine: Option<Engine>,
-    /// When it arrived.
-    pub arrived: Duration,
-    /// When it must be answered.
-    pub end: Duration,
-}
-
-impl Job {
-    /// Memory of an engine of the service.
-    #[must_use]
-    pub fn memory(&self) -> Tokens {
-        self.engine.as_ref().map_or(Tokens::default(), |engine| engine.memory)
-    }
-
-    /// Kind of work, for counts by release.
-    #[must_use]
-    pub fn kind(&self, model: Option<&ModelId>) -> String {
-        format!("{}/{}", self.route.id, model.map_or("", ModelId::as_str))
-    }
-
-    /// Work that a token makes with a model, against the mean of the models.
-    #[must_use]
-    pub fn weight(&self, model: Option<&ModelId>) -> f64 {
-        self.engine.as_ref().zip(model).map_or(1.0, |(engine, model)| engine.weight(model))
-    }
-}
-
 /// Checks a request and reads its body.
 ///
 /// # Errors
--- a/crates/bluebelld/src/gateway/front/mod.rs
+++ b/crates/bluebelld/src/gateway/front/mod.rs
@@ -2,16 +2,17 @@
 
 mod admit;
 mod answer;
+mod body;
+mod choose;
 mod plain;
+mod record;
 mod refusal;
+mod reply;
 mod stream;
+mod tries;
 
-use std::{convert::Infallible, io, sync::Arc, time::Duration};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
-pub use admit::Job;
-pub use answer::record_overdue;
-use bytes::Bytes;
-use http_body_util::combinators::UnsyncBoxBody;
 use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::{
@@ -22,11 +23,6 @@
 use super::{pool::watch_socket, state::Gateway, stop};
 use crate::{error::DaemonError, listen::listen};
 
-/// Body of an answer.
-pub type AnswerBody = UnsyncBoxBody<Bytes, io::Error>;
-/// An answer to a caller.
-pub type Response = hyper::Response<AnswerBody>;
-
 /// Pause after the system refused to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -94,8 +90,3 @@
         std::future::pending::<()>().await;
     }
 }
-
-/// Time left of a request.
-fn left(gateway: &Gateway, job: &Job) -> Duration {
-    job.end.saturating_sub(gateway.now())
-}
--- a/crates/bluebelld/src/gateway/front/plain.rs
+++ b/crates/bluebelld/src/gateway/front/plain.rs
@@ -7,13 +7,15 @@
 use tokio::time::timeout;
 
 use super::{
-    Response,
-    admit::Job,
-    answer::{Tries, choose, give_up, pass_whole, record, take_retry},
-    left,
+    body::Response,
+    choose::{choose, take_retry},
+    record::record,
+    reply::{give_up, pass_whole},
+    tries::Tries,
 };
 use crate::gateway::{
     attempt::{self, Failure, Order, Patience},
+    job::Job,
     state::Gateway,
     traffic::Took,
 };
@@ -25,7 +27,7 @@
 pub async fn answer(gateway: &Arc<Gateway>, job: Job) -> Response {
     let mut tries = Tries::default();
     let mut failed: Option<(StatusCode, HeaderMap, Bytes)> = None;
-    while tries.may_send(&job) && !left(gateway, &job).is_zero() {
+    while tries.may_send(&job) && !job.left(gateway).is_zero() {
         if tries.sends() > 0 && !take_retry(gateway, &job) {
             break;
         }
@@ -58,7 +60,7 @@
 // Work that may run only once waits to the end, since another send could double it.
 fn patience(gateway: &Gateway, job: &Job, tries: &Tries) -> Patience {
     if job.route.repeat.may_repeat() && tries.ran + 1 < job.route.attempts {
-        return Patience::Fixed((job.route.target * PATIENCE_TARGETS).min(left(gateway, job) / 2));
+        return Patience::Fixed((job.route.target * PATIENCE_TARGETS).min(job.left(gateway) / 2));
     }
     Patience::Whole
 }
@@ -70,7 +72,7 @@
     tries: &Tries,
 ) -> Result<(StatusCode, HeaderMap, Bytes), Failure> {
     let mut live = attempt::send(gateway, job, order).await?;
-    let body = match timeout(left(gateway, job), live.whole()).await {
+    let body = match timeout(job.left(gateway), live.whole()).await {
         Ok(Ok(body)) => body,
         Ok(Err(reason)) => return Err(Failure::Unknown { reason }),
         Err(_) => return Err(Failure::Unknown { reason: "the answer was not whole in time".to_owned() }),
--- a/crates/bluebelld/src/gateway/front/refusal.rs
+++ b/crates/bluebelld/src/gateway/front/refusal.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use snafu::Snafu;
 
-use super::Response;
+use super::body::Response;
 
 /// Part of the time left that a caller may be told to wait.
 const PAUSE_PART: u32 = 4;
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -17,16 +17,16 @@
 use tokio::time::timeout;
 
 use super::{
-    Response,
-    admit::Job,
-    answer::{
-        InFlight, Tries, choose, give_up, outcome, pass_on, pass_whole, record, record_head, record_overdue, take_retry,
-    },
-    left,
+    body::Response,
+    choose::{choose, take_retry},
+    record::{record, record_head},
+    reply::{give_up, outcome, pass_on, pass_whole},
+    tries::{InFlight, Tries},
 };
 use crate::{
     gateway::{
         attempt::{self, Failure, Live, Order, Patience, Piece},
+        job::Job,
         state::Gateway,
         traffic::Took,
     },
@@ -101,7 +101,7 @@
         model: job.route.models.iter().position(|model| model == current)?,
         models: job.route.models.len(),
         confidence: live.proof.confidence,
-        left: left(gateway, job),
+        left: job.left(gateway),
         whole: job.end - job.arrived,
         attempts: job.route.attempts.saturating_sub(tries.ran + 1),
         rank: job.rank,
@@ -123,7 +123,7 @@
     tries: &mut Tries,
 ) -> Result<Live, Box<Response>> {
     let mut first = true;
-    while tries.may_send(job) && !left(gateway, job).is_zero() {
+    while tries.may_send(job) && !job.left(gateway).is_zero() {
         if !first && !take_retry(gateway, job) {
             break;
         }
@@ -158,7 +158,7 @@
 // The upstream's own failure, unless another try may follow.
 async fn failure(gateway: &Arc<Gateway>, job: &Job, mut live: Live, tries: &mut Tries) -> Option<Response> {
     record(gateway, job, &live, Took::Unknown, tries);
-    let body = timeout(left(gateway, job), live.whole()).await;
+    let body = timeout(job.left(gateway), live.whole()).await;
     tries.ran += 1;
     let again = live.status.is_server_error() && tries.may_send(job);
     let Ok(Ok(body)) = body else { return None };
@@ -266,7 +266,7 @@
         let is_slow =
             self.gateway.traffic().is_slow(&self.job.service, &kind, live.pace(self.gateway.now(), self.live_events));
         if is_slow {
-            record_overdue(&self.gateway, &self.job, live.model.as_ref(), &live.upstream.release);
+            self.job.record_overdue(&self.gateway, live.model.as_ref(), &live.upstream.release);
             self.overdue = true;
         }
     }
--- a/crates/bluebelld/src/gateway/mod.rs
+++ b/crates/bluebelld/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod beliefs;
 mod control;
 mod front;
+mod job;
 mod metrics;
 mod pool;
 mod ready;
--- a/crates/bluebelld/src/gateway/state.rs
+++ b/crates/bluebelld/src/gateway/state.rs
@@ -14,7 +14,13 @@
 use bluebell_wire::Identity;
 use tokio::sync::watch;
 
-use super::{beliefs::Beliefs, metrics::GatewayMetrics, pool::Pools, settings::GatewaySettings, traffic::Traffic};
+use super::{
+    beliefs::Beliefs,
+    metrics::GatewayMetrics,
+    pool::Pools,
+    settings::GatewaySettings,
+    traffic::{Counted, Traffic},
+};
 use crate::error::DaemonError;
 
 /// What the threads of a gateway share.
@@ -87,6 +93,12 @@
         self.traffic.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Counts an answer for its release, while its service has a roll-out.
+    pub fn count(&self, counted: &Counted<'_>) {
+        let beliefs = self.beliefs.load();
+        self.traffic().count(counted, beliefs.split(counted.service));
+    }
+
     /// Whether the process is leaving.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
--- a/crates/bluebelld/src/lib.rs
+++ b/crates/bluebelld/src/lib.rs
@@ -10,7 +10,6 @@
 mod entry;
 mod error;
 pub mod gateway;
-mod links;
 mod listen;
 mod logs;
 mod metrics;
--- a/crates/bluebelld/src/links/keep.rs
+++ b/crates/bluebelld/src/peers/connect.rs
@@ -1,28 +1,60 @@
-//! Keeping a connection: connect, exchange heartbeats, and begin anew when it breaks.
+//! Keeping connections to peers: connect, exchange heartbeats, and begin anew when one breaks.
 
 use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
+    ids::InstanceId,
     kernel::Input,
-    members::{Listed, MembersEvent, Role},
+    members::{Listed, Members, MembersEvent, Role},
 };
 use bluebell_wire::{Connection, Route, WireError, messages::Standing};
+use indexmap::IndexMap;
 use tokio::task::spawn_local;
 
-use super::Link;
-use crate::{
-    control::ControlHandle,
-    peers::{Exchange, Pace, exchange},
-    shared::Shared,
-};
+use super::exchange::{Exchange, Pace, exchange};
+use crate::shared::{ControlHandle, Link, Shared};
 
 /// Pause before the first new try.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause between tries.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
-/// Starts to keep a connection to an instance.
-pub fn start(shared: &Arc<Shared>, control: &ControlHandle, listed: &Listed) -> Arc<Link> {
+/// Brings the links in line with the members: opens those that are missing, drops those not wanted any more.
+pub fn adopt(shared: &Arc<Shared>, control: &ControlHandle, members: &Members) {
+    let own = &shared.config.instance;
+    let mut wanted: Vec<InstanceId> = Vec::new();
+    if own.role == Role::Entry {
+        wanted.extend(shared.subset.load().members());
+    }
+    wanted.extend(members.followed(&own.id, &own.zone, own.role).iter().map(|item| item.instance.clone()));
+    let before = shared.links.all();
+    let mut after: IndexMap<InstanceId, Arc<Link>> = IndexMap::new();
+    for peer in wanted {
+        let Some(listed) = members.get(&peer) else { continue };
+        let known = before.get(&peer).filter(|link| link.address() == listed.address);
+        let link = known.cloned().unwrap_or_else(|| start(shared, control, listed));
+        after.insert(peer, link);
+    }
+    for (peer, link) in before.iter() {
+        if !after.get(peer).is_some_and(|kept| Arc::ptr_eq(kept, link)) {
+            link.drop_soon();
+        }
+    }
+    shared.links.replace(after);
+}
+
+/// A connection to any instance: the one that is open, or else one made for the occasion.
+pub async fn connection(shared: &Shared, peer: &InstanceId) -> Option<Connection> {
+    if let Some(connection) = shared.links.open_connection(peer) {
+        return Some(connection);
+    }
+    let address = shared.members.load().get(peer)?.address.clone();
+    let opened = Connection::open(&address, Arc::clone(&shared.identity), shared.config.timing.connect).await;
+    opened.map_err(|error| log::debug!("{peer} can't be reached: {error}")).ok()
+}
+
+// Starts to keep a connection to an instance.
+fn start(shared: &Arc<Shared>, control: &ControlHandle, listed: &Listed) -> Arc<Link> {
     let link = Arc::new(Link::new(listed));
     spawn_local(keep(Arc::clone(shared), control.clone(), Arc::clone(&link)));
     link
--- /dev/null
+++ b/crates/bluebelld/src/peers/mod.rs
@@ -0,0 +1,78 @@
+//! Conversations that every instance has with its peers: heartbeats with revisions, settings, and billing rows.
+
+mod connect;
+mod exchange;
+
+use std::sync::Arc;
+
+use bluebell_core::{billing::BillingEvent, ids::Revision, kernel::Input};
+use bluebell_wire::{
+    Incoming, Route, WireError,
+    messages::{BillsAsk, BillsReply, ConfirmedAsk, ConfirmedReply, FetchAsk, FetchReply},
+};
+pub use connect::{adopt, connection};
+use exchange::{Exchange, Pace, exchange};
+
+use crate::shared::{ControlHandle, Shared};
+
+/// Serves one of the conversations that every instance has.
+///
+/// # Errors
+/// When the connection broke or the peer sent what can't be read.
+pub async fn serve(shared: &Arc<Shared>, control: &ControlHandle, incoming: Incoming) -> Result<(), WireError> {
+    match incoming.route {
+        Route::Follow | Route::Watch => serve_follow(shared, control, incoming).await,
+        Route::Fetch => serve_fetch(control, incoming).await,
+        Route::Bills => serve_bills(shared, control, incoming).await,
+        Route::Confirmed => serve_confirmed(shared, incoming).await,
+        Route::Run | Route::Resolve | Route::Exchange => Err(WireError::Route { path: incoming.route.to_string() }),
+    }
+}
+
+async fn serve_follow(shared: &Arc<Shared>, control: &ControlHandle, incoming: Incoming) -> Result<(), WireError> {
+    let peer = incoming.from.clone();
+    let pace = Pace::of(incoming.route, &shared.config.timing);
+    let (reader, writer) = incoming.accept()?;
+    let seen = Exchange { shared, control, peer: &peer, pace };
+    let result = exchange(&seen, reader, writer, |beat| {
+        shared.followers.confirm(peer.clone(), beat.revision);
+    })
+    .await;
+    shared.followers.forget(&peer);
+    result
+}
+
+async fn serve_fetch(control: &ControlHandle, incoming: Incoming) -> Result<(), WireError> {
+    let (mut reader, mut writer) = incoming.accept::<FetchAsk, FetchReply>()?;
+    let after = reader.expect().await?.after;
+    let snapshot = control.query(move |kernel| kernel.settings().map(|follower| follower.since(after))).await;
+    match snapshot.flatten() {
+        Some(snapshot) => writer.finish(&snapshot).await,
+        None => Err(WireError::Closed),
+    }
+}
+
+async fn serve_bills(shared: &Shared, control: &ControlHandle, incoming: Incoming) -> Result<(), WireError> {
+    let (mut reader, mut writer) = incoming.accept::<BillsAsk, BillsReply>()?;
+    let reply = match reader.expect().await? {
+        BillsAsk::Take(_) if shared.is_leaving() => BillsReply::Declined,
+        BillsAsk::Take(rows) => {
+            for row in rows {
+                control.input(Input::Billing(BillingEvent::Add(row)));
+            }
+            BillsReply::Taken
+        }
+        BillsAsk::Settled(requests) => {
+            control.input(Input::Billing(BillingEvent::Settled(requests)));
+            BillsReply::Taken
+        }
+    };
+    writer.finish(&reply).await
+}
+
+async fn serve_confirmed(shared: &Shared, incoming: Incoming) -> Result<(), WireError> {
+    let (mut reader, mut writer) = incoming.accept::<ConfirmedAsk, ConfirmedReply>()?;
+    reader.expect().await?;
+    let own = Revision(*shared.revision.borrow());
+    writer.finish(&ConfirmedReply { own, followers: shared.followers.confirmations() }).await
+}
--- a/crates/bluebelld/src/records/instances.rs
+++ b/crates/bluebelld/src/records/instances.rs
@@ -8,7 +8,7 @@
 };
 use bluebell_platform::store::Changes;
 
-use super::{NO_WAIT, RecordError, Records, parse};
+use super::table::{NO_WAIT, RecordError, Records, parse};
 
 /// The list, or what changed in it, as of a version.
 #[derive(Debug, Clone)]
--- a/crates/bluebelld/src/records/intents.rs
+++ b/crates/bluebelld/src/records/intents.rs
@@ -11,7 +11,7 @@
 use futures_util::future::join_all;
 use indexmap::IndexMap;
 
-use super::{Expect, RecordError, Records, parse, put, record};
+use super::table::{Expect, RecordError, Records, parse, put, record};
 
 /// Partitions of bills: as many as use up the store's writes, 400/s in all and 200/s in a partition.
 const BILL_PARTS: u64 = 2;
--- a/crates/bluebelld/src/records/objects.rs
+++ b/crates/bluebelld/src/records/objects.rs
@@ -3,7 +3,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::ResultExt;
 
-use super::{FormSnafu, RecordError, Records};
+use super::table::{FormSnafu, RecordError, Records};
 
 impl Records {
     /// Reads an object.
--- a/crates/bluebelld/src/records/ratings.rs
+++ b/crates/bluebelld/src/records/ratings.rs
@@ -7,7 +7,7 @@
 use bluebell_platform::store::Changes;
 use serde::{Deserialize, Serialize};
 
-use super::{NO_WAIT, RecordError, Records, parse};
+use super::table::{NO_WAIT, RecordError, Records, parse};
 
 /// Rating of one answer.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/bluebelld/src/records/settings.rs
+++ b/crates/bluebelld/src/records/settings.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{Snafu, ensure};
 
-use super::{Expect, RecordError, Records, parse, put, record};
+use super::table::{Expect, RecordError, Records, parse, put, record};
 
 /// Partition of the settings. The lease on roll-outs lies there too, as changes under it are written on condition that
 /// it has not moved.
--- a/crates/bluebelld/src/control/handle.rs
+++ b/crates/bluebelld/src/shared/control.rs
@@ -22,7 +22,8 @@
     deferred: Arc<Mutex<Vec<Input>>>,
 }
 
-pub(super) fn channel() -> (ControlHandle, mpsc::UnboundedReceiver<Command>) {
+/// A way to the control thread, and its other end.
+pub fn channel() -> (ControlHandle, mpsc::UnboundedReceiver<Command>) {
     let (commands, receiver) = mpsc::unbounded_channel();
     (ControlHandle { commands, deferred: Arc::default() }, receiver)
 }
@@ -38,7 +39,8 @@
         self.deferred().push(input);
     }
 
-    pub(super) fn take_deferred(&self) -> Vec<Input> {
+    /// Takes the inputs that were deferred.
+    pub(crate) fn take_deferred(&self) -> Vec<Input> {
         std::mem::take(&mut *self.deferred())
     }
 
--- a/crates/bluebelld/src/links/link.rs
+++ b/crates/bluebelld/src/shared/link.rs
@@ -47,7 +47,8 @@
 }
 
 impl Link {
-    pub(super) fn new(listed: &Listed) -> Self {
+    /// A link that is not connected yet.
+    pub fn new(listed: &Listed) -> Self {
         Self {
             peer: listed.instance.clone(),
             role: listed.role,
@@ -84,7 +85,8 @@
         connection.as_deref().filter(|connection| !connection.is_lost()).cloned()
     }
 
-    pub(super) fn set_connection(&self, connection: Option<Connection>) {
+    /// Replaces the connection.
+    pub fn set_connection(&self, connection: Option<Connection>) {
         self.connection.store(connection.map(Arc::new));
     }
 
@@ -133,11 +135,13 @@
         InUse(Arc::clone(self))
     }
 
-    pub(super) fn drop_soon(&self) {
+    /// Has the task that keeps the connection end.
+    pub fn drop_soon(&self) {
         self.dropped.send_replace(true);
     }
 
-    pub(super) async fn wait_dropped(&self) {
+    /// Waits until the link is dropped.
+    pub async fn wait_dropped(&self) {
         // The sender lives as long as the link, so this ends only when the link is dropped.
         let _ = self.dropped.subscribe().wait_for(|dropped| *dropped).await;
     }
--- a/crates/bluebelld/src/shared.rs
+++ b/crates/bluebelld/src/shared/mod.rs
@@ -1,4 +1,11 @@
-//! What all threads of the process share.
+//! What all threads of the process share: settings in force, members, connections to peers, the way to the control
+//! thread, and the gate of a sidecar.
+
+mod admission;
+mod control;
+mod followers;
+mod link;
+mod links;
 
 use std::{
     sync::{
@@ -8,6 +15,7 @@
     time::{Duration, UNIX_EPOCH},
 };
 
+pub use admission::Admission;
 use arc_swap::ArcSwap;
 use bluebell_core::{
     clock::Clock,
@@ -21,12 +29,13 @@
 };
 use bluebell_platform::store::Store;
 use bluebell_wire::Identity;
+pub use control::{Command, ControlHandle, channel};
+pub use followers::Followers;
+pub use link::{InUse, Link};
+pub use links::Links;
 use tokio::sync::watch;
 
-use crate::{
-    config::Config, error::DaemonError, links::Links, metrics::Metrics, peers::Followers, records::Records,
-    sidecar::Admission,
-};
+use crate::{config::Config, error::DaemonError, metrics::Metrics, records::Records};
 
 /// Time after its start for which an entry waits for connections before it is ready.
 const LINK_TIME: Duration = Duration::from_secs(5);
--- /dev/null
+++ b/crates/bluebelld/src/sidecar/admit.rs
@@ -0,0 +1,112 @@
+//! Admission of an attempt: the gate decides whether and when it starts.
+
+use std::{sync::Arc, time::Duration};
+
+use bluebell_core::{
+    gate::{GateEffect, GateEvent, Refusal, RefusalReason},
+    ids::Permit,
+    intent::Reservation,
+};
+use bluebell_wire::{
+    Incoming, WireError,
+    messages::{FromSidecar, Payload, Task, ToSidecar},
+};
+
+use super::{attempt::Attempt, engine, service, state::Sidecar};
+
+/// Serves one attempt.
+///
+/// # Errors
+/// When the connection broke.
+pub async fn serve(sidecar: &Arc<Sidecar>, incoming: Incoming) -> Result<(), WireError> {
+    let _work = sidecar.work();
+    let (mut reader, writer) = incoming.accept::<ToSidecar, FromSidecar>()?;
+    let ToSidecar::Ask(task) = reader.expect().await? else {
+        return Err(WireError::Closed);
+    };
+    let Some(admission) = &sidecar.shared.admission else {
+        return Err(WireError::Closed);
+    };
+    let Task { request, ask, deadline, payload } = *task;
+    let effects = admission.ask(ask.clone());
+    let attempt = Attempt { sidecar: Arc::clone(sidecar), request, ask, deadline, writer, reader, effects };
+    Box::new(attempt).admit(payload).await
+}
+
+impl Attempt {
+    async fn admit(mut self: Box<Self>, payload: Payload) -> Result<(), WireError> {
+        let effect = tokio::select! {
+            effect = self.effects.recv() => effect,
+            () = self.writer.closed() => None,
+        };
+        match effect {
+            Some(GateEffect::Start { .. }) => self.run(payload).await,
+            Some(GateEffect::Reserve { permit, .. }) => self.reserved(permit, payload).await,
+            Some(GateEffect::Refuse { refusal, .. }) => self.refuse(refusal).await,
+            Some(GateEffect::Stop { .. }) | None => {
+                self.abandon();
+                Ok(())
+            }
+        }
+    }
+
+    async fn run(mut self: Box<Self>, payload: Payload) -> Result<(), WireError> {
+        if self.writer.send(&FromSidecar::Started).await.is_err() {
+            self.abandon();
+            return Ok(());
+        }
+        match payload {
+            Payload::Chat(chat) => engine::run(self, chat).await,
+            Payload::Call(call) => service::run(self, call).await,
+        }
+    }
+
+    async fn reserved(mut self: Box<Self>, permit: Permit, payload: Payload) -> Result<(), WireError> {
+        let now = self.sidecar.shared.clock.now();
+        self.sidecar.calls().reserve(self.id(), now);
+        let reservation = Reservation {
+            attempt: self.id().clone(),
+            sidecar: self.sidecar.shared.config.instance.id.clone(),
+            incarnation: self.sidecar.shared.incarnation,
+            permit,
+        };
+        if self.writer.send(&FromSidecar::Reserved(reservation)).await.is_err() {
+            return self.close();
+        }
+        // The gate may take the place back while the order is awaited.
+        let order = tokio::select! {
+            order = self.reader.next() => order,
+            effect = self.effects.recv() => return self.taken_back(effect).await,
+        };
+        match order {
+            Ok(Some(ToSidecar::Go(order))) => self.go(order, payload).await,
+            _ => self.close(),
+        }
+    }
+
+    async fn go(mut self: Box<Self>, order: Permit, payload: Payload) -> Result<(), WireError> {
+        if !self.sidecar.calls().start(self.id()) {
+            self.abandon();
+            return self.refuse(Refusal::new(RefusalReason::NoReservation, Duration::ZERO)).await;
+        }
+        self.tell(GateEvent::Go { attempt: self.id().clone(), permit: order });
+        match self.effects.recv().await {
+            Some(GateEffect::Start { .. }) => self.run(payload).await,
+            effect => self.taken_back(effect).await,
+        }
+    }
+
+    async fn taken_back(self: Box<Self>, effect: Option<GateEffect>) -> Result<(), WireError> {
+        self.sidecar.calls().not_run(self.id(), self.sidecar.shared.clock.now());
+        match effect {
+            Some(GateEffect::Refuse { refusal, .. }) => self.refuse(refusal).await,
+            _ => self.close(),
+        }
+    }
+
+    fn close(self: Box<Self>) -> Result<(), WireError> {
+        self.sidecar.calls().close(self.id(), self.sidecar.shared.clock.now());
+        self.abandon();
+        Ok(())
+    }
+}
--- a/crates/bluebelld/src/sidecar/attempt.rs
+++ b/crates/bluebelld/src/sidecar/attempt.rs
@@ -1,19 +1,18 @@
-//! One attempt at the runner: the gate decides whether and when it starts.
+//! One attempt at the runner, with its conversation.
 
 use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
-    gate::{Ask, GateEffect, GateEvent, Refusal, RefusalReason},
-    ids::{AttemptId, Permit, RequestId},
-    intent::Reservation,
+    gate::{Ask, GateEffect, GateEvent, Refusal},
+    ids::{AttemptId, RequestId},
 };
 use bluebell_wire::{
-    FrameReader, FrameWriter, Incoming, WireError,
-    messages::{FromSidecar, Payload, Task, ToSidecar},
+    FrameReader, FrameWriter, WireError,
+    messages::{FromSidecar, ToSidecar},
 };
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use super::{Sidecar, engine, health, service};
+use super::{health, state::Sidecar};
 
 /// An attempt with its conversation.
 pub struct Attempt {
@@ -27,30 +26,12 @@
     pub deadline: Duration,
     /// To the entry.
     pub writer: FrameWriter<FromSidecar>,
-    reader: FrameReader<ToSidecar>,
+    /// From the entry.
+    pub reader: FrameReader<ToSidecar>,
     /// From the gate.
     pub effects: UnboundedReceiver<GateEffect>,
 }
 
-/// Serves one attempt.
-///
-/// # Errors
-/// When the connection broke.
-pub async fn serve(sidecar: &Arc<Sidecar>, incoming: Incoming) -> Result<(), WireError> {
-    let _work = sidecar.work();
-    let (mut reader, writer) = incoming.accept::<ToSidecar, FromSidecar>()?;
-    let ToSidecar::Ask(task) = reader.expect().await? else {
-        return Err(WireError::Closed);
-    };
-    let Some(admission) = &sidecar.shared.admission else {
-        return Err(WireError::Closed);
-    };
-    let Task { request, ask, deadline, payload } = *task;
-    let effects = admission.ask(ask.clone());
-    let attempt = Attempt { sidecar: Arc::clone(sidecar), request, ask, deadline, writer, reader, effects };
-    Box::new(attempt).admit(payload).await
-}
-
 impl Attempt {
     /// Id of the attempt.
     pub fn id(&self) -> &AttemptId {
@@ -84,84 +65,8 @@
         self.tell(GateEvent::Abandon { attempt: self.id().clone() });
     }
 
-    async fn admit(mut self: Box<Self>, payload: Payload) -> Result<(), WireError> {
-        let effect = tokio::select! {
-            effect = self.effects.recv() => effect,
-            () = self.writer.closed() => None,
-        };
-        match effect {
-            Some(GateEffect::Start { .. }) => self.run(payload).await,
-            Some(GateEffect::Reserve { permit, .. }) => self.reserved(permit, payload).await,
-            Some(GateEffect::Refuse { refusal, .. }) => self.refuse(refusal).await,
-            Some(GateEffect::Stop { .. }) | None => {
-                self.abandon();
-                Ok(())
-            }
-        }
-    }
-
     /// Says that the attempt did not run.
     pub async fn refuse(mut self: Box<Self>, refusal: Refusal) -> Result<(), WireError> {
         self.writer.finish(&FromSidecar::Refused(refusal)).await
     }
-
-    async fn run(mut self: Box<Self>, payload: Payload) -> Result<(), WireError> {
-        if self.writer.send(&FromSidecar::Started).await.is_err() {
-            self.abandon();
-            return Ok(());
-        }
-        match payload {
-            Payload::Chat(chat) => engine::run(self, chat).await,
-            Payload::Call(call) => service::run(self, call).await,
-        }
-    }
-
-    async fn reserved(mut self: Box<Self>, permit: Permit, payload: Payload) -> Result<(), WireError> {
-        let now = self.sidecar.shared.clock.now();
-        self.sidecar.calls().reserve(self.id(), now);
-        let reservation = Reservation {
-            attempt: self.id().clone(),
-            sidecar: self.sidecar.shared.config.instance.id.clone(),
-            incarnation: self.sidecar.shared.incarnation,
-            permit,
-        };
-        if self.writer.send(&FromSidecar::Reserved(reservation)).await.is_err() {
-            return self.close();
-        }
-        // The gate may take the place back while the order is awaited.
-        let order = tokio::select! {
-            order = self.reader.next() => order,
-            effect = self.effects.recv() => return self.taken_back(effect).await,
-        };
-        match order {
-            Ok(Some(ToSidecar::Go(order))) => self.go(order, payload).await,
-            _ => self.close(),
-        }
-    }
-
-    async fn go(mut self: Box<Self>, order: Permit, payload: Payload) -> Result<(), WireError> {
-        if !self.sidecar.calls().start(self.id()) {
-            self.abandon();
-            return self.refuse(Refusal::new(RefusalReason::NoReservation, Duration::ZERO)).await;
-        }
-        self.tell(GateEvent::Go { attempt: self.id().clone(), permit: order });
-        match self.effects.recv().await {
-            Some(GateEffect::Start { .. }) => self.run(payload).await,
-            effect => self.taken_back(effect).await,
-        }
-    }
-
-    async fn taken_back(self: Box<Self>, effect: Option<GateEffect>) -> Result<(), WireError> {
-        self.sidecar.calls().not_run(self.id(), self.sidecar.shared.clock.now());
-        match effect {
-            Some(GateEffect::Refuse { refusal, .. }) => self.refuse(refusal).await,
-            _ => self.close(),
-        }
-    }
-
-    fn close(self: Box<Self>) -> Result<(), WireError> {
-        self.sidecar.calls().close(self.id(), self.sidecar.shared.clock.now());
-        self.abandon();
-        Ok(())
-    }
 }
--- a/crates/bluebelld/src/sidecar/calls.rs
+++ b/crates/bluebelld/src/sidecar/calls.rs
@@ -8,7 +8,7 @@
     messages::{ResolveAsk, ResolveReply},
 };
 
-use super::Sidecar;
+use super::state::Sidecar;
 
 /// Answers what became of a call.
 ///
--- a/crates/bluebelld/src/sidecar/engine.rs
+++ b/crates/bluebelld/src/sidecar/engine.rs
@@ -21,6 +21,7 @@
 use tokio::time::Instant;
 
 use super::attempt::Attempt;
+use crate::shared::Admission;
 
 /// Events of an engine that are passed on together when they are there together.
 const MERGED_EVENTS: usize = 64;
@@ -236,7 +237,7 @@
         prompt: Tokens(progress.prompt),
         output: Tokens(progress.output),
         reason: progress.reason.clone().unwrap_or_else(|| "stop".to_owned()),
-        load: attempt.sidecar.shared.admission.as_ref().map_or(0.0, super::Admission::load),
+        load: attempt.sidecar.shared.admission.as_ref().map_or(0.0, Admission::load),
     };
     attempt.writer.finish(&FromSidecar::Finished(usage)).await
 }
--- a/crates/bluebelld/src/sidecar/health.rs
+++ b/crates/bluebelld/src/sidecar/health.rs
@@ -8,7 +8,7 @@
 use bluebell_core::gate::GateEvent;
 use tokio::{net::TcpStream, time::timeout};
 
-use super::Sidecar;
+use super::state::Sidecar;
 
 /// Time between two looks at a runner that failed.
 const PROBE_PERIOD: Duration = Duration::from_millis(100);
--- a/crates/bluebelld/src/sidecar/mod.rs
+++ b/crates/bluebelld/src/sidecar/mod.rs
@@ -1,22 +1,20 @@
 //! The sidecar: stands before one runner, admits attempts through the gate, and passes the runner's answers on.
 
-mod admission;
+mod admit;
 mod attempt;
 mod calls;
 mod engine;
 mod health;
 mod service;
-
-pub use admission::Admission;
+mod state;
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
 use bluebell_core::{
     billing::Outbox,
-    calls::Calls,
     gate::GateEvent,
     kernel::{Kernel, Service},
     members::Members,
@@ -24,15 +22,14 @@
 };
 use bluebell_wire::{Incoming, Route as Kind, Server as PeerServer, WireError};
 use poem::{EndpointExt, Route, Server, get, listener::TcpAcceptor};
+use state::Sidecar;
 use tokio::{
     sync::{mpsc, watch},
     time::MissedTickBehavior,
 };
 
 use crate::{
-    config::Runner,
-    control::{self, ControlHandle},
-    entry,
+    control,
     error::{ConfigValueSnafu, DaemonError},
     listen::{listen, public_acceptor},
     peers, probe,
@@ -45,42 +42,6 @@
 /// Time between two ticks of the gate.
 const TICK: Duration = Duration::from_millis(100);
 
-/// State of a sidecar.
-pub struct Sidecar {
-    shared: Arc<Shared>,
-    control: ControlHandle,
-    runner: Runner,
-    client: reqwest::Client,
-    calls: Mutex<Calls>,
-    working: watch::Sender<u64>,
-}
-
-/// Counts as work in progress until dropped, so that a planned stop waits for it.
-struct Work(Arc<Sidecar>);
-
-impl Sidecar {
-    fn calls(&self) -> MutexGuard<'_, Calls> {
-        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn tell(&self, event: GateEvent) {
-        if let Some(admission) = &self.shared.admission {
-            admission.tell(event);
-        }
-    }
-
-    fn work(self: &Arc<Self>) -> Work {
-        self.working.send_modify(|count| *count += 1);
-        Work(Arc::clone(self))
-    }
-}
-
-impl Drop for Work {
-    fn drop(&mut self) {
-        self.0.working.send_modify(|count| *count -= 1);
-    }
-}
-
 /// Runs a sidecar until it is told to stop.
 ///
 /// # Errors
@@ -138,7 +99,7 @@
     if tokio::time::timeout(sidecar.shared.config.timing.drain, idle).await.is_err() {
         log::error!("attempts were still running at the end of the drain time");
     }
-    entry::settle_rows(&sidecar.shared, &sidecar.control).await;
+    control::settle_rows(&sidecar.shared, &sidecar.control).await;
     closing.send_replace(true);
     log::info!("left");
 }
@@ -167,7 +128,7 @@
 
 async fn serve(sidecar: &Arc<Sidecar>, incoming: Incoming) -> Result<(), WireError> {
     match incoming.route {
-        Kind::Run => attempt::serve(sidecar, incoming).await,
+        Kind::Run => admit::serve(sidecar, incoming).await,
         Kind::Resolve => calls::resolve(sidecar, incoming).await,
         _ => peers::serve(&sidecar.shared, &sidecar.control, incoming).await,
     }
