Backlog for the choice of model is that of the engines a request may use

Cause: the mean was taken over all engines of a service, those of a release that gets a tenth of the requests and those left out included, so a crowded release looked half empty during a roll-out. Also: the log line of a caller that left names the upstream, the events that the caller had, and how long it had been silent (a trace of 113 such requests could not say where they hung).

--- a/crates/bluebelld/src/gateway/front/choose.rs
+++ b/crates/bluebelld/src/gateway/front/choose.rs
@@ -1,13 +1,18 @@
 //! Choosing an upstream for an attempt, and paying for a further one.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
     ids::{ModelId, ReleaseId, SessionId, UpstreamId},
     upstreams::Upstream,
 };
 
-use crate::gateway::{job::Job, state::Gateway, traffic::Demand};
+use crate::gateway::{
+    beliefs::Beliefs,
+    job::Job,
+    state::Gateway,
+    traffic::{Demand, Traffic},
+};
 
 /// An upstream for a request, other than those tried already if there is one. A stream that goes on elsewhere stays
 /// on its release.
@@ -20,20 +25,14 @@
 ) -> Option<Arc<Upstream>> {
     let now = gateway.now();
     let beliefs = gateway.beliefs.load();
-    let all = beliefs.upstreams(&job.service);
     let mut traffic = gateway.traffic();
-    let life = gateway.settings.session_seconds;
     let session = job.asked.session.as_ref();
-    let pinned = session.and_then(|session| traffic.sessions.get(now, session, life));
-    let key = session.map_or(job.asked.request.as_str(), SessionId::as_str);
-    let split = beliefs.split(&job.service);
     let same = |one: &&Arc<Upstream>| stays == Some(&one.release);
-    let admitted = |one: &&Arc<Upstream>| split.admits(key, pinned, &one.release);
-    let mut pool: Vec<&Arc<Upstream>> = all.iter().filter(same).collect();
+    let mut pool: Vec<Arc<Upstream>> = beliefs.upstreams(&job.service).iter().filter(same).cloned().collect();
     if pool.is_empty() {
-        pool = all.iter().filter(admitted).collect();
+        pool = admitted(gateway, &beliefs, &traffic, job);
     }
-    let fresh: Vec<&Arc<Upstream>> = pool.iter().copied().filter(|one| !tried.contains(&one.id)).collect();
+    let fresh: Vec<Arc<Upstream>> = pool.iter().filter(|one| !tried.contains(&one.id)).cloned().collect();
     if !fresh.is_empty() {
         pool = fresh;
     }
@@ -43,11 +42,30 @@
     let demand = Demand { model, parts: &job.asked.parts, prompt: job.asked.prompt, weight };
     let zone = gateway.settings.instance.zone.as_str();
     let chosen = traffic.choose(now, zone, &demand, &among)?.id.clone();
-    let chosen = pool.into_iter().find(|one| one.id == chosen).cloned()?;
+    let chosen = pool.into_iter().find(|one| one.id == chosen)?;
     session.into_iter().for_each(|session| traffic.sessions.set(now, session, &chosen.release));
     Some(chosen)
 }
 
+// Upstreams of the release that the request may go to.
+fn admitted(gateway: &Gateway, beliefs: &Beliefs, traffic: &Traffic, job: &Job) -> Vec<Arc<Upstream>> {
+    let session = job.asked.session.as_ref();
+    let life = gateway.settings.session_seconds;
+    let pinned = session.and_then(|session| traffic.sessions.get(gateway.now(), session, life));
+    let key = session.map_or(job.asked.request.as_str(), SessionId::as_str);
+    let split = beliefs.split(&job.service);
+    let admits = |one: &&Arc<Upstream>| split.admits(key, pinned, &one.release);
+    beliefs.upstreams(&job.service).iter().filter(admits).cloned().collect()
+}
+
+/// Time that prompts wait to be read, on average, at the upstreams that a request may go to.
+pub fn backlog(gateway: &Gateway, job: &Job) -> Duration {
+    let beliefs = gateway.beliefs.load();
+    let mut traffic = gateway.traffic();
+    let pool = admitted(gateway, &beliefs, &traffic, job);
+    traffic.backlog(gateway.now(), &pool)
+}
+
 /// Whether the shared budget has a retry left; takes it.
 pub fn take_retry(gateway: &Gateway, job: &Job) -> bool {
     let entries = gateway.beliefs.load().entries;
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -18,7 +18,7 @@
 
 use super::{
     body::Response,
-    choose::{choose, take_retry},
+    choose::{backlog, choose, take_retry},
     record::{record, record_head},
     reply::{give_up, outcome, pass_on, pass_whole},
     tries::{InFlight, Tries},
@@ -88,8 +88,7 @@
 
 // Whether the largest model can be asked without delaying others.
 fn has_room(gateway: &Gateway, job: &Job) -> bool {
-    let beliefs = gateway.beliefs.load();
-    let backlog = gateway.traffic().backlog(gateway.now(), beliefs.upstreams(&job.service));
+    let backlog = backlog(gateway, job);
     let weight = job.weight(job.route.models.last());
     let reading = Duration::from_secs_f64(job.asked.prompt.0 as f64 * weight / READ_PER_MS / 1000.0);
     cascade::has_room(job.rank, backlog, reading, job.route.target)
@@ -253,6 +252,7 @@
         self.watch_pace();
         if let Some(live) = self.live.as_mut().filter(|_| batch.count > 0) {
             live.place.read();
+            self.in_flight.progress(&live.upstream.id, self.events);
         }
         Ok(batch)
     }
--- a/crates/bluebelld/src/gateway/front/tries.rs
+++ b/crates/bluebelld/src/gateway/front/tries.rs
@@ -17,14 +17,33 @@
     request: RequestId,
     arrived: Duration,
     labels: Option<(Option<OrgId>, RouteId)>,
+    progress: Progress,
     ended: bool,
 }
 
+/// How far an answer is.
+#[derive(Debug, Clone, Default)]
+pub struct Progress {
+    /// Upstream that answers last.
+    pub upstream: Option<UpstreamId>,
+    /// Events that the caller has.
+    pub events: u64,
+    /// When the last of them came.
+    pub heard: Duration,
+}
+
 impl InFlight {
     /// Begins to count a request.
     pub fn new(gateway: &Arc<Gateway>, request: RequestId) -> Self {
         gateway.working.send_modify(|count| *count += 1);
-        Self { gateway: Arc::clone(gateway), request, arrived: gateway.now(), labels: None, ended: false }
+        Self {
+            gateway: Arc::clone(gateway),
+            request,
+            arrived: gateway.now(),
+            labels: None,
+            progress: Progress::default(),
+            ended: false,
+        }
     }
 
     /// Names what the request is counted under.
@@ -32,6 +51,15 @@
         self.labels = Some((job.organisation.clone(), job.route.id.clone()));
     }
 
+    /// The answer goes on.
+    pub fn progress(&mut self, upstream: &UpstreamId, events: u64) {
+        if self.progress.upstream.as_ref() != Some(upstream) {
+            self.progress.upstream = Some(upstream.clone());
+        }
+        self.progress.events = events;
+        self.progress.heard = self.gateway.now();
+    }
+
     /// The caller has its answer, or what there is of it.
     pub fn end(&mut self, outcome: Outcome) {
         self.ended = true;
@@ -51,8 +79,16 @@
         self.gateway.working.send_modify(|count| *count -= 1);
         if !self.ended {
             self.count(Outcome::Abandoned);
-            let waited = (self.gateway.now() - self.arrived).as_millis() as u64;
-            log::info!(request = self.request.as_str(), waited_ms = waited; "caller left before its answer was whole");
+            let now = self.gateway.now();
+            let silent = now.saturating_sub(self.progress.heard.max(self.arrived));
+            log::info!(
+                request = self.request.as_str(),
+                upstream = self.progress.upstream.as_ref().map_or("", UpstreamId::as_str),
+                events = self.progress.events,
+                silent_ms = silent.as_millis() as u64,
+                waited_ms = (now - self.arrived).as_millis() as u64;
+                "caller left before its answer was whole"
+            );
         }
     }
 }
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -214,10 +214,16 @@
         life.remaining(now, since, patience)
     }
 
-    /// Time that prompts wait to be read at upstreams, on average.
+    /// Time that prompts wait to be read at upstreams that are in use, on average.
     pub fn backlog(&mut self, now: Duration, upstreams: &[Arc<Upstream>]) -> Duration {
-        let unread: f64 = upstreams.iter().map(|one| self.upstream(one).load.unread(now)).sum();
-        let mean = unread / upstreams.len().max(1) as f64;
+        let mut unread = Vec::with_capacity(upstreams.len());
+        for one in upstreams {
+            let state = self.upstream(one);
+            if state.health.is_open(now) {
+                unread.push(state.load.unread(now));
+            }
+        }
+        let mean = unread.iter().sum::<f64>() / unread.len().max(1) as f64;
         Duration::from_secs_f64(mean / READ_PER_MS / 1000.0)
     }
 
