Long prompts and other requests go to different halves of the engines

A trace of the engines' load at a gateway showed 40 to 130 requests at each of four engines while little was unread: an engine that reads does one step of its streams a chunk, 48 ms (144 with the largest model) in place of 4, so streams beside a steady flow of long prompts pile up until all slots are taken.

Change: by rank of their names half of the engines take prompts of 120 ms of reading or more first, the others everything else; each half costs the other kind 150 ms, so they mix when one is crowded.

--- a/crates/bluebell-core/tests/placing.rs
+++ b/crates/bluebell-core/tests/placing.rs
@@ -105,6 +105,101 @@
     assert!(ours < two, "{ours} against {two} of two at random");
 }
 
+#[test]
+fn engines_are_divided_alike_whatever_is_asked_first_and_mix_when_crowded() {
+    let names = ["a", "b", "c", "d", "e", "f"].map(candidate);
+    let mut random = StdRng::seed_from_u64(5);
+    let mut seen = |prompt: f64| -> Vec<usize> {
+        let mut seen: Vec<usize> = (0..200).filter_map(|_| pick(&work(prompt), &names, &mut random)).collect();
+        seen.sort_unstable();
+        seen.dedup();
+        seen
+    };
+    let (long, short) = (seen(30_000.0), seen(300.0));
+    assert_eq!((long.len(), short.len()), (3, 3));
+    assert!(long.iter().all(|at| !short.contains(at)), "{long:?} and {short:?}");
+    let crowded = |at: usize| if short.contains(&at) { 60.0 } else { 1.0 };
+    let busy: Vec<Candidate> =
+        names.iter().enumerate().map(|(at, one)| Candidate { requests: crowded(at), ..one.clone() }).collect();
+    assert!(long.contains(&chosen(&work(300.0), &busy)), "a crowded half gives work to the other");
+}
+
+/// An engine that reads prompts in chunks between the steps of its streams.
+#[derive(Clone, Default)]
+struct Engine {
+    // End of the step under way, in milliseconds.
+    busy: f64,
+    unread: f64,
+    // Tokens left and time of arrival of each stream.
+    streams: Vec<(f64, f64)>,
+}
+
+impl Engine {
+    const CHUNK: f64 = 4096.0;
+    const STEP_MS: f64 = 4.0;
+
+    // Works up to a time; gives how long the streams took that ended.
+    fn work(&mut self, from: f64, to: f64) -> Vec<f64> {
+        let mut took = Vec::new();
+        self.busy = self.busy.max(from);
+        while self.busy < to && (self.unread > 0.0 || !self.streams.is_empty()) {
+            let chunk = self.unread.min(Self::CHUNK);
+            self.unread -= chunk;
+            self.busy += Self::STEP_MS + chunk / 90.0;
+            let now = self.busy;
+            self.streams.iter_mut().for_each(|(left, _)| *left -= 1.0);
+            took.extend(self.streams.iter().filter(|(left, _)| *left <= 0.0).map(|(_, begun)| now - begun));
+            self.streams.retain(|(left, _)| *left > 0.0);
+        }
+        took
+    }
+}
+
+// Plays streams with short prompts beside a third of long ones that keep half of the engines busy; gives the share of
+// streams whose 100 tokens came within 15 ms each.
+fn streams_in_time(mut choose: impl FnMut(&Work, &[Candidate], &mut StdRng) -> usize) -> f64 {
+    const ENGINES: usize = 8;
+    const TICK_MS: f64 = 10.0;
+    let mut random = StdRng::seed_from_u64(11);
+    let mut engines = vec![Engine::default(); ENGINES];
+    let (mut ended, mut in_time) = (0.0, 0.0);
+    for tick in 0..4000 {
+        let now = f64::from(tick) * TICK_MS;
+        for engine in &mut engines {
+            for took in engine.work(now, now + TICK_MS) {
+                ended += 1.0;
+                in_time += f64::from(took <= 1500.0);
+            }
+        }
+        let candidate = |(at, engine): (usize, &Engine)| {
+            let requests = engine.streams.len() as f64 + (engine.unread / 10_000.0).ceil();
+            Candidate { unread: engine.unread, requests, ..candidate(&format!("engine-{at}")) }
+        };
+        let candidates: Vec<Candidate> = engines.iter().enumerate().map(candidate).collect();
+        let long = random.random_bool(0.33);
+        let prompt = if long { random.random_range(6000.0..20_000.0) } else { random.random_range(100.0..900.0) };
+        let at = choose(&work(prompt), &candidates, &mut random);
+        engines[at].unread += prompt;
+        if !long {
+            engines[at].streams.push((100.0, now));
+        }
+    }
+    in_time / ended
+}
+
+#[test]
+fn streams_keep_their_pace_beside_long_prompts() {
+    let ours = streams_in_time(|work, candidates, random| pick(work, candidates, random).expect("a choice"));
+    let least = streams_in_time(|_, candidates, _| {
+        let wait = |one: &Candidate| one.unread / 90.0 + 3.0 * one.requests;
+        (0..candidates.len()).min_by(|a, b| wait(&candidates[*a]).total_cmp(&wait(&candidates[*b]))).expect("a choice")
+    });
+    let random = streams_in_time(|_, candidates, random| random.random_range(0..candidates.len()));
+    println!("in time: {ours:.3} ours, {least:.3} least wait, {random:.3} at random");
+    assert!(ours >= 0.95, "{ours}");
+    assert!(ours > least && ours > random, "{ours} against {least} and {random}");
+}
+
 #[test]
 fn busy_upstream_is_given_up_only_without_a_sign_of_life() {
     let patience = Duration::from_secs(2);
