A test for streams at a stop; failed reads of records are logged

Change: a stand-in's engine can pace its events; streams of 3.9 s asked for each 150 ms of a stop have to be whole or refused.

--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -49,6 +49,8 @@
     Silent,
     /// It takes so long.
     Slow(Duration),
+    /// Each event of its answer takes so long.
+    Paced(Duration),
     /// The model's confidence, in per cent.
     Confidence(u8),
 }
@@ -239,7 +241,7 @@
             if cut {
                 return Ok(false);
             }
-            tokio::time::sleep(EVENT_TIME).await;
+            tokio::time::sleep(if let Some(Fault::Paced(time)) = fault { time } else { EVENT_TIME }).await;
         }
         if framed {
             socket.write_all(b"0\r\n\r\n").await?;
--- a/crates/bluebelld/src/entry/judge.rs
+++ b/crates/bluebelld/src/entry/judge.rs
@@ -55,12 +55,20 @@
     pub async fn work(&mut self, entry: &Entry, state: &State, lease: &HeldLease) {
         let records = &entry.shared.records;
         if self.estimates.is_none() {
-            let Ok(saved) = records.object(ESTIMATES_KEY).await else { return };
-            self.estimates = Some(saved.unwrap_or_default());
+            match records.object(ESTIMATES_KEY).await {
+                Ok(saved) => self.estimates = Some(saved.unwrap_or_default()),
+                Err(error) => log::debug!("estimates can't be read: {error}"),
+            }
         }
         let Some(estimates) = self.estimates.as_mut() else { return };
         forget_restored(estimates, &mut self.withdrawn, state);
-        let Ok(new) = records.ratings(estimates.position).await else { return };
+        let new = match records.ratings(estimates.position).await {
+            Ok(new) => new,
+            Err(error) => {
+                log::debug!("ratings can't be read: {error}");
+                return;
+            }
+        };
         estimates.position = new.position;
         for version in take(estimates, entry, &new.ratings) {
             stop(entry, state, lease, &version).await;
--- a/crates/bluebelld/src/entry/rollouts.rs
+++ b/crates/bluebelld/src/entry/rollouts.rs
@@ -44,7 +44,7 @@
 
 async fn hold(entry: &Entry) -> Option<HeldLease> {
     let records = &entry.shared.records;
-    let found = records.rollout_lease().await.ok()?;
+    let found = read_lease(entry).await?;
     let own = &entry.shared.config.instance.id;
     let wall = entry.shared.clock.wall();
     let LeaseStep::Write(row) = lease::next_step(found.as_ref().map(|held| &held.row), own, wall) else {
@@ -55,7 +55,13 @@
         log::debug!("the lease on roll-outs can't be written: {error}");
     }
     // Reading back gives the row's version, and tells whose it is when the answer to the write was lost.
-    records.rollout_lease().await.ok()?.filter(|held| held.row.holder == *own)
+    read_lease(entry).await?.filter(|held| held.row.holder == *own)
+}
+
+// None when the lease can't be read; no roll-out moves on then.
+async fn read_lease(entry: &Entry) -> Option<Option<HeldLease>> {
+    let found = entry.shared.records.rollout_lease().await;
+    found.map_err(|error| log::debug!("the lease on roll-outs can't be read: {error}")).ok()
 }
 
 async fn step(entry: &Entry, driver: &mut Driver, judge: &Judge, lease: &HeldLease) {
--- a/crates/bluebelld/src/gateway/front/answer.rs
+++ b/crates/bluebelld/src/gateway/front/answer.rs
@@ -26,7 +26,7 @@
 const START_PAUSE: Duration = Duration::from_millis(700);
 /// Pause suggested by a process that ends, in which another one takes its place.
 const LEAVING_PAUSE: Duration = Duration::from_millis(1000);
-/// Time that a stream takes, nearly always: of those cut by an end, the longest had run for 3.5 s.
+/// Time that nearly every stream takes; one that begins later than that before the end would be cut by it.
 const STREAM_TIME: Duration = Duration::from_millis(4300);
 /// Time that a call of a plain service takes, nearly always.
 const CALL_TIME: Duration = Duration::from_millis(300);
--- a/crates/bluebelld/src/records/settings.rs
+++ b/crates/bluebelld/src/records/settings.rs
@@ -114,8 +114,7 @@
     pub async fn latest_state(&self, known: &State) -> Result<State, CommitError> {
         let mut state = known.clone();
         if state.revision == Revision::default() {
-            // A missing snapshot only means that more records have to be read.
-            state = self.object(SNAPSHOT_KEY).await.ok().flatten().unwrap_or(state);
+            state = self.snapshot().await.unwrap_or(state);
         }
         loop {
             let records = self.records(state.revision).await?;
@@ -174,10 +173,23 @@
         ContentionSnafu { tries: COMMIT_TRIES }.fail()
     }
 
+    // Without a snapshot more records have to be read, no more than that.
+    async fn snapshot(&self) -> Option<State> {
+        match self.object(SNAPSHOT_KEY).await {
+            Ok(found) => found,
+            Err(error) => {
+                log::warn!("snapshot of the settings can't be read: {error}");
+                None
+            }
+        }
+    }
+
     async fn keep_snapshot(&self, state: &State) {
         if state.revision.0.is_multiple_of(SNAPSHOT_PERIOD) {
             // The records stand in the store; without this snapshot a new instance only reads more of them.
-            let _ = self.put_object(SNAPSHOT_KEY, state).await;
+            if let Err(error) = self.put_object(SNAPSHOT_KEY, state).await {
+                log::warn!(revision = state.revision.0; "snapshot of the settings is not written: {error}");
+            }
         }
     }
 
--- a/crates/bluebelld/tests/gateway/stops.rs
+++ b/crates/bluebelld/tests/gateway/stops.rs
@@ -63,6 +63,28 @@
     drop(keeps.await);
 }
 
+#[tokio::test]
+async fn streams_of_four_seconds_are_whole_or_refused_whenever_they_are_asked_for() {
+    let mut site = Site::start(1).await;
+    let pace = Duration::from_millis(3900) / u32::try_from(EVENTS).expect("a few events");
+    site.chat.iter().for_each(|one| one.set_always(Some(Fault::Paced(pace))));
+    site.put_config(2, |config| config["routes"][0]["timeoutMs"] = serde_json::json!(9000));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let address = site.gateways[0].callers;
+    site.gateways[0].process.terminate();
+    let streams = (0..24u64).map(|number| async move {
+        tokio::time::sleep(Duration::from_millis(150 * number)).await;
+        let ask = Ask::new("/talk/1", &format!("t-{number}")).header("model", "small").header("token-count", "10,5");
+        let Ok(mut caller) = Caller::connect(address).await else { return None };
+        caller.ask(&ask).await.map(|answer| (number, answer.status, answer.whole))
+    });
+    let answers: Vec<_> = futures_util::future::join_all(streams).await.into_iter().flatten().collect();
+    assert!(answers.iter().any(|(_, status, _)| *status == 200), "{answers:?}");
+    let cut: Vec<_> = answers.iter().filter(|(_, status, whole)| *status == 200 && !whole).collect();
+    assert!(cut.is_empty(), "begun and cut: {cut:?}");
+    assert_eq!(site.gateways[0].process.ended().await, Some(0));
+}
+
 #[tokio::test]
 async fn no_request_is_taken_and_then_cut_by_the_end() {
     let mut site = Site::start(1).await;
