A larger model is asked only while prompts wait 300 ms at most

The trace: streams of the largest model with long prompts, begun within a second and then fed a token a chunk for 18 s, as their engines never stopped reading. The backlog allowed for such a step was 0.4 of the route's target for the first event, 2.4 s for a target of 6 s.

--- a/crates/bluebell-core/src/cascade.rs
+++ b/crates/bluebell-core/src/cascade.rs
@@ -18,6 +18,9 @@
 /// make up most of the work, and while engines read they hardly generate, so leaving these runs out makes room for all
 /// others in a flood.
 const BACKLOG_PART: f64 = 0.4;
+/// The same in any case: engines that always have this much to read generate a token a chunk, about 100 ms each, and
+/// answers of some hundred tokens then outlast every deadline, however far the target is for the first.
+const MAX_BACKLOG: Duration = Duration::from_millis(300);
 /// Part of the target that the largest model may take to read the prompt.
 const READING_PART: f64 = 0.2;
 
@@ -67,6 +70,6 @@
 /// gives.
 #[must_use]
 pub fn has_room(rank: u8, backlog: Duration, reading: Duration, target: Duration) -> bool {
-    let is_calm = backlog <= target.mul_f64(BACKLOG_PART) && reading <= target.mul_f64(READING_PART);
+    let is_calm = backlog <= target.mul_f64(BACKLOG_PART).min(MAX_BACKLOG) && reading <= target.mul_f64(READING_PART);
     rank == 0 || is_calm
 }
--- a/crates/bluebell-core/tests/cascade.rs
+++ b/crates/bluebell-core/tests/cascade.rs
@@ -50,6 +50,7 @@
     assert!(has_room(2, Duration::from_millis(100), reading, target));
     assert!(!has_room(2, Duration::from_millis(2500), reading, target));
     assert!(has_room(0, Duration::from_millis(2500), reading, target));
+    assert!(!has_room(2, Duration::from_millis(400), reading, Duration::from_secs(60)), "a far target makes no room");
     assert_eq!(escalate(&AnswerHead { has_room: false, ..HEAD }), None);
     assert_eq!(first(3, false, false), 0);
 }
