--- a/crates/bluebelld/src/config/timing.rs
+++ b/crates/bluebelld/src/config/timing.rs
@@ -11,7 +11,7 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Timing {
-    /// Time between two looks at the settings' revision in the table.
+    /// Time between two looks at the settings' revision in the store.
     #[serde_as(as = "HumanTime")]
     pub poll: Duration,
     /// Time between two looks at the list of instances.
--- a/crates/bluebelld/src/control/timers.rs
+++ b/crates/bluebelld/src/control/timers.rs
@@ -70,7 +70,7 @@
     }
 }
 
-// Until its settings are current every instance asks the table itself; then a few entries of each zone take turns.
+// Until its settings are current every instance asks the store itself; then a few entries of each zone take turns.
 fn polls(shared: &Shared) -> bool {
     let own = &shared.config.instance;
     if !shared.current.load(std::sync::atomic::Ordering::Relaxed) {
--- a/crates/bluebelld/src/entry/service.rs
+++ b/crates/bluebelld/src/entry/service.rs
@@ -1,4 +1,4 @@
-//! Calls of plain services. Those that may not be repeated go in two steps and leave a row in the table.
+//! Calls of plain services. Those that may not be repeated go in two steps and leave a row in the store.
 
 use std::{sync::Arc, time::Duration};
 
--- a/crates/bluebelld/src/entry/session.rs
+++ b/crates/bluebelld/src/entry/session.rs
@@ -53,7 +53,7 @@
     Ok(Placed { versions: vec![version], token })
 }
 
-// The caller's own id is pinned in the table: only there do all entries agree, so without it the request is refused.
+// The caller's own id is pinned in the store: only there do all entries agree, so without it the request is refused.
 async fn pinned(entry: &Entry, caller: &Caller, text: &str, wanted: &Wanted) -> Result<VersionId, Fault> {
     let session: SessionId = text.parse().ok().context(MalformedSnafu { reason: "x-session-id is not an id" })?;
     let down = |error: RecordError| PlatformSnafu { reason: error.to_string() }.build();
--- a/crates/bluebelld/src/sidecar/service.rs
+++ b/crates/bluebelld/src/sidecar/service.rs
@@ -17,7 +17,7 @@
 
 /// Largest reply that is passed on, in bytes.
 const MAX_REPLY_BYTES: usize = 2 << 20;
-/// Times that a reply is written to the table when the entry is gone.
+/// Times that a reply is written to the store when the entry is gone.
 const STORE_TRIES: u32 = 30;
 /// Pause between them.
 const STORE_PAUSE: Duration = Duration::from_millis(1000);
