Logs tell repeats of a request apart, and that an upstream ended with what was under way there

A lost connection, a silent upstream and one that ended looked the same, and repeats of a request had only new ids.

Change: each line of a request bears its fingerprint (digest of path with query, organisation and body; neither body nor key can be read from it). A gateway keeps what runs at which upstream (bluebell-core poison::Flights). After a broken connection it asks once whether anybody listens there; refused, a later start, or silence with a lapsed entry show an end, which is logged with the fingerprints under way and counted (bluebell_upstream_ends). An upstream that was leaving, or whose release a completed roll-out replaced, ended as planned. No decision on requests changes, but one: a plain answer that breaks off now counts against its upstream's health, as a stream's does; it was the one path that lacked it.

Ruled out: taking each lost connection for an end (reset_conns and lost answers look alike).

--- a/crates/bluebell-core/src/lib.rs
+++ b/crates/bluebell-core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod lease;
 pub mod members;
 pub mod placing;
+pub mod poison;
 pub mod quality;
 pub mod replica;
 pub mod retry;
--- /dev/null
+++ b/crates/bluebell-core/src/poison/fingerprint.rs
@@ -0,0 +1,77 @@
+//! What a request has in common with its repeats.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use snafu::Snafu;
+
+use crate::ids::OrgId;
+
+/// Size of a fingerprint, in bytes.
+const FINGERPRINT_BYTES: usize = 16;
+
+/// Digest of a request's path, organisation and body: the same for all its repeats, and nothing of them can be read
+/// from it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Fingerprint([u8; FINGERPRINT_BYTES]);
+
+/// Text that is no fingerprint.
+#[derive(Debug, Clone, PartialEq, Snafu)]
+#[snafu(display("{text:?} is not a fingerprint: {source}"))]
+pub struct FingerprintError {
+    /// The rejected text.
+    text: String,
+    /// What the decoder said.
+    source: hex::FromHexError,
+}
+
+impl Fingerprint {
+    /// Fingerprint of a request, by its path with the query.
+    #[must_use]
+    pub fn of(path: &str, organisation: Option<&OrgId>, body: &[u8]) -> Self {
+        let organisation = organisation.map_or("", OrgId::as_str);
+        let mut digest = Sha256::new();
+        // The lengths keep fields from running into each other.
+        for field in [path.as_bytes(), organisation.as_bytes(), body] {
+            digest.update((field.len() as u64).to_le_bytes());
+            digest.update(field);
+        }
+        let mut bytes = [0; FINGERPRINT_BYTES];
+        bytes.copy_from_slice(&digest.finalize()[..FINGERPRINT_BYTES]);
+        Self(bytes)
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&hex::encode(self.0))
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = FingerprintError;
+
+    fn from_str(text: &str) -> Result<Self, FingerprintError> {
+        let mut bytes = [0; FINGERPRINT_BYTES];
+        match hex::decode_to_slice(text, &mut bytes) {
+            Ok(()) => Ok(Self(bytes)),
+            Err(source) => Err(FingerprintError { text: text.to_owned(), source }),
+        }
+    }
+}
+
+impl TryFrom<String> for Fingerprint {
+    type Error = FingerprintError;
+
+    fn try_from(text: String) -> Result<Self, FingerprintError> {
+        text.parse()
+    }
+}
+
+impl From<Fingerprint> for String {
+    fn from(fingerprint: Fingerprint) -> Self {
+        fingerprint.to_string()
+    }
+}
--- /dev/null
+++ b/crates/bluebell-core/src/poison/flights.rs
@@ -0,0 +1,253 @@
+//! What runs at which upstream, and what was under way there when it ended.
+//!
+//! A lost connection alone doesn't show that an upstream ended. That it did shows by nobody listening at its address,
+//! by an entry of a later start, or by silence while its entry lapses. An upstream that was leaving ended as planned.
+
+use std::{collections::VecDeque, fmt, net::SocketAddr, time::Duration};
+
+use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
+
+use super::Fingerprint;
+use crate::{
+    ids::UpstreamId,
+    upstreams::{Incarnation, Phase, Upstream},
+};
+
+/// Time for which unanswered requests are remembered: entries lapse within about four seconds of an end.
+const MEMORY: Duration = Duration::from_secs(15);
+/// Time before the first sign of an end within which a request that was left unanswered may have caused it.
+const LINGER: Duration = Duration::from_millis(200);
+/// Time between two questions whether anybody listens at an upstream's address.
+const PROBE_PAUSE: Duration = Duration::from_millis(500);
+/// Absence of an entry after which its silent upstream has ended: the platform restores lapsed entries within two.
+const LAPSE_TIME: Duration = Duration::from_millis(2500);
+/// Time after an answer in which no end is put down to the same request.
+const ANSWERED_TIME: Duration = Duration::from_secs(10);
+/// Answered requests that are remembered.
+const MAX_ANSWERED: usize = 10_000;
+/// Unanswered requests that are remembered for one upstream, and reported when it ends.
+const MAX_SUSPECTS: usize = 128;
+
+/// How a request ended at an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Landing {
+    /// Without a whole answer.
+    #[default]
+    Unanswered,
+    /// It was not run, or failed while the upstream lived on.
+    Settled,
+    /// With a whole answer.
+    Answered,
+}
+
+/// How an answer was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Loss {
+    /// Its connection broke, or brought what is no answer to the request.
+    Broken,
+    /// Nothing came in time.
+    Silent,
+}
+
+/// What shows that an upstream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EndSign {
+    /// Nobody listens at its address.
+    Refused,
+    /// It has started anew, or another one has its address.
+    Restarted,
+    /// It fell silent and its entry lapsed.
+    Lapsed,
+}
+
+impl fmt::Display for EndSign {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Refused => "connection refused",
+            Self::Restarted => "started anew",
+            Self::Lapsed => "silent and its entry lapsed",
+        })
+    }
+}
+
+/// An upstream that ended, with what was under way there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ended {
+    /// The upstream.
+    pub incarnation: Incarnation,
+    /// What shows it.
+    pub sign: EndSign,
+    /// Requests under way there, the newest first.
+    pub suspects: Vec<Fingerprint>,
+}
+
+#[derive(Debug)]
+struct Left {
+    fingerprint: Fingerprint,
+    at: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Under {
+    running: IndexMap<Fingerprint, u32>,
+    left: VecDeque<Left>,
+    lost: Option<Duration>,
+    probed: Option<Duration>,
+    unlisted: Option<Duration>,
+    restarted: bool,
+    leaving: bool,
+    reported: bool,
+}
+
+impl Under {
+    fn is_idle(&self, now: Duration) -> bool {
+        let old = |at: Duration| now >= at + MEMORY;
+        self.running.is_empty() && self.left.back().is_none_or(|left| old(left.at)) && self.lost.is_none_or(old)
+    }
+}
+
+/// What runs at which upstream, at one gateway.
+#[derive(Debug, Default)]
+pub struct Flights {
+    upstreams: IndexMap<Incarnation, Under>,
+    answered: IndexMap<Fingerprint, Duration>,
+    ended: Vec<Ended>,
+}
+
+impl Flights {
+    /// A request goes to an upstream.
+    pub fn begin(&mut self, at: &Incarnation, fingerprint: Fingerprint) {
+        let under = self.upstreams.entry(at.clone()).or_default();
+        *under.running.entry(fingerprint).or_default() += 1;
+    }
+
+    /// A request ended at an upstream.
+    pub fn land(&mut self, now: Duration, at: &Incarnation, fingerprint: Fingerprint, landing: Landing) {
+        if landing == Landing::Answered {
+            self.answered.shift_remove(&fingerprint);
+            self.answered.insert(fingerprint, now);
+        }
+        let Some(under) = self.upstreams.get_mut(at) else { return };
+        if landing == Landing::Answered {
+            under.lost = None;
+        }
+        if let Some(count) = under.running.get_mut(&fingerprint) {
+            *count -= 1;
+            if *count == 0 {
+                under.running.shift_remove(&fingerprint);
+            }
+        }
+        if landing == Landing::Unanswered {
+            if under.left.len() == MAX_SUSPECTS {
+                under.left.pop_front();
+            }
+            under.left.push_back(Left { fingerprint, at: now });
+        }
+    }
+
+    /// An upstream lost an answer; tells whether to ask if anybody listens there.
+    pub fn lose(&mut self, now: Duration, at: &Incarnation, loss: Loss) -> bool {
+        let Some(under) = self.upstreams.get_mut(at) else { return false };
+        if under.leaving || under.reported {
+            return false;
+        }
+        if under.lost.is_none_or(|lost| now >= lost + MEMORY) {
+            under.lost = Some(now);
+        }
+        if under.restarted {
+            self.conclude(now, at, EndSign::Restarted);
+            return false;
+        }
+        let is_due = loss == Loss::Broken && under.probed.is_none_or(|probed| now >= probed + PROBE_PAUSE);
+        if is_due {
+            under.probed = Some(now);
+        }
+        is_due
+    }
+
+    /// Nobody listens at an upstream's address.
+    pub fn refuse(&mut self, now: Duration, at: &Incarnation) {
+        self.conclude(now, at, EndSign::Refused);
+    }
+
+    /// An upstream took a connection, so what was lost was a connection only.
+    pub fn accept(&mut self, at: &Incarnation) {
+        if let Some(under) = self.upstreams.get_mut(at) {
+            under.lost = None;
+        }
+    }
+
+    /// An upstream's entry came: it lives on or leaves, or one that ended before has its id or address.
+    pub fn list(&mut self, now: Duration, upstream: &Upstream, addresses: impl Fn(&UpstreamId) -> Option<SocketAddr>) {
+        let own = upstream.incarnation();
+        let mut restarted = Vec::new();
+        for (at, under) in &mut self.upstreams {
+            if *at == own {
+                under.unlisted = None;
+                under.leaving = upstream.phase == Phase::Leaving;
+            } else if at.upstream == own.upstream || addresses(&at.upstream) == Some(upstream.address) {
+                under.restarted = true;
+                restarted.extend(under.lost.map(|_| at.clone()));
+            }
+        }
+        for at in restarted {
+            self.conclude(now, &at, EndSign::Restarted);
+        }
+    }
+
+    /// An upstream's entry is gone: one that showed no sign of an end before leaves.
+    pub fn unlist(&mut self, now: Duration, id: &UpstreamId) {
+        for (_, under) in self.upstreams.iter_mut().filter(|(at, _)| at.upstream == *id) {
+            under.leaving |= under.lost.is_none();
+            under.unlisted.get_or_insert(now);
+        }
+    }
+
+    /// Takes what has ended since the last call.
+    pub fn take_ended(&mut self, now: Duration) -> Vec<Ended> {
+        let is_lapsed = |under: &Under| under.unlisted.is_some_and(|at| now >= at + LAPSE_TIME) && under.lost.is_some();
+        let lapsed = self.upstreams.iter().filter(|(_, under)| !under.reported && is_lapsed(under));
+        let lapsed: Vec<Incarnation> = lapsed.map(|(at, _)| at.clone()).collect();
+        for at in lapsed {
+            self.conclude(now, &at, EndSign::Lapsed);
+        }
+        std::mem::take(&mut self.ended)
+    }
+
+    /// Whether a request was answered lately.
+    #[must_use]
+    pub fn was_answered(&self, now: Duration, fingerprint: &Fingerprint) -> bool {
+        self.answered.get(fingerprint).is_some_and(|at| now < *at + ANSWERED_TIME)
+    }
+
+    /// Requests under way at an upstream that some condition holds for.
+    #[must_use]
+    pub fn running(&self, at: &Incarnation, condition: impl Fn(&Fingerprint) -> bool) -> usize {
+        let running = self.upstreams.get(at).map(|under| under.running.keys());
+        running.map_or(0, |all| all.filter(|one| condition(one)).count())
+    }
+
+    /// Forgets what is too old to matter.
+    pub fn sweep(&mut self, now: Duration) {
+        self.upstreams.retain(|_, under| !under.is_idle(now));
+        let old = self.answered.values().take_while(|at| now >= **at + ANSWERED_TIME).count();
+        let surplus = self.answered.len().saturating_sub(MAX_ANSWERED);
+        self.answered.drain(..old.max(surplus));
+    }
+
+    fn conclude(&mut self, now: Duration, at: &Incarnation, sign: EndSign) {
+        let Some(under) = self.upstreams.get_mut(at) else { return };
+        if under.leaving || std::mem::replace(&mut under.reported, true) {
+            return;
+        }
+        let since = under.lost.unwrap_or(now).saturating_sub(LINGER);
+        let running = under.running.keys().rev().copied();
+        let left = under.left.iter().rev().take_while(|left| left.at >= since).map(|left| left.fingerprint);
+        let all: IndexSet<Fingerprint> = running.chain(left).collect();
+        let suspects: Vec<Fingerprint> =
+            all.into_iter().filter(|one| !self.was_answered(now, one)).take(MAX_SUSPECTS).collect();
+        self.ended.push(Ended { incarnation: at.clone(), sign, suspects });
+    }
+}
--- /dev/null
+++ b/crates/bluebell-core/src/poison/mod.rs
@@ -0,0 +1,11 @@
+//! Requests that end the upstreams that run them.
+//!
+//! Such a request comes again with a new id, through any gateway, so what is known of it goes by its fingerprint.
+//! [`Flights`] keeps what runs at which upstream at one gateway, and tells which requests were under way where an
+//! upstream ended.
+
+mod fingerprint;
+mod flights;
+
+pub use fingerprint::{Fingerprint, FingerprintError};
+pub use flights::{EndSign, Ended, Flights, Landing, Loss};
--- a/crates/bluebell-core/src/upstreams.rs
+++ b/crates/bluebell-core/src/upstreams.rs
@@ -7,6 +7,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 
 use crate::ids::{ReleaseId, ServiceId, UpstreamId, ZoneId};
 
@@ -52,6 +53,23 @@
     pub born: u64,
 }
 
+impl Upstream {
+    /// This start of it.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation { upstream: self.id.clone(), born: self.born }
+    }
+}
+
+/// One start of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Incarnation {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Its start, in milliseconds since the Unix epoch; zero where it doesn't say.
+    pub born: u64,
+}
+
 #[derive(Debug, Clone)]
 struct Known {
     upstream: Upstream,
@@ -122,6 +140,12 @@
         self.known.values().filter(|known| known.gone.is_none()).map(|known| &known.upstream)
     }
 
+    /// An upstream that is known.
+    #[must_use]
+    pub fn get(&self, id: &UpstreamId) -> Option<&Upstream> {
+        self.known.get(id).map(|known| &known.upstream)
+    }
+
     /// When an upstream's entry was last heard of.
     #[must_use]
     pub fn seen(&self, id: &UpstreamId) -> Option<Duration> {
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -5,8 +5,9 @@
 use bluebell_core::{
     ids::{ModelId, UpstreamId},
     placing::{HealthEvent, READ_PER_MS},
+    poison::{Fingerprint, Landing, Loss},
     units::Tokens,
-    upstreams::Upstream,
+    upstreams::{Incarnation, Upstream},
 };
 use bluebell_platform::headers::{self, Forward, Proof};
 use bytes::Bytes;
@@ -14,7 +15,7 @@
 use hyper::{Request, StatusCode, body::Incoming};
 use tokio::time::timeout;
 
-use super::{job::Job, pool::Lease, state::Gateway};
+use super::{ends, job::Job, pool::Lease, state::Gateway};
 
 /// Largest body after which a connection is kept although the upstream answered with a failure; behind a longer one
 /// the upstream may still be reading.
@@ -41,6 +42,8 @@
     Unknown {
         /// What was seen.
         reason: String,
+        /// How the answer was lost.
+        loss: Loss,
     },
 }
 
@@ -72,6 +75,9 @@
 pub struct Place {
     gateway: Arc<Gateway>,
     id: UpstreamId,
+    incarnation: Incarnation,
+    fingerprint: Fingerprint,
+    landing: Landing,
     reading: Tokens,
     unread: Tokens,
 }
@@ -90,7 +96,16 @@
         if let Some(model) = model {
             state.parts.read(now, model, &job.asked.parts, job.memory());
         }
-        Self { gateway: Arc::clone(gateway), id: order.upstream.id.clone(), reading: unread, unread }
+        let (id, incarnation, fingerprint) = (order.upstream.id.clone(), order.upstream.incarnation(), job.fingerprint);
+        traffic.flights.begin(&incarnation, fingerprint);
+        drop(traffic);
+        let gateway = Arc::clone(gateway);
+        Self { gateway, id, incarnation, fingerprint, landing: Landing::default(), reading: unread, unread }
+    }
+
+    /// How the request ended there, where it was not left unanswered.
+    fn land(&mut self, landing: Landing) {
+        self.landing = landing;
     }
 
     /// The upstream has read the prompt.
@@ -107,10 +122,12 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.read();
-        if let Some(state) = self.gateway.traffic().known(&self.id) {
+        let mut traffic = self.gateway.traffic();
+        if let Some(state) = traffic.known(&self.id) {
             state.load.end();
             state.health.end();
         }
+        traffic.flights.land(self.gateway.now(), &self.incarnation, self.fingerprint, self.landing);
     }
 }
 
@@ -186,7 +203,8 @@
 
     /// Keeps the connection of an answer that was read whole.
     pub fn finish(self, gateway: &Gateway) {
-        let Self { lease, keep, proof, .. } = self;
+        let Self { lease, keep, proof, mut place, status, .. } = self;
+        place.land(if status.is_server_error() { Landing::Settled } else { Landing::Answered });
         if keep && !proof.closes {
             gateway.pools.put(lease, gateway.now(), proof.idle);
         }
@@ -217,13 +235,17 @@
     let place = Place::take(gateway, job, order);
     let begun = gateway.now();
     let result = exchange(gateway, job, order, place, begun).await;
+    if let Err(Failure::Unknown { loss, .. }) = &result {
+        ends::lose(gateway, &order.upstream, *loss);
+    }
     let event = match &result {
         // A timeout is that of the request, not a fault of the upstream.
         Ok(live) if live.status == StatusCode::GATEWAY_TIMEOUT => None,
         Ok(live) if live.status.is_server_error() => Some(HealthEvent::Failed),
         Ok(_) => None,
         Err(Failure::NotRun { arrived: true, .. }) => Some(HealthEvent::Refused),
-        Err(_) => Some(HealthEvent::Lost),
+        Err(Failure::NotRun { .. }) => Some(HealthEvent::Lost),
+        Err(Failure::Unknown { .. }) => None,
     };
     if let Some(event) = event {
         gateway.traffic().note(gateway.now(), &order.upstream.id, event);
@@ -235,17 +257,24 @@
     gateway: &Arc<Gateway>,
     job: &Job,
     order: &Order,
-    place: Place,
+    mut place: Place,
     begun: Duration,
 ) -> Result<Live, Failure> {
-    let mut lease = connect(gateway, order).await?;
+    let mut lease = match connect(gateway, order).await {
+        Ok(lease) => lease,
+        Err(failure) => {
+            place.land(Landing::Settled);
+            return Err(failure);
+        }
+    };
     let response = loop {
         let left = job.end.saturating_sub(gateway.now());
         let sending = lease.sender.try_send_request(request(job, order, left));
         let waited = wait_for(gateway, order, begun, job.end, sending).await;
         let Some(answered) = waited else {
             job.record_overdue(gateway, order.model.as_ref(), &order.upstream.release);
-            return Err(Failure::Unknown { reason: format!("no answer in time: {:?}", order.patience) });
+            let reason = format!("no answer in time: {:?}", order.patience);
+            return Err(Failure::Unknown { reason, loss: Loss::Silent });
         };
         match answered {
             Ok(response) => break response,
@@ -253,13 +282,15 @@
                 let unsent = error.take_message().is_some();
                 let reason = error.into_error().to_string();
                 if !unsent {
-                    return Err(Failure::Unknown { reason });
+                    return Err(Failure::Unknown { reason, loss: Loss::Broken });
                 }
                 // Nothing was written on a connection that had ended before.
+                place.land(Landing::Settled);
                 if !lease.used {
                     return Err(Failure::NotRun { reason, pause: None, arrived: false });
                 }
                 lease = connect(gateway, order).await?;
+                place.land(Landing::Unanswered);
             }
         }
     };
@@ -270,17 +301,20 @@
         gateway.traffic().report(gateway.now(), &order.upstream.id, report);
     }
     if proof.request.as_deref().is_some_and(|id| id != job.asked.request.as_str()) {
-        return Err(Failure::Unknown { reason: "the answer belongs to another request".to_owned() });
+        let reason = "the answer belongs to another request".to_owned();
+        return Err(Failure::Unknown { reason, loss: Loss::Broken });
     }
     let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
     if proof.not_run || misdirected {
         let reason = format!("status {} and not run", head.status);
         let pause = proof.retry_after;
+        place.land(Landing::Settled);
         drain_refusal(gateway, body, lease, &proof).await;
         return Err(Failure::NotRun { reason, pause, arrived: true });
     }
     if proof.request.is_none() || !proof.stamped {
-        return Err(Failure::Unknown { reason: format!("status {} without the upstream's signature", head.status) });
+        let reason = format!("status {} without the upstream's signature", head.status);
+        return Err(Failure::Unknown { reason, loss: Loss::Broken });
     }
     let keep = head.status.is_success() || job.body.len() <= KEEP_AFTER_FAILURE_BYTES;
     let (upstream, model) = (Arc::clone(&order.upstream), order.model.clone());
--- a/crates/bluebelld/src/gateway/control/mod.rs
+++ b/crates/bluebelld/src/gateway/control/mod.rs
@@ -2,6 +2,7 @@
 //! the other, and publishes beliefs for the traffic thread.
 
 mod drive;
+mod ends;
 mod event;
 mod feeds;
 mod links;
--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -77,6 +77,7 @@
         let Some(content) = &row.value else {
             log::info!(upstream = id.as_str(), row = row.version, source = source; "upstream's entry is gone");
             self.upstreams.remove(now, &id);
+            self.gateway.traffic().flights.unlist(now, &id);
             return;
         };
         match upstream::decode_upstream(id.clone(), content) {
@@ -86,11 +87,14 @@
                     leaving = upstream.phase == Phase::Leaving, row = row.version, source = source;
                     "upstream's entry"
                 );
+                let addresses = |id: &UpstreamId| self.upstreams.get(id).map(|one| one.address);
+                self.gateway.traffic().flights.list(now, &upstream, addresses);
                 self.upstreams.put(now, upstream);
             }
             Err(error) => {
                 log::warn!(upstream = id.as_str(), row = row.version; "entry names no upstream: {error}");
                 self.upstreams.remove(now, &id);
+                self.gateway.traffic().flights.unlist(now, &id);
             }
         }
     }
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -69,6 +69,7 @@
         feeds::start(&self.gateway, &self.events);
         spawn_local(watch_leaving(Arc::clone(&self.gateway), self.events.clone()));
         self.members.start();
+        let gateway = Arc::clone(&self.gateway);
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -78,6 +79,7 @@
                     None => return,
                 },
                 _ = ticks.tick() => self.tick(),
+                () = gateway.ended.notified() => self.take_ended(),
             }
         }
     }
@@ -163,6 +165,7 @@
         if self.upstreams.has_lapsed() && self.upstreams.expire(now) {
             self.publish();
         }
+        self.take_ended();
         self.tell_standing(now);
         self.drive_rollouts(now);
         self.members.tick(now, self.is_connected(now));
@@ -177,6 +180,7 @@
         self.gateway.pools.sweep(now, |address| listed.iter().any(|(_, known)| known == address));
         let mut traffic = self.gateway.traffic();
         traffic.retain(|id| listed.iter().any(|(known, _)| known == id));
+        traffic.flights.sweep(now);
         traffic.sessions.sweep(now, self.gateway.settings.session_seconds);
         for (service, left) in traffic.budgets(now, &self.gateway.limit, self.members.count(now)) {
             self.gateway.metrics.set_budget(&service, left);
--- a/crates/bluebelld/src/gateway/front/admit.rs
+++ b/crates/bluebelld/src/gateway/front/admit.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bluebell_core::ingress::{Declared, Organisation, Route};
+use bluebell_core::{
+    ingress::{Declared, Organisation, Route},
+    poison::Fingerprint,
+};
 use bluebell_platform::headers::{self, Asked};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{Request, Uri, body::Incoming, header};
@@ -42,6 +45,8 @@
         Err(error) if error.is::<LengthLimitError>() => return Err(Refusal::TooLarge { limit }),
         Err(error) => return Err(Refusal::Body { reason: error.to_string() }),
     };
+    let path = head.uri.path_and_query().map_or_else(|| head.uri.path(), |path| path.as_str());
+    let fingerprint = Fingerprint::of(path, organisation.as_ref().map(|caller| &caller.id), &body);
     let engine = declared.services.get(&service).and_then(|service| service.engine.clone());
     Ok(Job {
         rank: organisation.as_ref().and_then(|caller| caller.rank).unwrap_or(route.rank),
@@ -53,6 +58,7 @@
         uri: origin_form(&head.uri),
         headers: head.headers,
         body,
+        fingerprint,
         end: arrived + waits,
         arrived,
         asked,
--- a/crates/bluebelld/src/gateway/front/plain.rs
+++ b/crates/bluebelld/src/gateway/front/plain.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bluebell_core::poison::Loss;
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode};
 use tokio::time::timeout;
@@ -14,7 +15,8 @@
     tries::Tries,
 };
 use crate::gateway::{
-    attempt::{self, Failure, Order, Patience},
+    attempt::{self, Failure, Live, Order, Patience},
+    ends,
     job::Job,
     state::Gateway,
     traffic::Took,
@@ -47,7 +49,8 @@
             Err(failure) => drop(tries.note(failure)),
         }
         log::info!(
-            request = job.asked.request.as_str(), upstream = order.upstream.id.as_str(), ran = tries.ran;
+            request = job.asked.request.as_str(), fingerprint = job.fingerprint.to_string().as_str(),
+            upstream = order.upstream.id.as_str(), ran = tries.ran;
             "attempt failed: {}", tries.reason
         );
     }
@@ -74,8 +77,8 @@
     let mut live = attempt::send(gateway, job, order).await?;
     let body = match timeout(job.left(gateway), live.whole()).await {
         Ok(Ok(body)) => body,
-        Ok(Err(reason)) => return Err(Failure::Unknown { reason }),
-        Err(_) => return Err(Failure::Unknown { reason: "the answer was not whole in time".to_owned() }),
+        Ok(Err(reason)) => return Err(lost(gateway, live, reason, Loss::Broken)),
+        Err(_) => return Err(lost(gateway, live, "the answer was not whole in time".to_owned(), Loss::Silent)),
     };
     let took = (gateway.now() - live.begun).as_secs_f64();
     record(gateway, job, &live, Took::Pace(took), tries);
@@ -83,3 +86,10 @@
     live.finish(gateway);
     Ok(answer)
 }
+
+fn lost(gateway: &Arc<Gateway>, live: Live, reason: String, loss: Loss) -> Failure {
+    let upstream = Arc::clone(&live.upstream);
+    drop(live);
+    ends::lose(gateway, &upstream, loss);
+    Failure::Unknown { reason, loss }
+}
--- a/crates/bluebelld/src/gateway/front/record.rs
+++ b/crates/bluebelld/src/gateway/front/record.rs
@@ -41,6 +41,7 @@
     drop(traffic);
     log::info!(
         request = job.asked.request.as_str(),
+        fingerprint = job.fingerprint.to_string().as_str(),
         route = job.route.id.as_str(),
         session = job.asked.session.as_ref().map_or("", SessionId::as_str),
         upstream = live.upstream.id.as_str(),
--- a/crates/bluebelld/src/gateway/front/reply.rs
+++ b/crates/bluebelld/src/gateway/front/reply.rs
@@ -48,6 +48,7 @@
     let (declared, age) = known(gateway);
     log::info!(
         request = job.asked.request.as_str(),
+        fingerprint = job.fingerprint.to_string().as_str(),
         route = job.route.id.as_str(),
         service = job.service.as_str(),
         sends = tries.sends(),
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -7,7 +7,8 @@
     cascade::{self, AnswerHead},
     events::{Batch, EventCutter, EventError},
     ids::{ModelId, ReleaseId},
-    placing::{HealthEvent, READ_PER_MS},
+    placing::READ_PER_MS,
+    poison::Loss,
     upstreams::Upstream,
 };
 use bytes::Bytes;
@@ -26,6 +27,7 @@
 use crate::{
     gateway::{
         attempt::{self, Failure, Live, Order, Patience, Piece},
+        ends,
         job::Job,
         state::Gateway,
         traffic::Took,
@@ -147,7 +149,8 @@
             Err(failure) => drop(tries.note(failure)),
         }
         log::info!(
-            request = job.asked.request.as_str(), upstream = order.upstream.id.as_str(), ran = tries.ran;
+            request = job.asked.request.as_str(), fingerprint = job.fingerprint.to_string().as_str(),
+            upstream = order.upstream.id.as_str(), ran = tries.ran;
             "attempt failed: {}", tries.reason
         );
     }
@@ -217,22 +220,22 @@
             let now = self.gateway.now();
             let left = self.job.end.saturating_sub(now);
             let wait = self.gateway.traffic().patience(now, &self.upstream.id, self.heard, STREAM_SILENCE);
-            let reason = match timeout(wait.min(left), live.next()).await {
+            let (reason, loss) = match timeout(wait.min(left), live.next()).await {
                 Ok(Piece::Data(data)) => match self.take(&data) {
                     Ok(batch) if batch.bytes.is_empty() => continue,
                     Ok(batch) => return Some(Ok(batch.bytes.into())),
-                    Err(error) => error.to_string(),
+                    Err(error) => (error.to_string(), Loss::Broken),
                 },
                 Ok(Piece::End) if self.cutter.is_whole() => {
                     self.finish();
                     return None;
                 }
-                Ok(Piece::End) => "the stream ended inside an event".to_owned(),
-                Ok(Piece::Broken(reason)) => reason,
+                Ok(Piece::End) => ("the stream ended inside an event".to_owned(), Loss::Broken),
+                Ok(Piece::Broken(reason)) => (reason, Loss::Broken),
                 Err(_) if wait > Duration::ZERO && !left.is_zero() => continue,
-                Err(_) => "the upstream fell silent, or the time is over".to_owned(),
+                Err(_) => ("the upstream fell silent, or the time is over".to_owned(), Loss::Silent),
             };
-            if let Err(error) = self.resume(reason).await {
+            if let Err(error) = self.resume(reason, loss).await {
                 return Some(Err(error));
             }
         }
@@ -281,13 +284,14 @@
     }
 
     // Closes the first connection before the stream goes on elsewhere.
-    async fn resume(&mut self, reason: String) -> Result<(), io::Error> {
+    async fn resume(&mut self, reason: String, loss: Loss) -> Result<(), io::Error> {
         self.live = None;
-        self.gateway.traffic().note(self.gateway.now(), &self.upstream.id, HealthEvent::Lost);
+        ends::lose(&self.gateway, &self.upstream, loss);
         self.cutter.reset();
-        self.tries.note(Failure::Unknown { reason });
+        self.tries.note(Failure::Unknown { reason, loss });
         log::info!(
             request = self.job.asked.request.as_str(),
+            fingerprint = self.job.fingerprint.to_string().as_str(),
             upstream = self.upstream.id.as_str(),
             event = self.cutter.last(),
             ran = self.tries.ran;
--- a/crates/bluebelld/src/gateway/front/tries.rs
+++ b/crates/bluebelld/src/gateway/front/tries.rs
@@ -118,7 +118,7 @@
                 self.pause = pause;
                 false
             }
-            Failure::Unknown { reason } => {
+            Failure::Unknown { reason, .. } => {
                 self.ran += 1;
                 self.reason = reason;
                 true
--- a/crates/bluebelld/src/gateway/job.rs
+++ b/crates/bluebelld/src/gateway/job.rs
@@ -5,6 +5,7 @@
 use bluebell_core::{
     ids::{ModelId, OrgId, ReleaseId, ServiceId},
     ingress::{Engine, Route},
+    poison::Fingerprint,
     units::Tokens,
 };
 use bluebell_platform::headers::Asked;
@@ -37,6 +38,8 @@
     pub headers: HeaderMap,
     /// Its body.
     pub body: Bytes,
+    /// What it has in common with its repeats.
+    pub fingerprint: Fingerprint,
     /// The engine behind the service, where it runs models.
     pub engine: Option<Engine>,
     /// When it arrived.
--- a/crates/bluebelld/src/gateway/metrics.rs
+++ b/crates/bluebelld/src/gateway/metrics.rs
@@ -21,6 +21,7 @@
     first: Histogram<f64>,
     retries: Counter<u64>,
     escalations: Counter<u64>,
+    ends: Counter<u64>,
     budget: Gauge<f64>,
     declared: Gauge<u64>,
     upstreams: Gauge<u64>,
@@ -44,6 +45,7 @@
             first: latency(&meter, "bluebell_first_event_time", "Time from arrival to the first event"),
             retries: counter("bluebell_retries", "Sends after a failure"),
             escalations: counter("bluebell_escalations", "Answers dropped for a larger model's"),
+            ends: counter("bluebell_upstream_ends", "Upstreams that ended with requests of this gateway under way"),
             budget: meter.f64_gauge("bluebell_retry_budget_left").with_description("Sends left in the window").build(),
             declared: gauge("bluebell_declared_version", "Version of the declarations in force"),
             upstreams: gauge("bluebell_upstreams", "Upstreams that take new work"),
@@ -80,6 +82,11 @@
         self.escalations.add(1, &[]);
     }
 
+    /// Counts an upstream that ended.
+    pub fn upstream_ended(&self, service: &str, planned: bool) {
+        self.ends.add(1, &[KeyValue::new("service", service.to_owned()), KeyValue::new("planned", planned)]);
+    }
+
     /// Shows what is left of a service's retry budget.
     pub fn set_budget(&self, service: &ServiceId, left: f64) {
         self.budget.record(left, &[KeyValue::new("service", service.to_string())]);
--- a/crates/bluebelld/src/gateway/mod.rs
+++ b/crates/bluebelld/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod beliefs;
 mod control;
+mod ends;
 mod front;
 mod job;
 mod metrics;
--- a/crates/bluebelld/src/gateway/pool.rs
+++ b/crates/bluebelld/src/gateway/pool.rs
@@ -87,6 +87,14 @@
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
 }
 
+impl PoolError {
+    /// Whether nobody listens at the upstream's address.
+    #[must_use]
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Connect { source, .. } if source.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+}
+
 impl Pools {
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
@@ -136,7 +144,11 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Lease, PoolError> {
+/// A new connection to an upstream.
+///
+/// # Errors
+/// When the upstream can't be reached.
+pub async fn connect(address: SocketAddr) -> Result<Lease, PoolError> {
     let socket = timeout(CONNECT_TIME, TcpStream::connect(address)).await;
     let socket = socket
         .ok()
--- a/crates/bluebelld/src/gateway/state.rs
+++ b/crates/bluebelld/src/gateway/state.rs
@@ -12,7 +12,7 @@
 use bluebell_core::{canary::Schedule, clock::Clock, keys::KeyRing, retry::RetryLimit};
 use bluebell_platform::store::Store;
 use bluebell_wire::Identity;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::{
     beliefs::Beliefs,
@@ -51,6 +51,8 @@
     pub end: OnceLock<Duration>,
     /// Whether no request is taken any more.
     pub closed: AtomicBool,
+    /// Tells the control thread that upstreams may have ended.
+    pub ended: Notify,
     /// Number of requests in flight.
     pub working: watch::Sender<usize>,
     traffic: Mutex<Traffic>,
@@ -75,6 +77,7 @@
             leaving: watch::Sender::new(false),
             end: OnceLock::new(),
             closed: AtomicBool::new(false),
+            ended: Notify::new(),
             working: watch::Sender::new(0),
             traffic: Mutex::default(),
             settings,
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -7,6 +7,7 @@
     canary::{SessionPins, Split, Tally, UsualPace},
     ids::{InstanceId, ModelId, ReleaseId, ServiceId, SessionId, UpstreamId},
     placing::{Candidate, Health, HealthEvent, Liveness, Load, Part, PartCache, READ_PER_MS, Report, Work, pick},
+    poison::Flights,
     retry::{RetryLimit, RetryWindow},
     units::Tokens,
     upstreams::Upstream,
@@ -36,6 +37,8 @@
 pub struct Traffic {
     /// Releases that sessions are on.
     pub sessions: SessionPins,
+    /// What runs at which upstream.
+    pub flights: Flights,
     upstreams: IndexMap<UpstreamId, UpstreamState>,
     windows: IndexMap<ServiceId, RetryWindow>,
     tallies: IndexMap<TallyKey, Tally>,
