Failing tests: repeats of a request that ends upstreams go on without limit

The stand-in upstream can now end with all its connections under requests whose body has a mark, and start again under another id with its entry following.

--- a/crates/bluebell-standins/src/site/http1.rs
+++ b/crates/bluebell-standins/src/site/http1.rs
@@ -37,6 +37,12 @@
         self.target.split('?').next().unwrap_or_default()
     }
 
+    /// Whether the body contains a text.
+    #[must_use]
+    pub fn contains(&self, text: &str) -> bool {
+        String::from_utf8_lossy(&self.body).contains(text)
+    }
+
     /// A parameter of the query, decoded; empty where there is none.
     #[must_use]
     pub fn param(&self, name: &str) -> String {
--- a/crates/bluebell-standins/src/site/store.rs
+++ b/crates/bluebell-standins/src/site/store.rs
@@ -91,7 +91,7 @@
 }
 
 /// The store of rows and objects.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub struct SiteStore {
     state: Arc<Mutex<State>>,
     changed: watch::Sender<u64>,
--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -8,13 +8,18 @@
     time::{Duration, Instant},
 };
 
+use serde_json::{Value, json};
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
-    task::JoinHandle,
+    sync::Notify,
+    task::{JoinHandle, JoinSet},
 };
 
-use super::http1::{self, Request};
+use super::{
+    http1::{self, Request},
+    store::SiteStore,
+};
 
 /// What an upstream is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,6 +58,26 @@
     Paced(Duration),
     /// The model's confidence, in per cent.
     Confidence(u8),
+    /// The upstream's process ends after so many events, with all that it runs.
+    End(u64),
+}
+
+/// Requests that end each upstream which runs them.
+#[derive(Debug, Clone)]
+pub struct Poison {
+    /// What their bodies contain.
+    pub marker: String,
+    /// Events that they get before.
+    pub events: u64,
+    /// Time after which the upstream is back.
+    pub down: Duration,
+}
+
+/// An upstream's entry in the store.
+#[derive(Debug, Clone)]
+struct Listing {
+    store: SiteStore,
+    entry: Value,
 }
 
 /// A request that an upstream began to run.
@@ -74,6 +99,10 @@
     always: Option<Fault>,
     runs: Vec<Run>,
     connections: u64,
+    id: String,
+    starts: u64,
+    poison: Option<Poison>,
+    listing: Option<Listing>,
 }
 
 /// An upstream in the process of a test.
@@ -83,6 +112,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
+    ending: Arc<Notify>,
     task: JoinHandle<()>,
 }
 
@@ -98,10 +128,11 @@
     pub async fn start(id: &str, kind: UpstreamKind, address: &str) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let state = Arc::new(Mutex::new(State::default()));
-        let server = Server { id: id.to_owned(), kind, state: Arc::clone(&state) };
-        let task = tokio::spawn(server.run(listener));
-        Ok(Self { id: id.to_owned(), address, state, task })
+        let state = Arc::new(Mutex::new(State { id: id.to_owned(), starts: 1, ..State::default() }));
+        let ending = Arc::new(Notify::new());
+        let server = Server { name: id.to_owned(), kind, state: Arc::clone(&state), ending: Arc::clone(&ending) };
+        let task = tokio::spawn(server.live(listener));
+        Ok(Self { id: id.to_owned(), address, state, ending, task })
     }
 
     /// Faults of the next requests, one each.
@@ -114,6 +145,33 @@
         lock(&self.state).always = fault;
     }
 
+    /// Has it end under some requests. It starts again under another id.
+    pub fn set_poison(&self, poison: Option<Poison>) {
+        lock(&self.state).poison = poison;
+    }
+
+    /// Ends it now, for so long.
+    pub fn end(&self, down: Duration) {
+        let mut state = lock(&self.state);
+        state.poison = Some(Poison { down, ..state.poison.clone().unwrap_or_else(Poison::none) });
+        drop(state);
+        self.ending.notify_one();
+    }
+
+    /// Has it keep an entry in the store: gone a second after it ends, back when it is.
+    pub fn list(&self, store: &SiteStore, entry: &Value) {
+        let mut state = lock(&self.state);
+        let listing = Listing { store: store.clone(), entry: entry.clone() };
+        listing.put(&state.id, state.starts);
+        state.listing = Some(listing);
+    }
+
+    /// Times that it ended.
+    #[must_use]
+    pub fn ends(&self) -> u64 {
+        lock(&self.state).starts - 1
+    }
+
     /// Requests that it began to run.
     #[must_use]
     pub fn runs(&self) -> Vec<Run> {
@@ -133,27 +191,92 @@
     }
 }
 
+impl Poison {
+    // No body contains it.
+    fn none() -> Self {
+        Self { marker: "\0".to_owned(), events: 0, down: Duration::ZERO }
+    }
+}
+
+impl Listing {
+    fn put(&self, id: &str, starts: u64) {
+        let mut entry = self.entry.clone();
+        entry["born"] = json!(starts);
+        self.store.put("servers", id, &entry);
+    }
+}
+
 #[derive(Clone)]
 struct Server {
-    id: String,
+    name: String,
     kind: UpstreamKind,
     state: Arc<Mutex<State>>,
+    ending: Arc<Notify>,
 }
 
 /// Time between two events.
 const EVENT_TIME: Duration = Duration::from_millis(10);
+/// Time after an end at which the upstream's entry lapses.
+const LAPSE: Duration = Duration::from_secs(1);
 /// Signature of all answers; its content is opaque.
 const STAMP: &str = "stand-in.1";
 
 impl Server {
-    async fn run(self, listener: TcpListener) {
+    // One life after the other, at one address.
+    async fn live(self, mut listener: TcpListener) {
+        let Ok(address) = listener.local_addr() else { return };
+        loop {
+            tokio::select! {
+                () = self.run(listener) => return,
+                () = self.ending.notified() => {}
+            }
+            let down = lock(&self.state).poison.as_ref().map_or(Duration::ZERO, |poison| poison.down);
+            self.rest(down).await;
+            let Ok(again) = TcpListener::bind(address).await else { return };
+            listener = again;
+            self.start_again();
+        }
+    }
+
+    async fn rest(&self, down: Duration) {
+        tokio::time::sleep(down.min(LAPSE)).await;
+        if down > LAPSE {
+            self.lapse();
+            tokio::time::sleep(down - LAPSE).await;
+        }
+    }
+
+    fn lapse(&self) {
+        let state = lock(&self.state);
+        if let Some(listing) = &state.listing {
+            listing.store.delete("servers", &state.id);
+        }
+    }
+
+    fn start_again(&self) {
+        let mut state = lock(&self.state);
+        let before = state.id.clone();
+        state.starts += 1;
+        state.id = format!("{}.{}", self.name, state.starts);
+        let (listing, id, starts) = (state.listing.clone(), state.id.clone(), state.starts);
+        drop(state);
+        if let Some(listing) = listing {
+            listing.store.delete("servers", &before);
+            listing.put(&id, starts);
+        }
+    }
+
+    // All connections end with the listener.
+    async fn run(&self, listener: TcpListener) {
+        let mut connections = JoinSet::new();
         while let Ok((socket, _)) = listener.accept().await {
             lock(&self.state).connections += 1;
             let server = self.clone();
-            tokio::spawn(async move {
+            connections.spawn(async move {
                 // A caller that breaks off is seen in the list of runs.
                 let _ = server.converse(socket).await;
             });
+            while connections.try_join_next().is_some() {}
         }
     }
 
@@ -161,14 +284,16 @@
         let mut buffer = Vec::new();
         while let Some(request) = http1::read(&mut socket, &mut buffer).await? {
             let expected = request.header("expect-instance");
-            if !expected.is_empty() && expected != self.id {
-                http1::write(&mut socket, 421, &[("instance-id", &self.id)], b"").await?;
+            let id = lock(&self.state).id.clone();
+            if !expected.is_empty() && expected != id {
+                http1::write(&mut socket, 421, &[("instance-id", &id)], b"").await?;
                 continue;
             }
             let fault = {
                 let mut state = lock(&self.state);
-                let next = state.faults.pop_front();
-                next.or_else(|| state.always.clone())
+                let poison = state.poison.as_ref().filter(|poison| request.contains(&poison.marker));
+                let end = poison.map(|poison| Fault::End(poison.events));
+                end.or_else(|| state.faults.pop_front()).or_else(|| state.always.clone())
             };
             if fault == Some(Fault::NotRun) {
                 http1::write(&mut socket, 503, &[("not-executed", "1")], b"").await?;
@@ -176,7 +301,7 @@
             }
             let number = {
                 let mut state = lock(&self.state);
-                let (request, upstream) = (request.clone(), self.id.clone());
+                let (request, upstream) = (request.clone(), id);
                 state.runs.push(Run { request, upstream, began: Instant::now(), broken_off: true });
                 state.runs.len() - 1
             };
@@ -196,6 +321,7 @@
                 socket.set_zero_linger()?;
                 return Ok(false);
             }
+            Some(Fault::End(0)) => self.end().await,
             Some(Fault::Silent) => {
                 std::future::pending::<()>().await;
             }
@@ -209,10 +335,17 @@
         }
         match self.kind {
             UpstreamKind::Engine { events } => self.stream(socket, request, fault, events).await,
+            UpstreamKind::Plain if matches!(fault, Some(Fault::End(_))) => self.end().await,
             UpstreamKind::Plain => plain(socket, request, fault).await,
         }
     }
 
+    // The process ends with this connection and all others.
+    async fn end<T>(&self) -> T {
+        self.ending.notify_one();
+        std::future::pending().await
+    }
+
     async fn stream(
         &self,
         socket: &mut TcpStream,
@@ -232,6 +365,9 @@
         let first = request.header("last-event-id").parse::<u64>().unwrap_or(0) + 1;
         for number in first..=events {
             let event = format!("id: {number}\ndata: {} {number}\n\n", request.header("model"));
+            if matches!(fault, Some(Fault::End(after)) if number > after) {
+                return self.end().await;
+            }
             let cut = match fault {
                 Some(Fault::Cut(after) | Fault::CutUnframed(after)) => number > after,
                 _ => false,
--- a/crates/bluebelld/tests/gateway/caller.rs
+++ b/crates/bluebelld/tests/gateway/caller.rs
@@ -36,6 +36,11 @@
         self
     }
 
+    pub fn body(mut self, body: &str) -> Self {
+        self.body = body.to_owned().into();
+        self
+    }
+
     pub fn deadline(mut self, deadline: Duration) -> Self {
         self.deadline = deadline;
         self
--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod caller;
 mod explain;
 mod members;
+mod poison;
 #[allow(dead_code, reason = "the other tests use more of it")]
 #[path = "../integration/util/process.rs"]
 mod process;
--- a/crates/bluebelld/tests/gateway/site.rs
+++ b/crates/bluebelld/tests/gateway/site.rs
@@ -107,11 +107,24 @@
 
     /// Writes an upstream's own entry.
     pub fn list(&self, one: &SiteUpstream, service: &str, release: &str, state: &str) {
-        let entry = json!({
-            "service": service, "address": one.address.to_string(), "zone": "z1", "version": release, "slots": 8,
-            "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
-        });
-        self.store.put("servers", &one.id, &entry);
+        self.store.put("servers", &one.id, &entry(one, service, release, state));
+    }
+
+    /// Writes the entries of all upstreams, which from then on follow their ends and starts.
+    pub fn list_lives(&self) {
+        for (service, upstreams) in [("chat", &self.chat), ("ledger", &self.ledger)] {
+            for one in upstreams {
+                one.list(&self.store, &entry(one, service, "v1", "ready"));
+            }
+        }
+    }
+
+    /// A service of the ledger.
+    pub async fn add_ledger(&mut self, id: &str) {
+        let any = format!("{}:0", self.host);
+        let service = SiteUpstream::start(id, UpstreamKind::Plain, &any).await.expect("a service");
+        self.list(&service, "ledger", "v1", "ready");
+        self.ledger.push(service);
     }
 
     /// An engine of the chat service that runs a release.
@@ -205,6 +218,13 @@
     }
 }
 
+fn entry(one: &SiteUpstream, service: &str, release: &str, state: &str) -> Value {
+    json!({
+        "service": service, "address": one.address.to_string(), "zone": "z1", "version": release, "slots": 8,
+        "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
+    })
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
         if std::thread::panicking() {
