--- a/crates/bluebell-core/src/poison/flights.rs
+++ b/crates/bluebell-core/src/poison/flights.rs
@@ -11,7 +11,7 @@
 use super::Fingerprint;
 use crate::{
     ids::UpstreamId,
-    upstreams::{Incarnation, Phase, Upstream},
+    upstreams::{Life, Phase, Upstream},
 };
 
 /// Time for which unanswered requests are remembered: entries lapse within about four seconds of an end.
@@ -76,7 +76,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ended {
     /// The upstream.
-    pub incarnation: Incarnation,
+    pub life: Life,
     /// What shows it.
     pub sign: EndSign,
     /// Requests under way there, the newest first.
@@ -93,45 +93,51 @@
 struct Under {
     running: IndexMap<Fingerprint, u32>,
     left: VecDeque<Left>,
+    alive: Duration,
     lost: Option<Duration>,
     probed: Option<Duration>,
     unlisted: Option<Duration>,
     restarted: bool,
-    leaving: bool,
+    // Since when it leaves.
+    leaving: Option<Duration>,
     reported: bool,
 }
 
 impl Under {
     fn is_idle(&self, now: Duration) -> bool {
         let old = |at: Duration| now >= at + MEMORY;
-        self.running.is_empty() && self.left.back().is_none_or(|left| old(left.at)) && self.lost.is_none_or(old)
+        let was_used = self.left.back().is_some_and(|left| !old(left.at));
+        let has_news = [self.lost, self.leaving].into_iter().flatten().any(|at| !old(at));
+        self.running.is_empty() && !was_used && !has_news
     }
 }
 
 /// What runs at which upstream, at one gateway.
 #[derive(Debug, Default)]
 pub struct Flights {
-    upstreams: IndexMap<Incarnation, Under>,
+    upstreams: IndexMap<Life, Under>,
     answered: IndexMap<Fingerprint, Duration>,
     ended: Vec<Ended>,
+    cleared: Vec<Fingerprint>,
+    held: IndexSet<Fingerprint>,
 }
 
 impl Flights {
     /// A request goes to an upstream.
-    pub fn begin(&mut self, at: &Incarnation, fingerprint: Fingerprint) {
+    pub fn begin(&mut self, at: &Life, fingerprint: Fingerprint) {
         let under = self.upstreams.entry(at.clone()).or_default();
         *under.running.entry(fingerprint).or_default() += 1;
     }
 
     /// A request ended at an upstream.
-    pub fn land(&mut self, now: Duration, at: &Incarnation, fingerprint: Fingerprint, landing: Landing) {
+    pub fn land(&mut self, now: Duration, at: &Life, fingerprint: Fingerprint, landing: Landing) {
         if landing == Landing::Answered {
             self.answered.shift_remove(&fingerprint);
             self.answered.insert(fingerprint, now);
         }
         let Some(under) = self.upstreams.get_mut(at) else { return };
         if landing == Landing::Answered {
-            under.lost = None;
+            (under.alive, under.lost) = (now, None);
         }
         if let Some(count) = under.running.get_mut(&fingerprint) {
             *count -= 1;
@@ -148,9 +154,9 @@
     }
 
     /// An upstream lost an answer; tells whether to ask if anybody listens there.
-    pub fn lose(&mut self, now: Duration, at: &Incarnation, loss: Loss) -> bool {
+    pub fn lose(&mut self, now: Duration, at: &Life, loss: Loss) -> bool {
         let Some(under) = self.upstreams.get_mut(at) else { return false };
-        if under.leaving || under.reported {
+        if under.leaving.is_some() || under.reported {
             return false;
         }
         if under.lost.is_none_or(|lost| now >= lost + MEMORY) {
@@ -168,26 +174,29 @@
     }
 
     /// Nobody listens at an upstream's address.
-    pub fn refuse(&mut self, now: Duration, at: &Incarnation) {
+    pub fn refuse(&mut self, now: Duration, at: &Life) {
         self.conclude(now, at, EndSign::Refused);
     }
 
     /// An upstream took a connection, so what was lost was a connection only.
-    pub fn accept(&mut self, at: &Incarnation) {
+    pub fn accept(&mut self, now: Duration, at: &Life) {
         if let Some(under) = self.upstreams.get_mut(at) {
-            under.lost = None;
+            (under.alive, under.lost) = (now, None);
         }
     }
 
     /// An upstream's entry came: it lives on or leaves, or one that ended before has its id or address.
     pub fn list(&mut self, now: Duration, upstream: &Upstream, addresses: impl Fn(&UpstreamId) -> Option<SocketAddr>) {
-        let own = upstream.incarnation();
+        let own = upstream.life();
+        if upstream.phase == Phase::Leaving {
+            // Requests that were sent before this was known may still begin there.
+            self.upstreams.entry(own.clone()).or_default().leaving.get_or_insert(now);
+        } else if let Some(under) = self.upstreams.get_mut(&own) {
+            (under.unlisted, under.leaving) = (None, None);
+        }
         let mut restarted = Vec::new();
-        for (at, under) in &mut self.upstreams {
-            if *at == own {
-                under.unlisted = None;
-                under.leaving = upstream.phase == Phase::Leaving;
-            } else if at.upstream == own.upstream || addresses(&at.upstream) == Some(upstream.address) {
+        for (at, under) in self.upstreams.iter_mut().filter(|(at, _)| **at != own) {
+            if at.upstream == own.upstream || addresses(&at.upstream) == Some(upstream.address) {
                 under.restarted = true;
                 restarted.extend(under.lost.map(|_| at.clone()));
             }
@@ -198,10 +207,11 @@
     }
 
     /// An upstream's entry is gone: one that showed no sign of an end before leaves.
-    pub fn unlist(&mut self, now: Duration, id: &UpstreamId) {
-        for (_, under) in self.upstreams.iter_mut().filter(|(at, _)| at.upstream == *id) {
-            under.leaving |= under.lost.is_none();
-            under.unlisted.get_or_insert(now);
+    pub fn unlist(&mut self, now: Duration, at: &Life) {
+        let under = self.upstreams.entry(at.clone()).or_default();
+        under.unlisted.get_or_insert(now);
+        if under.lost.is_none() {
+            under.leaving.get_or_insert(now);
         }
     }
 
@@ -209,13 +219,33 @@
     pub fn take_ended(&mut self, now: Duration) -> Vec<Ended> {
         let is_lapsed = |under: &Under| under.unlisted.is_some_and(|at| now >= at + LAPSE_TIME) && under.lost.is_some();
         let lapsed = self.upstreams.iter().filter(|(_, under)| !under.reported && is_lapsed(under));
-        let lapsed: Vec<Incarnation> = lapsed.map(|(at, _)| at.clone()).collect();
+        let lapsed: Vec<Life> = lapsed.map(|(at, _)| at.clone()).collect();
         for at in lapsed {
             self.conclude(now, &at, EndSign::Lapsed);
         }
         std::mem::take(&mut self.ended)
     }
 
+    /// A request under which upstreams ended was answered.
+    pub fn clear(&mut self, fingerprint: Fingerprint) {
+        self.cleared.push(fingerprint);
+    }
+
+    /// Takes requests that were cleared since the last call.
+    pub fn take_cleared(&mut self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.cleared)
+    }
+
+    /// A request was held back.
+    pub fn hold(&mut self, fingerprint: Fingerprint) {
+        self.held.insert(fingerprint);
+    }
+
+    /// Takes requests that were held back since the last call.
+    pub fn take_held(&mut self) -> IndexSet<Fingerprint> {
+        std::mem::take(&mut self.held)
+    }
+
     /// Whether a request was answered lately.
     #[must_use]
     pub fn was_answered(&self, now: Duration, fingerprint: &Fingerprint) -> bool {
@@ -224,7 +254,7 @@
 
     /// Requests under way at an upstream that some condition holds for.
     #[must_use]
-    pub fn running(&self, at: &Incarnation, condition: impl Fn(&Fingerprint) -> bool) -> usize {
+    pub fn running(&self, at: &Life, condition: impl Fn(&Fingerprint) -> bool) -> usize {
         let running = self.upstreams.get(at).map(|under| under.running.keys());
         running.map_or(0, |all| all.filter(|one| condition(one)).count())
     }
@@ -237,17 +267,17 @@
         self.answered.drain(..old.max(surplus));
     }
 
-    fn conclude(&mut self, now: Duration, at: &Incarnation, sign: EndSign) {
+    fn conclude(&mut self, now: Duration, at: &Life, sign: EndSign) {
         let Some(under) = self.upstreams.get_mut(at) else { return };
-        if under.leaving || std::mem::replace(&mut under.reported, true) {
+        if under.leaving.is_some() || std::mem::replace(&mut under.reported, true) {
             return;
         }
-        let since = under.lost.unwrap_or(now).saturating_sub(LINGER);
+        let since = under.lost.unwrap_or(under.alive).saturating_sub(LINGER);
         let running = under.running.keys().rev().copied();
         let left = under.left.iter().rev().take_while(|left| left.at >= since).map(|left| left.fingerprint);
         let all: IndexSet<Fingerprint> = running.chain(left).collect();
         let suspects: Vec<Fingerprint> =
             all.into_iter().filter(|one| !self.was_answered(now, one)).take(MAX_SUSPECTS).collect();
-        self.ended.push(Ended { incarnation: at.clone(), sign, suspects });
+        self.ended.push(Ended { life: at.clone(), sign, suspects });
     }
 }
--- a/crates/bluebell-core/src/upstreams.rs
+++ b/crates/bluebell-core/src/upstreams.rs
@@ -54,16 +54,16 @@
 }
 
 impl Upstream {
-    /// This start of it.
+    /// Its life since this start.
     #[must_use]
-    pub fn incarnation(&self) -> Incarnation {
-        Incarnation { upstream: self.id.clone(), born: self.born }
+    pub fn life(&self) -> Life {
+        Life { upstream: self.id.clone(), born: self.born }
     }
 }
 
-/// One start of an upstream.
+/// One life of an upstream, from a start to its end.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Incarnation {
+pub struct Life {
     /// The upstream.
     pub upstream: UpstreamId,
     /// Its start, in milliseconds since the Unix epoch; zero where it doesn't say.
--- /dev/null
+++ b/crates/bluebell-core/tests/poison.rs
@@ -0,0 +1,289 @@
+//! Which requests the ends of upstreams are put down to.
+
+use std::time::Duration;
+
+use bluebell_core::{
+    ids::{InstanceId, OrgId, UpstreamId},
+    poison::{CRASH_MEMORY, CrashReport, Crashes, EndSign, Ended, Fingerprint, Flights, Landing, Loss},
+    upstreams::{Life, Phase, Upstream},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn request(name: &str) -> Fingerprint {
+    Fingerprint::of(name, None, b"")
+}
+
+fn life(number: usize) -> Life {
+    Life { upstream: format!("u-{number}").parse().expect("an id"), born: 1 }
+}
+
+fn report(number: usize, reporter: &str, suspects: &[&str]) -> CrashReport {
+    let reporter: InstanceId = reporter.parse().expect("an id");
+    let suspects = suspects.iter().map(|name| request(name)).collect();
+    CrashReport { life: life(number), reporter, sign: EndSign::Refused, suspects }
+}
+
+fn crashes(ends: &[&[&str]]) -> Crashes {
+    let mut crashes = Crashes::default();
+    for (number, suspects) in ends.iter().enumerate() {
+        crashes.take(SECOND, Duration::ZERO, &report(number, "g-1", suspects));
+    }
+    crashes
+}
+
+fn is_held(crashes: &Crashes, name: &str) -> bool {
+    crashes.judge().is_poison(&request(name))
+}
+
+#[test]
+fn request_at_three_ends_is_held_back_and_not_those_beside_it() {
+    let mut known = crashes(&[&["poison", "a", "b"], &["poison", "a", "c"]]);
+    assert!(!is_held(&known, "poison"));
+    known.take(SECOND, Duration::ZERO, &report(9, "g-2", &["poison", "d"]));
+    assert!(is_held(&known, "poison"));
+    for name in ["a", "b", "c", "d"] {
+        assert_eq!(known.judge().get(&request(name)), None, "{name} is suspected of ends that are explained");
+    }
+}
+
+#[test]
+fn request_that_rode_along_to_each_end_is_not_held_back_once_one_end_tells_them_apart() {
+    let mut known = crashes(&[&["poison", "rider"][..]; 3]);
+    assert!(!is_held(&known, "poison") && !is_held(&known, "rider"));
+    known.take(SECOND, Duration::ZERO, &report(9, "g-2", &["poison"]));
+    assert!(is_held(&known, "poison"));
+    assert!(!is_held(&known, "rider"));
+}
+
+#[test]
+fn two_that_cannot_be_told_apart_are_held_back_after_four_ends() {
+    let known = crashes(&[&["one", "other"][..]; 4]);
+    assert!(is_held(&known, "one") && is_held(&known, "other"));
+}
+
+#[test]
+fn two_poison_requests_that_met_are_both_held_back_after_three_ends_of_their_own() {
+    let mut known = crashes(&[&["one"], &["one", "other"], &["one"], &["other"], &["other"], &["other", "x"]]);
+    assert!(is_held(&known, "other") && !is_held(&known, "one"));
+    known.take(SECOND, Duration::ZERO, &report(9, "g-1", &["one"]));
+    assert!(is_held(&known, "one") && is_held(&known, "other"));
+    assert!(!is_held(&known, "x"));
+}
+
+#[test]
+fn answer_clears_a_request_of_all_ends_before() {
+    let mut known = crashes(&[&["a"], &["a"], &["a"]]);
+    assert!(is_held(&known, "a"));
+    assert!(known.clear(&[request("a")]));
+    assert!(!is_held(&known, "a"));
+    assert!(!known.clear(&[request("a")]), "cleared twice");
+    known.take(SECOND, Duration::ZERO, &report(0, "g-1", &["a"]));
+    assert_eq!(known.judge().get(&request("a")), None, "a late copy of the report brings it up again");
+}
+
+#[test]
+fn the_same_end_reported_by_several_gateways_counts_once() {
+    let mut known = Crashes::default();
+    for reporter in ["g-1", "g-2", "g-3", "g-4"] {
+        known.take(SECOND, Duration::ZERO, &report(1, reporter, &["a"]));
+    }
+    assert_eq!(known.judge().get(&request("a")).map(|one| one.crashes), Some(1));
+}
+
+#[test]
+fn gateways_decide_the_same_in_whatever_order_reports_come() {
+    let reports = [
+        report(1, "g-1", &["p", "a"]),
+        report(1, "g-2", &["b"]),
+        report(2, "g-2", &["p", "b"]),
+        report(3, "g-3", &["p", "q"]),
+        report(4, "g-1", &["q"]),
+        report(5, "g-1", &["q", "a"]),
+    ];
+    let judge = |order: Vec<usize>| {
+        let mut known = Crashes::default();
+        for one in order {
+            known.take(SECOND, Duration::ZERO, &reports[one]);
+        }
+        ["p", "q", "a", "b"].map(|name| known.judge().get(&request(name)))
+    };
+    let first = judge(vec![0, 1, 2, 3, 4, 5]);
+    assert_eq!(first, judge(vec![5, 4, 3, 2, 1, 0]));
+    assert_eq!(first, judge(vec![3, 0, 5, 1, 4, 2]));
+    assert!(first[0].is_some_and(|one| one.is_poison) && first[1].is_some_and(|one| one.is_poison));
+}
+
+#[test]
+fn held_back_for_as_long_as_it_comes_and_no_longer() {
+    let mut known = crashes(&[&["p"], &["p"], &["p"]]);
+    let almost = CRASH_MEMORY - SECOND;
+    known.forget(almost);
+    known.renew(almost, &request("p"));
+    known.forget(CRASH_MEMORY + SECOND);
+    assert!(is_held(&known, "p"));
+    assert!(known.forget(almost + CRASH_MEMORY));
+    assert!(!is_held(&known, "p"));
+    assert!(!known.take(almost, CRASH_MEMORY, &report(1, "g-1", &["p"])), "a report too old is taken");
+}
+
+#[test]
+fn flood_of_different_failing_requests_is_remembered_within_bounds() {
+    let mut known = Crashes::default();
+    for number in 0..5000 {
+        known.take(SECOND * number as u32, Duration::ZERO, &report(number, "g-1", &[&format!("r-{number}")]));
+    }
+    assert!(known.reports().count() <= 256);
+    let mut flights = Flights::default();
+    for number in 0..50_000 {
+        let one = request(&format!("r-{number}"));
+        flights.begin(&life(1), one);
+        let landing = if number % 2 == 0 { Landing::Unanswered } else { Landing::Answered };
+        flights.land(SECOND, &life(1), one, landing);
+    }
+    flights.sweep(SECOND);
+    flights.refuse(SECOND, &life(1));
+    let ended = flights.take_ended(SECOND);
+    assert!(ended[0].suspects.len() <= 128);
+}
+
+fn upstream(number: usize, born: u64, phase: Phase) -> Upstream {
+    Upstream {
+        id: format!("u-{number}").parse().expect("an id"),
+        service: "s".parse().expect("an id"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        zone: "z".parse().expect("an id"),
+        release: "v1".parse().expect("an id"),
+        slots: 8,
+        phase,
+        cold: Duration::ZERO,
+        born,
+    }
+}
+
+fn nowhere(_: &UpstreamId) -> Option<std::net::SocketAddr> {
+    None
+}
+
+fn suspects(ended: &[Ended]) -> Vec<Fingerprint> {
+    ended.iter().flat_map(|one| one.suspects.clone()).collect()
+}
+
+#[test]
+fn end_is_reported_with_what_ran_and_what_had_just_been_lost() {
+    let mut flights = Flights::default();
+    for name in ["runs", "lost", "refused", "answered", "long-gone"] {
+        flights.begin(&life(1), request(name));
+    }
+    flights.land(SECOND, &life(1), request("long-gone"), Landing::Unanswered);
+    let now = SECOND * 5;
+    flights.land(now, &life(1), request("refused"), Landing::Settled);
+    flights.land(now, &life(1), request("answered"), Landing::Answered);
+    flights.land(now, &life(1), request("lost"), Landing::Unanswered);
+    assert!(flights.lose(now, &life(1), Loss::Broken), "nobody is asked");
+    assert!(!flights.lose(now, &life(1), Loss::Broken), "asked twice at once");
+    assert!(flights.take_ended(now).is_empty(), "a lost connection alone is no end");
+    flights.refuse(now, &life(1));
+    assert_eq!(suspects(&flights.take_ended(now)), [request("runs"), request("lost")]);
+    flights.refuse(now, &life(1));
+    assert!(flights.take_ended(now).is_empty(), "reported twice");
+}
+
+#[test]
+fn reset_connections_of_an_upstream_that_lives_are_no_end() {
+    let mut flights = Flights::default();
+    flights.begin(&life(1), request("a"));
+    flights.land(SECOND, &life(1), request("a"), Landing::Unanswered);
+    flights.lose(SECOND, &life(1), Loss::Broken);
+    flights.accept(SECOND, &life(1));
+    flights.unlist(SECOND * 2, &life(1));
+    assert!(flights.take_ended(SECOND * 8).is_empty());
+}
+
+#[test]
+fn upstream_that_leaves_ended_as_planned() {
+    let mut flights = Flights::default();
+    flights.begin(&life(1), request("a"));
+    flights.list(SECOND, &upstream(1, 1, Phase::Leaving), nowhere);
+    flights.land(SECOND, &life(1), request("a"), Landing::Unanswered);
+    flights.lose(SECOND, &life(1), Loss::Broken);
+    flights.refuse(SECOND, &life(1));
+    assert!(flights.take_ended(SECOND).is_empty());
+    // The request comes to the upstream after the news.
+    flights.list(SECOND, &upstream(3, 1, Phase::Leaving), nowhere);
+    flights.sweep(SECOND * 2);
+    flights.begin(&life(3), request("c"));
+    flights.lose(SECOND * 3, &life(3), Loss::Broken);
+    flights.refuse(SECOND * 3, &life(3));
+    assert!(flights.take_ended(SECOND * 3).is_empty());
+    // One that says nothing: its entry goes first.
+    flights.begin(&life(2), request("b"));
+    flights.unlist(SECOND, &life(2));
+    flights.land(SECOND * 2, &life(2), request("b"), Landing::Unanswered);
+    flights.lose(SECOND * 2, &life(2), Loss::Broken);
+    flights.refuse(SECOND * 2, &life(2));
+    assert!(flights.take_ended(SECOND * 9).is_empty());
+}
+
+#[test]
+fn upstream_that_goes_dark_ended_once_its_entry_has_lapsed_for_good() {
+    let mut flights = Flights::default();
+    flights.begin(&life(1), request("a"));
+    flights.lose(SECOND, &life(1), Loss::Silent);
+    flights.land(SECOND, &life(1), request("a"), Landing::Unanswered);
+    flights.unlist(SECOND * 2, &life(1));
+    assert!(
+        flights.take_ended(SECOND * 4).is_empty(),
+        "entries that lapsed with the store are back within two seconds"
+    );
+    assert_eq!(suspects(&flights.take_ended(SECOND * 5)), [request("a")]);
+}
+
+#[test]
+fn restart_faster_than_the_question_is_an_end() {
+    let mut flights = Flights::default();
+    flights.begin(&life(1), request("a"));
+    flights.list(SECOND, &upstream(1, 2, Phase::Ready), nowhere);
+    flights.land(SECOND, &life(1), request("a"), Landing::Unanswered);
+    flights.lose(SECOND, &life(1), Loss::Broken);
+    assert_eq!(suspects(&flights.take_ended(SECOND)), [request("a")]);
+}
+
+#[test]
+fn request_that_many_send_and_get_answered_is_no_suspect() {
+    let mut flights = Flights::default();
+    flights.begin(&life(1), request("popular"));
+    flights.begin(&life(2), request("popular"));
+    flights.land(SECOND, &life(2), request("popular"), Landing::Answered);
+    flights.refuse(SECOND * 3, &life(1));
+    assert!(suspects(&flights.take_ended(SECOND * 3)).is_empty());
+}
+
+#[test]
+fn end_of_an_upstream_that_was_only_cut_off_is_taken_back() {
+    let mut known = Crashes::default();
+    let lapsed = CrashReport { sign: EndSign::Lapsed, ..report(1, "g-1", &["a"]) };
+    known.take(SECOND, Duration::ZERO, &lapsed);
+    assert!(known.retract(&life(1)));
+    assert_eq!(known.judge().get(&request("a")), None);
+    known.take(SECOND, Duration::ZERO, &report(2, "g-1", &["a"]));
+    assert!(!known.retract(&life(2)), "nobody listened there, whatever its late entry says");
+}
+
+#[test]
+fn fingerprint_is_that_of_path_organisation_and_body_and_reads_back() {
+    let org = |name: &str| -> OrgId { name.parse().expect("an id") };
+    let one = Fingerprint::of("/a/b?c=1", Some(&org("o")), b"body");
+    assert_eq!(one.to_string().parse(), Ok(one));
+    let others = [
+        Fingerprint::of("/a/b?c=2", Some(&org("o")), b"body"),
+        Fingerprint::of("/a/b?c=1", Some(&org("p")), b"body"),
+        Fingerprint::of("/a/b?c=1", None, b"body"),
+        Fingerprint::of("/a/b?c=1", Some(&org("o")), b"bodY"),
+        Fingerprint::of("/a/b?c=1", Some(&org("ob")), b"ody"),
+    ];
+    assert!(others.iter().all(|other| *other != one));
+    for text in ["", "zz", "00", &"0".repeat(34)] {
+        assert!(text.parse::<Fingerprint>().is_err(), "{text:?}");
+    }
+}
--- a/crates/bluebell-wire/src/messages.rs
+++ b/crates/bluebell-wire/src/messages.rs
@@ -10,6 +10,7 @@
         AttemptId, Incarnation, InstanceId, Permit, ReleaseId, RequestId, Revision, ServiceId, SessionId, UpstreamId,
     },
     intent::{Reservation, Resolution, StoredReply},
+    poison::{CrashReport, Fingerprint},
     replica::Row,
     settings::Snapshot,
     units::{Cost, Price, Tokens},
@@ -226,6 +227,19 @@
     Rows(Vec<Row>),
     /// What the sender does at the moment.
     Standing(Box<EntryStanding>),
+    /// What was under way at upstreams that ended.
+    Crashes(Vec<CrashNews>),
+    /// Requests under which upstreams had ended, and that were answered since.
+    Answered(Vec<Fingerprint>),
+}
+
+/// A report of an ended upstream.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CrashNews {
+    /// The report.
+    pub report: CrashReport,
+    /// Time since it was last needed.
+    pub age: Duration,
 }
 
 /// What an entry does at the moment.
@@ -263,6 +277,8 @@
     pub requests: u32,
     /// Tokens that they still wait to have read.
     pub unread: Tokens,
+    /// Those among them under which upstreams ended.
+    pub suspects: u32,
 }
 
 /// Counts of one entry for one release in one kind of work.
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -3,11 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
-    ids::{ModelId, UpstreamId},
+    ids::ModelId,
     placing::{HealthEvent, READ_PER_MS},
-    poison::{Fingerprint, Landing, Loss},
-    units::Tokens,
-    upstreams::{Incarnation, Upstream},
+    poison::{Landing, Loss},
+    upstreams::Upstream,
 };
 use bluebell_platform::headers::{self, Forward, Proof};
 use bytes::Bytes;
@@ -15,7 +14,7 @@
 use hyper::{Request, StatusCode, body::Incoming};
 use tokio::time::timeout;
 
-use super::{ends, job::Job, pool::Lease, state::Gateway};
+use super::{ends, job::Job, place::Place, pool::Lease, state::Gateway};
 
 /// Largest body after which a connection is kept although the upstream answered with a failure; behind a longer one
 /// the upstream may still be reading.
@@ -71,66 +70,6 @@
     pub patience: Patience,
 }
 
-/// A place taken at an upstream; given back when dropped.
-pub struct Place {
-    gateway: Arc<Gateway>,
-    id: UpstreamId,
-    incarnation: Incarnation,
-    fingerprint: Fingerprint,
-    landing: Landing,
-    reading: Tokens,
-    unread: Tokens,
-}
-
-impl Place {
-    fn take(gateway: &Arc<Gateway>, job: &Job, order: &Order) -> Self {
-        let now = gateway.now();
-        let mut traffic = gateway.traffic();
-        let state = traffic.upstream(&order.upstream);
-        let model = order.model.as_ref().or(job.asked.model.as_ref());
-        let cached = model.map_or(Tokens::default(), |model| state.parts.cached(model, &job.asked.parts));
-        let tokens = job.asked.prompt.0.saturating_sub(cached.0) as f64;
-        let unread = Tokens((tokens * job.weight(model)) as u64);
-        state.load.begin(unread);
-        state.health.begin(now);
-        if let Some(model) = model {
-            state.parts.read(now, model, &job.asked.parts, job.memory());
-        }
-        let (id, incarnation, fingerprint) = (order.upstream.id.clone(), order.upstream.incarnation(), job.fingerprint);
-        traffic.flights.begin(&incarnation, fingerprint);
-        drop(traffic);
-        let gateway = Arc::clone(gateway);
-        Self { gateway, id, incarnation, fingerprint, landing: Landing::default(), reading: unread, unread }
-    }
-
-    /// How the request ended there, where it was not left unanswered.
-    fn land(&mut self, landing: Landing) {
-        self.landing = landing;
-    }
-
-    /// The upstream has read the prompt.
-    pub fn read(&mut self) {
-        let unread = std::mem::take(&mut self.unread);
-        if unread.0 > 0
-            && let Some(state) = self.gateway.traffic().known(&self.id)
-        {
-            state.load.read(unread);
-        }
-    }
-}
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.read();
-        let mut traffic = self.gateway.traffic();
-        if let Some(state) = traffic.known(&self.id) {
-            state.load.end();
-            state.health.end();
-        }
-        traffic.flights.land(self.gateway.now(), &self.incarnation, self.fingerprint, self.landing);
-    }
-}
-
 /// An answer that has begun.
 pub struct Live {
     /// Its status.
@@ -167,7 +106,7 @@
     /// of the prompt that was not cached; only the proportion to other answers matters.
     #[must_use]
     pub fn pace(&self, now: Duration, events: u64) -> f64 {
-        let read = self.place.reading.0 as f64 / READ_PER_MS / 1000.0;
+        let read = self.place.reading().0 as f64 / READ_PER_MS / 1000.0;
         let expected = EXPECTED_START_S + read + EXPECTED_EVENT_S * events as f64;
         (now - self.begun).as_secs_f64() / expected
     }
@@ -232,7 +171,7 @@
 /// # Errors
 /// When there is no answer to this request; the failure says whether it may have run.
 pub async fn send(gateway: &Arc<Gateway>, job: &Job, order: &Order) -> Result<Live, Failure> {
-    let place = Place::take(gateway, job, order);
+    let place = Place::take(gateway, job, &order.upstream, order.model.as_ref());
     let begun = gateway.now();
     let result = exchange(gateway, job, order, place, begun).await;
     if let Err(Failure::Unknown { loss, .. }) = &result {
@@ -260,14 +199,9 @@
     mut place: Place,
     begun: Duration,
 ) -> Result<Live, Failure> {
-    let mut lease = match connect(gateway, order).await {
-        Ok(lease) => lease,
-        Err(failure) => {
-            place.land(Landing::Settled);
-            return Err(failure);
-        }
-    };
+    let mut lease = connect(gateway, order).await?;
     let response = loop {
+        place.depart();
         let left = job.end.saturating_sub(gateway.now());
         let sending = lease.sender.try_send_request(request(job, order, left));
         let waited = wait_for(gateway, order, begun, job.end, sending).await;
@@ -290,7 +224,6 @@
                     return Err(Failure::NotRun { reason, pause: None, arrived: false });
                 }
                 lease = connect(gateway, order).await?;
-                place.land(Landing::Unanswered);
             }
         }
     };
@@ -349,7 +282,12 @@
 
 async fn connect(gateway: &Arc<Gateway>, order: &Order) -> Result<Lease, Failure> {
     let lease = gateway.pools.get(order.upstream.address, gateway.now()).await;
-    lease.map_err(|error| Failure::NotRun { reason: error.to_string(), pause: None, arrived: false })
+    lease.map_err(|error| {
+        if error.is_refused() {
+            ends::refuse(gateway, &order.upstream);
+        }
+        Failure::NotRun { reason: error.to_string(), pause: None, arrived: false }
+    })
 }
 
 /// Time for the rest of a refusal, after which its connection is closed instead of kept.
--- a/crates/bluebelld/src/gateway/beliefs.rs
+++ b/crates/bluebelld/src/gateway/beliefs.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bluebell_core::{canary::Split, ids::ServiceId, ingress::Declared, upstreams::Upstream};
+use bluebell_core::{canary::Split, ids::ServiceId, ingress::Declared, poison::Suspects, upstreams::Upstream};
 use indexmap::IndexMap;
 
 /// Silence of the store and of all peers that hear from it, after which what isn't declared here may be declared
@@ -18,6 +18,8 @@
     pub open: IndexMap<ServiceId, Vec<Arc<Upstream>>>,
     /// Releases that get requests, by service.
     pub splits: IndexMap<ServiceId, Split>,
+    /// Requests under which upstreams ended.
+    pub suspects: Arc<Suspects>,
     /// Gateways that share the retry budget, this one included.
     pub entries: usize,
     /// When the store was last heard of, here or by a peer.
--- a/crates/bluebelld/src/gateway/control/drive.rs
+++ b/crates/bluebelld/src/gateway/control/drive.rs
@@ -59,8 +59,7 @@
     }
 
     fn step_rollouts(&mut self, now: Duration) {
-        let Some((known, at)) = self.store.clock else { return };
-        let clock = known + (now - at);
+        let Some(clock) = self.store_clock(now) else { return };
         let own = self.gateway.settings.instance.id.clone();
         let mut steps = Vec::new();
         for one in self.rollouts.ordered.values() {
--- a/crates/bluebelld/src/gateway/control/event.rs
+++ b/crates/bluebelld/src/gateway/control/event.rs
@@ -4,9 +4,10 @@
 
 use bluebell_core::{
     ids::InstanceId,
+    poison::Fingerprint,
     replica::{Origin, Row},
 };
-use bluebell_wire::messages::{EntryAddress, EntryStanding};
+use bluebell_wire::messages::{CrashNews, EntryAddress, EntryStanding};
 use tokio::sync::mpsc;
 
 /// What the control thread takes.
@@ -38,6 +39,10 @@
     PeerRows(InstanceId, Vec<Row>),
     /// What a peer does.
     Standing(InstanceId, Box<EntryStanding>),
+    /// What a peer tells of upstreams that ended.
+    Crashes(InstanceId, Vec<CrashNews>),
+    /// Requests that a peer saw answered.
+    Answered(InstanceId, Vec<Fingerprint>),
     /// A connection to a peer opened or broke.
     Link(InstanceId, bool),
     /// This process is leaving.
--- a/crates/bluebelld/src/gateway/control/links.rs
+++ b/crates/bluebelld/src/gateway/control/links.rs
@@ -55,6 +55,8 @@
             News::Hello(address) => Event::Hello(address),
             News::Rows(rows) => Event::PeerRows(peer.clone(), rows),
             News::Standing(standing) => Event::Standing(peer.clone(), standing),
+            News::Crashes(reports) => Event::Crashes(peer.clone(), reports),
+            News::Answered(requests) => Event::Answered(peer.clone(), requests),
         };
         // The control thread is gone only when the process ends.
         let _ = events.send(event);
--- a/crates/bluebelld/src/gateway/control/members.rs
+++ b/crates/bluebelld/src/gateway/control/members.rs
@@ -133,6 +133,10 @@
         !self.known.iter().any(|(id, member)| member.open && id < own && able(id))
     }
 
+    pub(super) fn is_known(&self, peer: &InstanceId) -> bool {
+        self.known.contains_key(peer)
+    }
+
     pub(super) fn is_open(&self, peer: &InstanceId) -> bool {
         self.known.get(peer).is_some_and(|member| member.open)
     }
--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -1,6 +1,6 @@
 //! What follows from rows that are news: declarations, upstreams, orders, stages and members; and who hears of them.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
     ids::{InstanceId, UpstreamId},
@@ -10,7 +10,7 @@
 use bluebell_platform::{operator, upstream};
 use bluebell_wire::messages::News;
 
-use super::{members, rollouts, state::Control};
+use super::{members, reports, rollouts, state::Control};
 
 impl Control {
     /// Takes rows that are news, and passes them on to the other peers.
@@ -76,8 +76,7 @@
         };
         let Some(content) = &row.value else {
             log::info!(upstream = id.as_str(), row = row.version, source = source; "upstream's entry is gone");
-            self.upstreams.remove(now, &id);
-            self.gateway.traffic().flights.unlist(now, &id);
+            self.unlist(now, &id);
             return;
         };
         match upstream::decode_upstream(id.clone(), content) {
@@ -89,22 +88,31 @@
                 );
                 let addresses = |id: &UpstreamId| self.upstreams.get(id).map(|one| one.address);
                 self.gateway.traffic().flights.list(now, &upstream, addresses);
+                self.retract(&upstream.life());
                 self.upstreams.put(now, upstream);
             }
             Err(error) => {
                 log::warn!(upstream = id.as_str(), row = row.version; "entry names no upstream: {error}");
-                self.upstreams.remove(now, &id);
-                self.gateway.traffic().flights.unlist(now, &id);
+                self.unlist(now, &id);
             }
         }
     }
 
+    fn unlist(&mut self, now: Duration, id: &UpstreamId) {
+        if let Some(known) = self.upstreams.get(id) {
+            self.gateway.traffic().flights.unlist(now, &known.life());
+        }
+        self.upstreams.remove(now, id);
+    }
+
     fn learn_fleet(&mut self, row: &Row, source: &str) {
         let now = self.gateway.now();
         if let Some(name) = row.key.strip_prefix(members::PREFIX) {
             self.members.learn(name, row, now);
         } else if row.key.starts_with(rollouts::PREFIX) {
             self.rollouts.learn_stage(row, source);
+        } else if row.key.starts_with(reports::PREFIX) {
+            self.learn_report(row, source);
         }
     }
 }
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -5,7 +5,8 @@
 use bluebell_core::{
     ids::InstanceId,
     ingress::Declared,
-    replica::{Replica, Row},
+    poison::{Crashes, Suspects},
+    replica::{Origin, Replica, Row},
     upstreams::Upstreams,
 };
 use bluebell_wire::messages::{EntryStanding, News};
@@ -16,12 +17,16 @@
     event::{Event, Events},
     feeds,
     members::Members,
+    reports::ReportRows,
     rollouts::Rollouts,
 };
 use crate::gateway::{beliefs::Beliefs, state::Gateway};
 
 /// Time between two looks at what changes by time alone.
 const TICK: Duration = Duration::from_millis(250);
+/// Time for which a gateway that starts waits for the rows that gateways keep for each other: the store may serve all
+/// tables but theirs.
+const FLEET_WAIT: Duration = Duration::from_millis(700);
 /// Ticks between two sweeps of kept connections and of upstreams that are gone.
 const SWEEP_TICKS: u64 = 8;
 
@@ -34,11 +39,24 @@
     pub(super) upstreams: Upstreams,
     pub(super) members: Members,
     pub(super) rollouts: Rollouts,
+    pub(super) crashes: Crashes,
+    pub(super) suspects: Arc<Suspects>,
+    pub(super) reports: ReportRows,
+    pub(super) awaited: Awaited,
     pub(super) standings: IndexMap<InstanceId, (Duration, EntryStanding)>,
     pub(super) store: StoreContact,
     pub(super) ticks: u64,
 }
 
+/// What a gateway that has just started waits for.
+#[derive(Debug, Default)]
+pub(super) struct Awaited {
+    // Whether the rows that gateways keep for each other are known.
+    has_fleet: bool,
+    // Since when all else is known.
+    since: Option<Duration>,
+}
+
 /// What is known of the contact with the store.
 #[derive(Debug, Default)]
 pub(super) struct StoreContact {
@@ -58,6 +76,10 @@
             upstreams: Upstreams::default(),
             members,
             rollouts: Rollouts::default(),
+            crashes: Crashes::default(),
+            suspects: Arc::default(),
+            reports: ReportRows::default(),
+            awaited: Awaited::default(),
             standings: IndexMap::new(),
             store: StoreContact::default(),
             ticks: 0,
@@ -93,12 +115,20 @@
             Event::Snapshot { origin, rows, version, clock } => {
                 self.hear_store(clock);
                 let news = self.replica.apply_snapshot(origin, rows, version);
+                self.awaited.has_fleet |= origin == Origin::Fleet;
                 self.learn(news, None);
+                self.inform(self.gateway.now());
             }
             Event::StoreFailed(reason) => self.lose_store(&reason),
             Event::Hello(address) => self.members.hello(address, self.gateway.now()),
-            Event::PeerRows(peer, rows) => self.take_rows(rows, Some(&peer)),
+            Event::PeerRows(peer, rows) => {
+                self.awaited.has_fleet = true;
+                self.take_rows(rows, Some(&peer));
+                self.inform(self.gateway.now());
+            }
             Event::Standing(peer, standing) => self.take_standing(peer, *standing),
+            Event::Crashes(peer, reports) => self.take_crashes(reports, Some(&peer)),
+            Event::Answered(peer, requests) => self.clear(&requests, Some(&peer)),
             Event::Link(peer, open) => self.take_link(&peer, open),
             Event::Leave => self.members.leave(),
         }
@@ -130,6 +160,8 @@
     fn take_link(&mut self, peer: &InstanceId, open: bool) {
         let now = self.gateway.now();
         if open {
+            // A gateway is ready once it has the rows, and must know by then what to hold back.
+            self.tell_crashes(peer);
             self.members.send(peer, &News::Rows(self.replica.rows().cloned().collect()));
         }
         if self.members.set_link(peer, open, now) {
@@ -165,9 +197,11 @@
         if self.upstreams.has_lapsed() && self.upstreams.expire(now) {
             self.publish();
         }
+        self.inform(now);
         self.take_ended();
         self.tell_standing(now);
         self.drive_rollouts(now);
+        self.keep_reports(now);
         self.members.tick(now, self.is_connected(now));
         if self.ticks.is_multiple_of(SWEEP_TICKS) {
             self.sweep(now);
@@ -187,6 +221,11 @@
         }
     }
 
+    /// Time on the store's clock, once it was heard of.
+    pub(super) fn store_clock(&self, now: Duration) -> Option<Duration> {
+        self.store.clock.map(|(known, at)| known + now.saturating_sub(at))
+    }
+
     /// Whether the store is heard.
     pub(super) fn is_connected(&self, now: Duration) -> bool {
         !self.store.lost && self.store.heard.is_some_and(|at| now < at + feeds::SILENCE)
@@ -197,7 +236,7 @@
         let traffic = self.gateway.traffic();
         let tallies = if judged { traffic.tallies() } else { Vec::new() };
         let sessions = if judged { traffic.session_releases(now, self.gateway.schedule.canary) } else { Vec::new() };
-        let loads = traffic.loads();
+        let loads = traffic.loads(&self.suspects);
         let standing = EntryStanding {
             connected: self.is_connected(now),
             loads,
@@ -228,6 +267,7 @@
             declared: self.declared.clone(),
             open: open.collect(),
             splits: self.rollouts.splits(&self.gateway.schedule),
+            suspects: Arc::clone(&self.suspects),
             entries: self.members.count(now),
             heard: heard.unwrap_or_default().max(self.gateway.beliefs.load().heard),
         };
@@ -235,10 +275,21 @@
             self.gateway.metrics.set_upstreams(service, open.len());
         }
         self.gateway.metrics.set_beliefs(beliefs.entries, now.saturating_sub(beliefs.heard));
-        let informed = beliefs.declared.is_some() && !beliefs.open.is_empty();
         self.gateway.beliefs.store(Arc::new(beliefs));
-        if informed && !*self.gateway.informed.borrow() {
-            log::info!("declarations and upstreams are known");
+    }
+
+    // Has the traffic begin once enough is known.
+    fn inform(&mut self, now: Duration) {
+        if *self.gateway.informed.borrow() {
+            return;
+        }
+        let beliefs = self.gateway.beliefs.load();
+        if beliefs.declared.is_none() || beliefs.open.is_empty() {
+            return;
+        }
+        let since = *self.awaited.since.get_or_insert(now);
+        if self.awaited.has_fleet || now >= since + FLEET_WAIT {
+            log::info!(fleet = self.awaited.has_fleet; "declarations and upstreams are known");
             self.gateway.informed.send_replace(true);
         }
     }
--- a/crates/bluebelld/src/gateway/ends.rs
+++ b/crates/bluebelld/src/gateway/ends.rs
@@ -14,7 +14,7 @@
     let now = gateway.now();
     let mut traffic = gateway.traffic();
     traffic.note(now, &upstream.id, HealthEvent::Lost);
-    let is_due = traffic.flights.lose(now, &upstream.incarnation(), loss);
+    let is_due = traffic.flights.lose(now, &upstream.life(), loss);
     drop(traffic);
     if is_due {
         tokio::spawn(probe(Arc::clone(gateway), Arc::clone(upstream)));
@@ -23,19 +23,21 @@
     }
 }
 
+/// Nobody listens at an upstream's address.
+pub fn refuse(gateway: &Gateway, upstream: &Upstream) {
+    gateway.traffic().flights.refuse(gateway.now(), &upstream.life());
+    gateway.ended.notify_one();
+}
+
 async fn probe(gateway: Arc<Gateway>, upstream: Arc<Upstream>) {
     let found = pool::connect(upstream.address).await;
     let now = gateway.now();
-    let incarnation = upstream.incarnation();
     match found {
         Ok(lease) => {
             gateway.pools.put(lease, now, None);
-            gateway.traffic().flights.accept(&incarnation);
-        }
-        Err(error) if error.is_refused() => {
-            gateway.traffic().flights.refuse(now, &incarnation);
-            gateway.ended.notify_one();
+            gateway.traffic().flights.accept(now, &upstream.life());
         }
+        Err(error) if error.is_refused() => refuse(&gateway, &upstream),
         // Silence decides nothing; the upstream's entry will.
         Err(PoolError::Connect { .. } | PoolError::Silent { .. } | PoolError::Handshake { .. }) => {}
     }
--- a/crates/bluebelld/src/gateway/front/plain.rs
+++ b/crates/bluebelld/src/gateway/front/plain.rs
@@ -9,7 +9,7 @@
 
 use super::{
     body::Response,
-    choose::{choose, take_retry},
+    choose::{NextSend, next},
     record::record,
     reply::{give_up, pass_whole},
     tries::Tries,
@@ -29,15 +29,9 @@
 pub async fn answer(gateway: &Arc<Gateway>, job: Job) -> Response {
     let mut tries = Tries::default();
     let mut failed: Option<(StatusCode, HeaderMap, Bytes)> = None;
-    while tries.may_send(&job) && !job.left(gateway).is_zero() {
-        if tries.sends() > 0 && !take_retry(gateway, &job) {
-            break;
-        }
-        let Some(upstream) = choose(gateway, &job, None, &tries.upstreams, None) else {
-            tries.reason = "none is known".to_owned();
-            break;
-        };
-        tries.upstreams.push(upstream.id.clone());
+    loop {
+        let ask = NextSend { model: None, stays: None, is_paid: tries.sends() == 0 };
+        let Some(upstream) = next(gateway, &job, &mut tries, &ask) else { break };
         let order = Order { upstream, model: None, last_event: 0, patience: patience(gateway, &job, &tries) };
         match run(gateway, &job, &order, &tries).await {
             Ok((status, headers, body)) if !status.is_server_error() => return pass_whole(status, &headers, body),
--- a/crates/bluebelld/src/gateway/front/refusal.rs
+++ b/crates/bluebelld/src/gateway/front/refusal.rs
@@ -58,6 +58,12 @@
     /// Its time is over, and it did not run.
     #[snafu(display("the time is over, the request did not run"))]
     Late,
+    /// Upstreams ended under its repeats; it did not run.
+    #[snafu(display("{crashes} upstreams ended under this request, it is held back and did not run"))]
+    Poison {
+        /// Upstreams that ended.
+        crashes: u32,
+    },
     /// It failed, and may have run.
     #[snafu(display("the upstream failed, the request may have run: {reason}"))]
     Failed {
@@ -84,7 +90,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NotReady | Self::Outdated | Self::Busy { .. } | Self::Leaving | Self::Late => {
+            Self::NotReady | Self::Outdated | Self::Busy { .. } | Self::Leaving | Self::Late | Self::Poison { .. } => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::Failed { .. } => StatusCode::BAD_GATEWAY,
--- a/crates/bluebelld/src/gateway/front/reply.rs
+++ b/crates/bluebelld/src/gateway/front/reply.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bluebell_core::poison::CRASH_MEMORY;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, StatusCode};
@@ -38,13 +39,17 @@
 /// The final answer to a request that no upstream answered.
 pub fn give_up(gateway: &Gateway, job: &Job, tries: &Tries) -> Response {
     let over = job.left(gateway).is_zero();
-    let refusal = match (tries.ran > 0, over) {
-        (true, true) => Refusal::Overdue,
-        (true, false) => Refusal::Failed { reason: tries.reason.clone() },
-        (false, true) => Refusal::Late,
-        (false, false) => Refusal::Busy { reason: tries.reason.clone() },
+    let refusal = match (tries.ran > 0, tries.crashes) {
+        (true, _) if over => Refusal::Overdue,
+        (true, _) => Refusal::Failed { reason: tries.reason.clone() },
+        (false, Some(crashes)) => Refusal::Poison { crashes },
+        (false, None) if over => Refusal::Late,
+        (false, None) => Refusal::Busy { reason: tries.reason.clone() },
+    };
+    let wait = match refusal {
+        Refusal::Poison { .. } => CRASH_MEMORY,
+        _ => pause(job.left(gateway), tries.pause.unwrap_or(BUSY_PAUSE)),
     };
-    let wait = pause(job.left(gateway), tries.pause.unwrap_or(BUSY_PAUSE));
     let (declared, age) = known(gateway);
     log::info!(
         request = job.asked.request.as_str(),
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -6,7 +6,7 @@
 use bluebell_core::{
     cascade::{self, AnswerHead},
     events::{Batch, EventCutter, EventError},
-    ids::{ModelId, ReleaseId},
+    ids::ModelId,
     placing::READ_PER_MS,
     poison::Loss,
     upstreams::Upstream,
@@ -19,7 +19,7 @@
 
 use super::{
     body::Response,
-    choose::{backlog, choose, take_retry},
+    choose::{NextSend, backlog, next},
     record::{record, record_head},
     reply::{give_up, outcome, pass_on, pass_whole},
     tries::{InFlight, Tries},
@@ -49,7 +49,8 @@
     let mut tries = Tries::default();
     let mut model = first_model(gateway, &job);
     loop {
-        let live = match begin(gateway, &job, model.clone(), job.asked.last_event, None, &mut tries).await {
+        let ask = NextSend { model: model.as_ref(), stays: None, is_paid: true };
+        let live = match begin(gateway, &job, ask, job.asked.last_event, &mut tries).await {
             Ok(live) => live,
             Err(response) => {
                 in_flight.end(outcome(&response));
@@ -118,23 +119,14 @@
 async fn begin(
     gateway: &Arc<Gateway>,
     job: &Job,
-    model: Option<ModelId>,
+    mut ask: NextSend<'_>,
     last_event: u64,
-    stays: Option<&ReleaseId>,
     tries: &mut Tries,
 ) -> Result<Live, Box<Response>> {
-    let mut first = true;
-    while tries.may_send(job) && !job.left(gateway).is_zero() {
-        if !first && !take_retry(gateway, job) {
-            break;
-        }
-        first = false;
-        let Some(upstream) = choose(gateway, job, model.as_ref(), &tries.upstreams, stays) else {
-            tries.reason = "none is known".to_owned();
-            break;
-        };
-        tries.upstreams.push(upstream.id.clone());
-        let order = Order { upstream, model: model.clone(), last_event, patience: patience(job, tries) };
+    while let Some(upstream) = next(gateway, job, tries, &ask) {
+        ask.is_paid = false;
+        let model = ask.model.cloned();
+        let order = Order { upstream, model, last_event, patience: patience(job, tries) };
         match attempt::send(gateway, job, &order).await {
             Ok(live) if live.status.is_success() => {
                 record_head(gateway, job, &live);
@@ -297,18 +289,14 @@
             ran = self.tries.ran;
             "stream broke off: {}", self.tries.reason
         );
-        let may = self.tries.may_send(&self.job) && take_retry(&self.gateway, &self.job);
-        if may {
-            let last = self.cutter.last();
-            let stays = Some(&self.upstream.release);
-            let begun = begin(&self.gateway, &self.job, self.model.clone(), last, stays, &mut self.tries).await;
-            if let Ok(live) = begun {
-                self.upstream = Arc::clone(&live.upstream);
-                self.heard = self.gateway.now();
-                (self.live_events, self.overdue) = (0, false);
-                self.live = Some(live);
-                return Ok(());
-            }
+        let last = self.cutter.last();
+        let ask = NextSend { model: self.model.as_ref(), stays: Some(&self.upstream.release), is_paid: false };
+        if let Ok(live) = begin(&self.gateway, &self.job, ask, last, &mut self.tries).await {
+            self.upstream = Arc::clone(&live.upstream);
+            self.heard = self.gateway.now();
+            (self.live_events, self.overdue) = (0, false);
+            self.live = Some(live);
+            return Ok(());
         }
         self.in_flight.end(Outcome::Failed);
         Err(io::Error::new(io::ErrorKind::UnexpectedEof, self.tries.reason.clone()))
--- a/crates/bluebelld/src/gateway/front/tries.rs
+++ b/crates/bluebelld/src/gateway/front/tries.rs
@@ -106,6 +106,8 @@
     pub reason: String,
     /// Pause that an upstream asked for.
     pub pause: Option<Duration>,
+    /// Upstreams that ended under it and its repeats, where it is held back for that.
+    pub crashes: Option<u32>,
 }
 
 impl Tries {
@@ -126,6 +128,12 @@
         }
     }
 
+    /// The request is held back, since upstreams end under it.
+    pub fn hold(&mut self, crashes: u32) {
+        self.reason = format!("{crashes} upstreams ended under it, it is held back");
+        self.crashes = Some(crashes);
+    }
+
     /// Whether another send is allowed, its budget aside.
     #[must_use]
     pub fn may_send(&self, job: &Job) -> bool {
--- a/crates/bluebelld/src/gateway/metrics.rs
+++ b/crates/bluebelld/src/gateway/metrics.rs
@@ -22,6 +22,8 @@
     retries: Counter<u64>,
     escalations: Counter<u64>,
     ends: Counter<u64>,
+    held: Counter<u64>,
+    poison: Gauge<u64>,
     budget: Gauge<f64>,
     declared: Gauge<u64>,
     upstreams: Gauge<u64>,
@@ -46,6 +48,8 @@
             retries: counter("bluebell_retries", "Sends after a failure"),
             escalations: counter("bluebell_escalations", "Answers dropped for a larger model's"),
             ends: counter("bluebell_upstream_ends", "Upstreams that ended with requests of this gateway under way"),
+            held: counter("bluebell_held_requests", "Requests held back since upstreams end under them"),
+            poison: gauge("bluebell_poison_requests", "Requests known to end upstreams"),
             budget: meter.f64_gauge("bluebell_retry_budget_left").with_description("Sends left in the window").build(),
             declared: gauge("bluebell_declared_version", "Version of the declarations in force"),
             upstreams: gauge("bluebell_upstreams", "Upstreams that take new work"),
@@ -87,6 +91,16 @@
         self.ends.add(1, &[KeyValue::new("service", service.to_owned()), KeyValue::new("planned", planned)]);
     }
 
+    /// Counts a request that was held back.
+    pub fn held(&self) {
+        self.held.add(1, &[]);
+    }
+
+    /// Shows how many requests are known to end upstreams.
+    pub fn set_poison(&self, count: usize) {
+        self.poison.record(count as u64, &[]);
+    }
+
     /// Shows what is left of a service's retry budget.
     pub fn set_budget(&self, service: &ServiceId, left: f64) {
         self.budget.record(left, &[KeyValue::new("service", service.to_string())]);
--- a/crates/bluebelld/src/gateway/mod.rs
+++ b/crates/bluebelld/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod front;
 mod job;
 mod metrics;
+mod place;
 mod pool;
 mod ready;
 mod settings;
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -7,10 +7,10 @@
     canary::{SessionPins, Split, Tally, UsualPace},
     ids::{InstanceId, ModelId, ReleaseId, ServiceId, SessionId, UpstreamId},
     placing::{Candidate, Health, HealthEvent, Liveness, Load, Part, PartCache, READ_PER_MS, Report, Work, pick},
-    poison::Flights,
+    poison::{Flights, Suspects},
     retry::{RetryLimit, RetryWindow},
     units::Tokens,
-    upstreams::Upstream,
+    upstreams::{Life, Upstream},
 };
 use bluebell_wire::messages::{ReleaseTally, SessionRelease, UpstreamLoad};
 use indexmap::IndexMap;
@@ -83,6 +83,8 @@
     pub prompt: Tokens,
     /// Work that a token makes with the model, against the mean of the models.
     pub weight: f64,
+    /// Requests to keep apart from, where upstreams ended under this one, too.
+    pub apart: Option<&'a Suspects>,
 }
 
 impl Traffic {
@@ -166,16 +168,33 @@
 
     /// Work of this gateway at upstreams.
     #[must_use]
-    pub fn loads(&self) -> Vec<UpstreamLoad> {
+    pub fn loads(&self, suspects: &Suspects) -> Vec<UpstreamLoad> {
         let busy = self.upstreams.iter().filter(|(_, state)| state.load.own() > 0);
         let row = |(id, state): (&UpstreamId, &UpstreamState)| UpstreamLoad {
             upstream: id.clone(),
             requests: state.load.own(),
             unread: state.load.own_unread(),
+            suspects: self.suspects_at(&Life { upstream: id.clone(), born: state.born }, suspects) as u32,
         };
         busy.map(row).collect()
     }
 
+    fn suspects_at(&self, life: &Life, suspects: &Suspects) -> usize {
+        self.flights.running(life, |one| suspects.get(one).is_some())
+    }
+
+    // Upstreams at which the fewest requests run under which others ended: the next end should have one cause.
+    fn apart<'a>(&self, pool: &[&'a Upstream], suspects: &Suspects) -> Vec<&'a Upstream> {
+        let at_peers = |one: &Upstream| -> u32 {
+            let loads = self.peers.values().flatten().filter(|load| load.upstream == one.id);
+            loads.map(|load| load.suspects).sum()
+        };
+        let counted: Vec<(&Upstream, usize)> =
+            pool.iter().map(|one| (*one, self.suspects_at(&one.life(), suspects) + at_peers(one) as usize)).collect();
+        let least = counted.iter().map(|(_, count)| *count).min();
+        counted.into_iter().filter(|(_, count)| Some(*count) == least).map(|(one, _)| one).collect()
+    }
+
     /// A peer said what it has at upstreams.
     pub fn take_loads(&mut self, now: Duration, peer: InstanceId, loads: Vec<UpstreamLoad>) {
         self.peers.insert(peer, loads);
@@ -250,6 +269,8 @@
         let healthy: Vec<&Upstream> =
             among.iter().copied().filter(|one| self.upstream(one).health.is_open(now)).collect();
         let pool = if healthy.is_empty() { among } else { &healthy };
+        let apart = demand.apart.map(|suspects| self.apart(pool, suspects));
+        let pool = apart.as_deref().unwrap_or(pool);
         let shared = demand.parts.split_last().map_or(&[][..], |(_, shared)| shared);
         let shared_tokens: u64 = shared.iter().map(|part| part.tokens.0).sum();
         let key = shared.last().zip(demand.model).map(|(part, model)| format!("{model}/{}", part.id));
