A process that starts has no part of the retry allowance for the length of a window

What a process has spent of the allowance is forgotten when it ends, so each start within a window spent it again.

Ruled out: writing what is spent into the store (a write for each retry at 680 gateways).

--- a/crates/bluebell-core/src/retry/window.rs
+++ b/crates/bluebell-core/src/retry/window.rs
@@ -1,6 +1,7 @@
 //! The retry budget that all entries share: in any window of time, arrivals beyond the first of each request stay
 //! below a share of the requests and a fixed allowance. Each entry keeps to the share of its own requests and to its
-//! part of the allowance, so the sum keeps to the whole without a word between them.
+//! part of the allowance, so the sum keeps to the whole without a word between them. What a process spent is forgotten
+//! with it, so the one that follows has no part of the allowance for the length of a window.
 
 use std::{collections::VecDeque, time::Duration};
 
@@ -24,11 +25,19 @@
 /// Requests and retries of one service at one entry over the last window.
 #[derive(Debug, Default)]
 pub struct RetryWindow {
+    // When the process started.
+    started: Duration,
     requests: VecDeque<Duration>,
     retries: VecDeque<Duration>,
 }
 
 impl RetryWindow {
+    /// The window of a process that started at a time.
+    #[must_use]
+    pub fn started(at: Duration) -> Self {
+        Self { started: at, ..Self::default() }
+    }
+
     /// Counts a request.
     pub fn request(&mut self, now: Duration) {
         self.requests.push_back(now);
@@ -52,12 +61,12 @@
     /// Retries left.
     pub fn left(&mut self, now: Duration, limit: &RetryLimit, entries: usize) -> f64 {
         self.forget(now, limit.window);
-        self.allowed(limit, entries) - self.retries.len() as f64
+        self.allowed(now, limit, entries) - self.retries.len() as f64
     }
 
     fn has_room(&mut self, now: Duration, limit: &RetryLimit, entries: usize, part: f64) -> bool {
         self.forget(now, limit.window);
-        self.retries.len() as f64 + 1.0 <= self.allowed(limit, entries) * part
+        self.retries.len() as f64 + 1.0 <= self.allowed(now, limit, entries) * part
     }
 
     fn take(&mut self, now: Duration, limit: &RetryLimit, entries: usize, part: f64) -> bool {
@@ -68,8 +77,10 @@
         has_room
     }
 
-    fn allowed(&self, limit: &RetryLimit, entries: usize) -> f64 {
-        let shared = limit.slack / entries.max(1) as f64;
+    fn allowed(&self, now: Duration, limit: &RetryLimit, entries: usize) -> f64 {
+        // The process that was here before may have spent its part of the allowance just before it ended.
+        let is_free = now >= self.started + limit.window;
+        let shared = if is_free { limit.slack / entries.max(1) as f64 } else { 0.0 };
         SAFETY * (limit.ratio * self.requests.len() as f64 + shared)
     }
 
