A gateway out of reach keeps its part of the retry budget while its row stands

Evidence: members::gateway_out_of_reach_keeps_its_part_of_the_retry_budget_while_its_row_stands, with a frozen gateway; before, its part was shared out while its row stood ('1' counted, 2 rows).

Change: all gateways with a row count. The row goes after 20 s out of reach, as before, which all learn from the store.

--- a/crates/bluebelld/src/gateway/control/members.rs
+++ b/crates/bluebelld/src/gateway/control/members.rs
@@ -19,8 +19,6 @@
 pub const PREFIX: &str = "member/";
 /// Time without a connection after which a gateway is taken for gone: several times a restart.
 const GONE_TIME: Duration = Duration::from_secs(20);
-/// Time without a connection after which a gateway no longer counts for shares: links reconnect within a second.
-const COUNT_TIME: Duration = Duration::from_secs(12);
 /// Pause after a write that failed.
 const WRITE_PAUSE: Duration = Duration::from_millis(500);
 /// Messages that may wait for one peer; beyond these the connection is begun anew, with all rows.
@@ -122,9 +120,9 @@
         }
     }
 
-    /// Gateways that share what is shared, this one included.
-    pub(super) fn count(&self, now: Duration) -> usize {
-        1 + self.known.values().filter(|member| member.open || now < member.since + COUNT_TIME).count()
+    /// Gateways that share what is shared, this one included: one that can't be reached from here may go on elsewhere.
+    pub(super) fn count(&self) -> usize {
+        1 + self.known.len()
     }
 
     /// Whether this gateway goes first among those that can be reached.
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -216,7 +216,7 @@
         traffic.retain(|id| listed.iter().any(|(known, _)| known == id));
         traffic.flights.sweep(now);
         traffic.sessions.sweep(now, self.gateway.settings.session_seconds);
-        for (service, left) in traffic.budgets(now, &self.gateway.limit, self.members.count(now)) {
+        for (service, left) in traffic.budgets(now, &self.gateway.limit, self.members.count()) {
             self.gateway.metrics.set_budget(&service, left);
         }
     }
@@ -268,7 +268,7 @@
             open: open.collect(),
             splits: self.rollouts.splits(&self.gateway.schedule),
             suspects: Arc::clone(&self.suspects),
-            entries: self.members.count(now),
+            entries: self.members.count(),
             heard: heard.unwrap_or_default().max(self.gateway.beliefs.load().heard),
         };
         for (service, open) in &beliefs.open {
--- a/crates/bluebelld/tests/gateway/members.rs
+++ b/crates/bluebelld/tests/gateway/members.rs
@@ -129,3 +129,22 @@
     let calls = site.store.calls() - before;
     assert!(calls <= 10, "{calls} calls in 4 s");
 }
+
+async fn counted_gateways(site: &Site) -> String {
+    let url = format!("http://{}/metrics", site.gateways[0].metrics);
+    let text = reqwest::get(url).await.expect("metrics").text().await.expect("text");
+    let line = text.lines().find(|line| line.starts_with("bluebell_peers"));
+    line.and_then(|line| line.split(' ').next_back()).unwrap_or_default().to_owned()
+}
+
+#[tokio::test]
+async fn gateway_out_of_reach_keeps_its_part_of_the_retry_budget_while_its_row_stands() {
+    let site = Site::start(2).await;
+    site.linked().await;
+    site.gateways[1].process.freeze();
+    tokio::time::sleep(Duration::from_secs(17)).await;
+    let rows = || site.store.keys("bluebell").iter().filter(|key| key.starts_with("member/")).count();
+    assert_eq!((counted_gateways(&site).await.as_str(), rows()), ("2", 2));
+    until("the row to go", || async { rows() == 1 }).await;
+    until("its part to be shared out", || async { counted_gateways(&site).await == "1" }).await;
+}
