Bytes without end from an upstream are bounded, in a head and in a body

What callers saw: where an upstream sends bytes that are no answer until its caller closes, a call or stream had no answer within its deadline and two seconds more; every caller of the gateway waited, since one thread reads them all, and a plain answer was gathered without a bound.

Change: a connection gives at most 64 KB before the head of an answer is whole. Plain answers and failures are gathered up to 4 MB each, and all together up to 16 MB beyond 64 KB each; refusals up to 64 KB. Between two events of a stream at most 64 KB of comments and empty lines may come. Such an answer counts against the upstream's health like a broken one; for a failure on a stream's route that was missing.

Ruled out: the deadline as the only bound (the thread that reads has no time for others until then); hyper's own bound of a head alone (heads that announce others pass it).

--- a/crates/bluebell-core/src/events.rs
+++ b/crates/bluebell-core/src/events.rs
@@ -5,6 +5,8 @@
 
 /// Largest event accepted, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Bytes of comments and empty lines that may come between two events.
+const MAX_IDLE_BYTES: usize = 64 << 10;
 /// Field that numbers an event.
 const ID_FIELD: &[u8] = b"id:";
 
@@ -25,6 +27,12 @@
         /// The id found.
         found: u64,
     },
+    /// Bytes come that belong to no event.
+    #[snafu(display("more than {MAX_IDLE_BYTES} bytes without an event after {last}"))]
+    NoEvent {
+        /// The last id passed on.
+        last: u64,
+    },
     /// An event is too long.
     #[snafu(display("an event is longer than {MAX_EVENT_BYTES} bytes"))]
     TooLong,
@@ -44,13 +52,15 @@
 pub struct EventCutter {
     buffer: Vec<u8>,
     last: u64,
+    // Bytes since the last event.
+    idle: usize,
 }
 
 impl EventCutter {
     /// A cutter that expects the event after the last one that the caller has.
     #[must_use]
     pub fn after(last: u64) -> Self {
-        Self { buffer: Vec::new(), last }
+        Self { buffer: Vec::new(), last, idle: 0 }
     }
 
     /// Id of the last whole event.
@@ -70,7 +80,12 @@
         while let Some(length) = event_length(&self.buffer[start..]) {
             let event = &self.buffer[start..start + length];
             let last = checked_id(event, self.last)?;
-            batch.count += u64::from(last > self.last);
+            let is_event = last > self.last;
+            self.idle = if is_event { 0 } else { self.idle + length };
+            if self.idle > MAX_IDLE_BYTES {
+                return NoEventSnafu { last: self.last }.fail();
+            }
+            batch.count += u64::from(is_event);
             self.last = last;
             start += length;
         }
@@ -91,6 +106,7 @@
     /// Drops an unfinished event, since another upstream goes on after the last whole one.
     pub fn reset(&mut self) {
         self.buffer.clear();
+        self.idle = 0;
     }
 }
 
--- a/crates/bluebell-core/tests/events.rs
+++ b/crates/bluebell-core/tests/events.rs
@@ -55,3 +55,18 @@
     let mut cutter = EventCutter::after(0);
     assert_eq!(cutter.push(&vec![b'x'; 2 << 20]), Err(EventError::TooLong));
 }
+
+#[test]
+fn bytes_without_events_end_the_stream() {
+    for filler in ["\n", ": nothing yet\n\n"] {
+        let mut cutter = EventCutter::after(0);
+        let block = filler.repeat(1000);
+        let pushed = (0..200).try_for_each(|_| cutter.push(block.as_bytes()).map(drop));
+        assert!(matches!(pushed, Err(EventError::NoEvent { last: 0 })), "{filler:?}: {pushed:?}");
+    }
+    let mut cutter = EventCutter::after(0);
+    for id in 1..=100 {
+        let pushed = cutter.push(format!("{}id: {id}\ndata: x\n\n", ": wait\n\n".repeat(100)).as_bytes());
+        assert_eq!(pushed.map(|batch| batch.count), Ok(1));
+    }
+}
--- a/crates/bluebell-standins/src/site/mod.rs
+++ b/crates/bluebell-standins/src/site/mod.rs
@@ -8,4 +8,4 @@
 
 pub use control::serve;
 pub use store::{Door, Scanned, SiteStore};
-pub use upstream::{Fault, Poison, Run, SiteUpstream, UpstreamKind};
+pub use upstream::{Endless, Fault, Poison, Run, SiteUpstream, UpstreamKind};
--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -58,10 +58,29 @@
     Paced(Duration),
     /// The model's confidence, in per cent.
     Confidence(u8),
+    /// Bytes that are no answer come until the caller closes.
+    Endless(Endless),
     /// The upstream's process ends after so many events, with all that it runs.
     End(u64),
 }
 
+/// Where an answer has bytes without end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Endless {
+    /// In place of a head, without a line's end.
+    Head,
+    /// In headers after a proper status.
+    Headers,
+    /// Heads of answers that only announce another one.
+    Interim,
+    /// In a body without length.
+    Body,
+    /// In a body in chunks.
+    Chunks,
+    /// Empty lines between events.
+    Lines,
+}
+
 /// Requests that end each upstream which runs them.
 #[derive(Debug, Clone)]
 pub struct Poison {
@@ -216,6 +235,10 @@
 
 /// Time between two events.
 const EVENT_TIME: Duration = Duration::from_millis(10);
+/// Bytes without end that are written at once.
+const POURED_BLOCK: usize = 16 << 10;
+/// Bytes after which those without end do end, lest a test never does.
+const MAX_POURED: usize = 1 << 30;
 /// Time after an end at which the upstream's entry lapses.
 const LAPSE: Duration = Duration::from_secs(1);
 /// Signature of all answers; its content is opaque.
@@ -325,6 +348,7 @@
             Some(Fault::Silent) => {
                 std::future::pending::<()>().await;
             }
+            Some(Fault::Endless(part)) => return pour(socket, request, part).await.map(|()| false),
             Some(Fault::Slow(time)) => tokio::time::sleep(time).await,
             Some(Fault::Fails(status)) => {
                 let headers = [("request-id", request.header("request-id")), ("response-stamp", STAMP)];
@@ -389,6 +413,28 @@
     }
 }
 
+// Ends when the caller closes, or after more than any caller should take.
+async fn pour(socket: &mut TcpStream, request: &Request, part: Endless) -> io::Result<()> {
+    let id = request.header("request-id");
+    let signed = format!("HTTP/1.1 200 x\r\nrequest-id: {id}\r\nresponse-stamp: {STAMP}\r\n");
+    let (head, block) = match part {
+        Endless::Head => ("HTTP/1.1 200 ".to_owned(), "x".repeat(POURED_BLOCK)),
+        Endless::Headers => (signed, "x-more: and more\r\n".repeat(POURED_BLOCK / 18)),
+        Endless::Interim => (String::new(), "HTTP/1.1 103 x\r\n\r\n".repeat(POURED_BLOCK / 18)),
+        Endless::Body => (signed + "connection: close\r\n\r\n", "x".repeat(POURED_BLOCK)),
+        Endless::Chunks => {
+            let chunk = format!("{POURED_BLOCK:x}\r\n{}\r\n", "x".repeat(POURED_BLOCK));
+            (signed + "transfer-encoding: chunked\r\n\r\n", chunk)
+        }
+        Endless::Lines => (signed + "connection: close\r\n\r\n", "\n".repeat(POURED_BLOCK)),
+    };
+    socket.write_all(head.as_bytes()).await?;
+    for _ in 0..MAX_POURED / POURED_BLOCK {
+        socket.write_all(block.as_bytes()).await?;
+    }
+    Ok(())
+}
+
 async fn write_piece(socket: &mut TcpStream, bytes: &[u8], framed: bool) -> io::Result<()> {
     if !framed {
         return socket.write_all(bytes).await;
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -10,11 +10,11 @@
 };
 use bluebell_platform::headers::{self, Forward, Proof};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode, body::Incoming};
 use tokio::time::timeout;
 
-use super::{ends, job::Job, place::Place, pool::Lease, state::Gateway};
+use super::{ends, gathered::Gathered, job::Job, place::Place, pool::Lease, state::Gateway};
 
 /// Largest body after which a connection is kept although the upstream answered with a failure; behind a longer one
 /// the upstream may still be reading.
@@ -128,13 +128,13 @@
     /// The whole body.
     ///
     /// # Errors
-    /// When it broke off; the text says how.
-    pub async fn whole(&mut self) -> Result<Bytes, String> {
-        let mut bytes = Vec::new();
+    /// When it broke off, or is longer than any answer; the text says how.
+    pub async fn whole(&mut self, gathered: &Gathered) -> Result<Bytes, String> {
+        let mut answer = gathered.answer();
         loop {
             match self.next().await {
-                Piece::Data(data) => bytes.extend_from_slice(&data),
-                Piece::End => return Ok(bytes.into()),
+                Piece::Data(data) => answer.push(&data).map_err(|error| error.to_string())?,
+                Piece::End => return Ok(answer.finish().into()),
                 Piece::Broken(reason) => return Err(reason),
             }
         }
@@ -202,6 +202,7 @@
     let mut lease = connect(gateway, order).await?;
     let response = loop {
         place.depart();
+        lease.expect_head();
         let left = job.end.saturating_sub(gateway.now());
         let sending = lease.sender.try_send_request(request(job, order, left));
         let waited = wait_for(gateway, order, begun, job.end, sending).await;
@@ -227,6 +228,7 @@
             }
         }
     };
+    lease.expect_body();
     gateway.traffic().hear(gateway.now(), &order.upstream.id);
     let (head, body) = response.into_parts();
     let proof = headers::decode_proof(&head.headers);
@@ -290,11 +292,13 @@
     })
 }
 
+/// Longest refusal that is read to keep its connection.
+const MAX_REFUSAL_BYTES: usize = 64 << 10;
 /// Time for the rest of a refusal, after which its connection is closed instead of kept.
 const REFUSAL_TIME: Duration = Duration::from_millis(20);
 
 async fn drain_refusal(gateway: &Arc<Gateway>, body: Incoming, lease: Lease, proof: &Proof) {
-    let read = timeout(REFUSAL_TIME, body.collect()).await;
+    let read = timeout(REFUSAL_TIME, Limited::new(body, MAX_REFUSAL_BYTES).collect()).await;
     if matches!(read, Ok(Ok(_))) && !proof.closes {
         gateway.pools.put(lease, gateway.now(), proof.idle);
     }
--- a/crates/bluebelld/src/gateway/front/plain.rs
+++ b/crates/bluebelld/src/gateway/front/plain.rs
@@ -69,7 +69,7 @@
     tries: &Tries,
 ) -> Result<(StatusCode, HeaderMap, Bytes), Failure> {
     let mut live = attempt::send(gateway, job, order).await?;
-    let body = match timeout(job.left(gateway), live.whole()).await {
+    let body = match timeout(job.left(gateway), live.whole(&gateway.gathered)).await {
         Ok(Ok(body)) => body,
         Ok(Err(reason)) => return Err(lost(gateway, live, reason, Loss::Broken)),
         Err(_) => return Err(lost(gateway, live, "the answer was not whole in time".to_owned(), Loss::Silent)),
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -152,9 +152,17 @@
 // The upstream's own failure, unless another try may follow.
 async fn failure(gateway: &Arc<Gateway>, job: &Job, mut live: Live, tries: &mut Tries) -> Option<Response> {
     record(gateway, job, &live, Took::Unknown, tries);
-    let body = timeout(job.left(gateway), live.whole()).await;
+    let body = timeout(job.left(gateway), live.whole(&gateway.gathered)).await;
     tries.ran += 1;
     let again = live.status.is_server_error() && tries.may_send(job);
+    let loss = match &body {
+        Ok(Ok(_)) => None,
+        Ok(Err(_)) => Some(Loss::Broken),
+        Err(_) => Some(Loss::Silent),
+    };
+    if let Some(loss) = loss {
+        ends::lose(gateway, &live.upstream, loss);
+    }
     let Ok(Ok(body)) = body else { return None };
     let response = pass_whole(live.status, &live.headers, body);
     live.finish(gateway);
--- a/crates/bluebelld/src/gateway/pool.rs
+++ b/crates/bluebelld/src/gateway/pool.rs
@@ -16,6 +16,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
+use super::metered::{Allowance, Metered};
+
 /// Time to connect to an upstream.
 const CONNECT_TIME: Duration = Duration::from_millis(700);
 /// Silence on a connection after which it is probed, and time between probes.
@@ -28,6 +30,8 @@
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 /// Time before the upstream's own end at which an idle connection is given up.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
+/// Bytes that may come before the head of an answer is whole, and that a connection reads ahead.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Idle connections kept to one upstream.
 const MAX_IDLE: usize = 48;
 /// Time that a kept connection has to become usable.
@@ -67,9 +71,22 @@
     /// Whether it carried a request before.
     pub used: bool,
     address: SocketAddr,
+    allowance: Allowance,
     task: AbortHandle,
 }
 
+impl Lease {
+    /// A head is due next: all that comes before it is bounded.
+    pub fn expect_head(&self) {
+        self.allowance.set(MAX_HEAD_BYTES);
+    }
+
+    /// The head came; whoever reads the body bounds it.
+    pub fn expect_body(&self) {
+        self.allowance.set(usize::MAX);
+    }
+}
+
 impl Drop for Lease {
     fn drop(&mut self) {
         self.task.abort();
@@ -154,14 +171,16 @@
         .ok()
         .map_or_else(|| SilentSnafu { address }.fail(), |socket| socket.context(ConnectSnafu { address }))?;
     watch_socket(&socket).context(ConnectSnafu { address })?;
-    let (sender, connection) =
-        Builder::new().handshake(TokioIo::new(socket)).await.context(HandshakeSnafu { address })?;
+    let (socket, allowance) = Metered::new(socket, MAX_HEAD_BYTES);
+    let mut builder = Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    let (sender, connection) = builder.handshake(TokioIo::new(socket)).await.context(HandshakeSnafu { address })?;
     let task = tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("connection to {address} ended: {error}");
         }
     });
-    Ok(Lease { sender, used: false, address, task: task.abort_handle() })
+    Ok(Lease { sender, used: false, address, allowance, task: task.abort_handle() })
 }
 
 /// Has the system notice a peer that falls silent.
--- a/crates/bluebelld/src/gateway/state.rs
+++ b/crates/bluebelld/src/gateway/state.rs
@@ -16,6 +16,7 @@
 
 use super::{
     beliefs::Beliefs,
+    gathered::Gathered,
     metrics::GatewayMetrics,
     pool::Pools,
     settings::GatewaySettings,
@@ -37,6 +38,8 @@
     pub beliefs: ArcSwap<Beliefs>,
     /// Connections to upstreams.
     pub pools: Pools,
+    /// Answers that are read whole.
+    pub gathered: Gathered,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
     /// Limit on retries.
@@ -70,6 +73,7 @@
             store: Store::new(&settings.store.to_string())?,
             beliefs: ArcSwap::default(),
             pools: Pools::default(),
+            gathered: Gathered::default(),
             metrics: GatewayMetrics::new()?,
             limit: settings.retry_limit(),
             schedule: Schedule::within(settings.exposure),
--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod caller;
+mod endless;
 mod explain;
 mod members;
 mod poison;
--- a/crates/bluebelld/tests/integration/util/process.rs
+++ b/crates/bluebelld/tests/integration/util/process.rs
@@ -96,6 +96,14 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Most memory that the process has had so far, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("a status");
+        let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("a peak");
+        let kilobytes: u64 = line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).expect("a number");
+        kilobytes * 1024
+    }
+
     /// What the process logged.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
