Sidecars bound what an engine or a service sends without an end

The same fault as in gateways, in the other way of answering: a line that never ends was gathered without a bound, and a reply was measured only once it was whole. Change: 64 KB without an event from an engine, 2 MB of a reply while it is read. Not bounded yet: heads that only announce others (the HTTP client gives no hold on them), until the deadline.

--- a/crates/bluebell-standins/src/engine/mod.rs
+++ b/crates/bluebell-standins/src/engine/mod.rs
@@ -35,6 +35,8 @@
     web,
 };
 
+/// Content to which the engine answers with bytes that are no events, without end.
+pub const ENDLESS: &str = "endless-answer";
 /// Content that makes the engine crash.
 pub const POISON: &str = "crash-engine";
 /// Time to read one block of a prompt that is not cached.
@@ -178,6 +180,9 @@
     if prompt.contains(POISON) {
         std::process::exit(3);
     }
+    if prompt.contains(ENDLESS) {
+        return Response::builder().content_type("text/event-stream").body(web::endless());
+    }
     let misses = lock(&engine.cache).read(&prompt);
     if engine.options.step > 0 {
         tokio::time::sleep(BLOCK_TIME * misses).await;
--- a/crates/bluebell-standins/src/ledger.rs
+++ b/crates/bluebell-standins/src/ledger.rs
@@ -21,6 +21,9 @@
     web,
 };
 
+/// Path to which the ledger answers with bytes without end.
+pub const ENDLESS: &str = "endless";
+
 struct Ledger {
     work: Duration,
     log: Mutex<Option<File>>,
@@ -55,6 +58,9 @@
         return Response::builder().status(StatusCode::BAD_REQUEST).finish();
     };
     let number = ledger.record(key, &path);
+    if path.contains(ENDLESS) {
+        return Response::builder().status(StatusCode::CREATED).body(web::endless());
+    }
     tokio::time::sleep(ledger.work).await;
     let text = String::from_utf8_lossy(&bytes);
     let reply = serde_json::json!({"entry": number, "path": path, "received": text});
--- a/crates/bluebell-standins/src/web.rs
+++ b/crates/bluebell-standins/src/web.rs
@@ -1,10 +1,17 @@
 //! What all servers here share.
 
-use poem::{Endpoint, EndpointExt, IntoEndpoint, Server, listener::TcpAcceptor};
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use poem::{Body, Endpoint, EndpointExt, IntoEndpoint, Server, listener::TcpAcceptor};
 use snafu::ResultExt;
 
 use crate::error::{ServeSnafu, StandinError};
 
+/// Bytes without end that are written at once.
+const ENDLESS_BLOCK: usize = 16 << 10;
+/// Bytes after which those without end do end, lest a test never does.
+const ENDLESS_BYTES: usize = 1 << 30;
+
 /// Serves until the process ends.
 pub(crate) async fn serve<E>(address: &str, app: E) -> Result<(), StandinError>
 where
@@ -16,3 +23,10 @@
     let acceptor = bluebell_wire::listen(parsed).and_then(TcpAcceptor::from_tokio).context(ServeSnafu { address })?;
     Server::new_with_acceptor(acceptor).run(app).await.context(ServeSnafu { address })
 }
+
+/// A body without end, for all that a caller should ever read of it.
+pub(crate) fn endless() -> Body {
+    let block = Bytes::from("x".repeat(ENDLESS_BLOCK));
+    let blocks = stream::repeat(block).take(ENDLESS_BYTES / ENDLESS_BLOCK);
+    Body::from_bytes_stream(blocks.map(Ok::<_, std::io::Error>))
+}
--- a/crates/bluebelld/src/sidecar/engine.rs
+++ b/crates/bluebelld/src/sidecar/engine.rs
@@ -1,6 +1,13 @@
 //! A chat completion at a model engine: always streamed, continued from what the caller has already.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use bluebell_core::{
     billing::{BillRow, BillingEvent, HOLD_PERIOD},
@@ -13,11 +20,12 @@
     WireError,
     messages::{Chat, Delta, FromSidecar, Usage},
 };
+use bytes::Bytes;
 use eventsource_stream::{Event, Eventsource};
 use futures_util::{Stream, StreamExt};
 use serde::{Deserialize, Serialize};
 use serde_json::value::{RawValue, to_raw_value};
-
+use snafu::{ResultExt, Snafu, ensure};
 use tokio::time::Instant;
 
 use super::attempt::Attempt;
@@ -28,9 +36,20 @@
 /// Time for which pieces are gathered for a caller that waits for the whole; what is gathered when the runner fails is
 /// generated again.
 const GATHER_TIME: Duration = Duration::from_millis(100);
+/// Bytes that may come from an engine without an event.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 /// Data of the event that ends a stream.
 const DONE: &str = "[DONE]";
 
+/// An engine's stream that can't be read on.
+#[derive(Debug, Snafu)]
+enum StreamError {
+    #[snafu(display("the engine's stream broke off: {source}"))]
+    Broken { source: reqwest::Error },
+    #[snafu(display("more than {MAX_EVENT_BYTES} bytes without an event"))]
+    Endless,
+}
+
 #[derive(Debug, Deserialize)]
 struct Chunk {
     #[serde(default)]
@@ -92,7 +111,10 @@
     };
     match response {
         Ok(response) if response.status().is_success() => {
-            let events = response.bytes_stream().eventsource().map(Result::ok);
+            let idle = Arc::new(AtomicUsize::new(0));
+            let seen = Arc::clone(&idle);
+            let events = bounded(response.bytes_stream(), idle).eventsource().map(Result::ok);
+            let events = events.inspect(|_| seen.store(0, Ordering::Relaxed));
             pass_on(attempt, &chat, events).await
         }
         Ok(response) => {
@@ -112,6 +134,19 @@
     }
 }
 
+// Ends once too many bytes come without an event.
+fn bounded(
+    bytes: impl Stream<Item = reqwest::Result<Bytes>>,
+    idle: Arc<AtomicUsize>,
+) -> impl Stream<Item = Result<Bytes, StreamError>> {
+    bytes.map(move |piece| {
+        let piece = piece.context(BrokenSnafu)?;
+        let held = idle.fetch_add(piece.len(), Ordering::Relaxed) + piece.len();
+        ensure!(held <= MAX_EVENT_BYTES, EndlessSnafu);
+        Ok(piece)
+    })
+}
+
 // The caller's body with the router's own fields put in; none when the body is not a JSON object.
 fn engine_body(attempt: &Attempt, chat: &Chat) -> Option<String> {
     let mut fields: BTreeMap<&str, &RawValue> = serde_json::from_str(&chat.body).ok()?;
--- a/crates/bluebelld/src/sidecar/service.rs
+++ b/crates/bluebelld/src/sidecar/service.rs
@@ -66,16 +66,19 @@
     if let Some(key) = &call.key {
         request = request.header("idempotency-key", key);
     }
-    let response = request.send().await.map_err(|error| missing(&error))?;
+    let mut response = request.send().await.map_err(|error| missing(&error))?;
     let status = response.status().as_u16();
     let content = response.headers().get("content-type").and_then(|value| value.to_str().ok());
     let content = content.unwrap_or("application/octet-stream").to_owned();
-    let body = response.bytes().await.map_err(|error| missing(&error))?;
-    if body.len() > MAX_REPLY_BYTES {
-        log::warn!(bytes = body.len(); "a service's reply is too long to pass on");
-        return Err(Missing::Unknown);
+    let mut body = Vec::new();
+    while let Some(piece) = response.chunk().await.map_err(|error| missing(&error))? {
+        body.extend_from_slice(&piece);
+        if body.len() > MAX_REPLY_BYTES {
+            log::warn!(bytes = body.len(); "a service's reply is too long to pass on");
+            return Err(Missing::Unknown);
+        }
     }
-    Ok(StoredReply { status, content, body: body.to_vec() })
+    Ok(StoredReply { status, content, body })
 }
 
 fn missing(error: &reqwest::Error) -> Missing {
--- a/crates/bluebelld/tests/integration/answers.rs
+++ b/crates/bluebelld/tests/integration/answers.rs
@@ -4,7 +4,8 @@
 
 use bluebell_core::keys::digest;
 use bluebell_standins::{
-    engine::POISON,
+    engine::{self, POISON},
+    ledger,
     proxy::{Harm, Harms},
 };
 
@@ -13,6 +14,9 @@
     util::{ATLAS_DESK, ATLAS_VAN, Ask, Fleet, FleetBuilder, KOVACS_BENCH, until},
 };
 
+/// Memory of the slot for one small process beside a runner.
+const SIDECAR_MEMORY: u64 = 192 << 20;
+
 const LONG: Ask<'_> = Ask { model: "auto", prompt: "tell me all", tokens: 200, stream: true, session: None, key: None };
 
 /// Starts a long answer, and gives the number of the engine that runs it.
@@ -198,3 +202,18 @@
     assert!(resumed > 0, "some batch answers gave way and went on later");
     fleet.wait_bills(16).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bytes_without_end_from_runners_fail_the_request_and_not_the_sidecar() {
+    let fleet = FleetBuilder::default().engines(vec![vec!["atlas-small@1"]; 2]).entries(1).ledgers(2).start().await;
+    let caller = fleet.caller(0, ATLAS_VAN);
+    let answer = caller.ask(&Ask { prompt: engine::ENDLESS, ..Ask::default() }).await;
+    assert_eq!(answer.code(), "runner_failed", "{answer:?}");
+    let answer = caller.call("ledger", ledger::ENDLESS, Some("endless"), "x").await;
+    assert_eq!(answer.code(), "outcome_unknown", "{answer:?}");
+    until("an ordinary request to be answered", || async { caller.ask(&Ask::default()).await.whole }).await;
+    for sidecar in fleet.engines.iter().chain(&fleet.ledgers).map(|runner| &runner.sidecar) {
+        let peak = sidecar.peak_memory();
+        assert!(peak < SIDECAR_MEMORY, "{} MB at the peak", peak >> 20);
+    }
+}
