Requests that end runners are held back at all entries

Change: a sidecar says whether its runner ended under an attempt (nobody listens at its address). The entry reports it in the rows that gateways use; entries read them by one long call each and write their own. Every attempt asks first, whether it is a chat, a call that may be repeated or the reservation of one that may not. Held back: 503 held_back, not run.

--- a/crates/bluebell-core/src/events.rs
+++ b/crates/bluebell-core/src/events.rs
@@ -54,13 +54,16 @@
     last: u64,
     // Bytes since the last event.
     idle: usize,
+    // Where the line begins that is not whole yet, and up to where it was looked through.
+    line: usize,
+    seen: usize,
 }
 
 impl EventCutter {
     /// A cutter that expects the event after the last one that the caller has.
     #[must_use]
     pub fn after(last: u64) -> Self {
-        Self { buffer: Vec::new(), last, idle: 0 }
+        Self { buffer: Vec::new(), last, idle: 0, line: 0, seen: 0 }
     }
 
     /// Id of the last whole event.
@@ -77,9 +80,9 @@
         self.buffer.extend_from_slice(bytes);
         let mut batch = Batch::default();
         let mut start = 0;
-        while let Some(length) = event_length(&self.buffer[start..]) {
-            let event = &self.buffer[start..start + length];
-            let last = checked_id(event, self.last)?;
+        while let Some(end) = self.next_end() {
+            let length = end - start;
+            let last = checked_id(&self.buffer[start..end], self.last)?;
             let is_event = last > self.last;
             self.idle = if is_event { 0 } else { self.idle + length };
             if self.idle > MAX_IDLE_BYTES {
@@ -87,16 +90,31 @@
             }
             batch.count += u64::from(is_event);
             self.last = last;
-            start += length;
+            start = end;
         }
         batch.bytes.extend_from_slice(&self.buffer[..start]);
         self.buffer.drain(..start);
+        (self.line, self.seen) = (self.line - start, self.buffer.len());
         if self.buffer.len() > MAX_EVENT_BYTES {
             return TooLongSnafu.fail();
         }
         Ok(batch)
     }
 
+    // End of the first event that has not been taken, with the empty line that ends it.
+    fn next_end(&mut self) -> Option<usize> {
+        loop {
+            let length = self.buffer[self.seen..].iter().position(|byte| *byte == b'\n')?;
+            let end = self.seen + length;
+            let line = &self.buffer[self.line..end];
+            let is_last = line.is_empty() || line == b"\r";
+            (self.line, self.seen) = (end + 1, end + 1);
+            if is_last {
+                return Some(end + 1);
+            }
+        }
+    }
+
     /// Whether the stream stands between two events.
     #[must_use]
     pub fn is_whole(&self) -> bool {
@@ -106,7 +124,7 @@
     /// Drops an unfinished event, since another upstream goes on after the last whole one.
     pub fn reset(&mut self) {
         self.buffer.clear();
-        self.idle = 0;
+        (self.idle, self.line, self.seen) = (0, 0, 0);
     }
 }
 
@@ -122,19 +140,6 @@
     Ok(found)
 }
 
-// Length of the first event with the empty line that ends it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut start = 0;
-    while let Some(end) = bytes[start..].iter().position(|byte| *byte == b'\n') {
-        let line = &bytes[start..start + end];
-        start += end + 1;
-        if line.is_empty() || line == b"\r" {
-            return Some(start);
-        }
-    }
-    None
-}
-
 fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
     event.split(|byte| *byte == b'\n').map(|line| line.strip_suffix(b"\r").unwrap_or(line))
 }
--- a/crates/bluebell-core/src/retry/window.rs
+++ b/crates/bluebell-core/src/retry/window.rs
@@ -1,13 +1,16 @@
 //! The retry budget that all entries share: in any window of time, arrivals beyond the first of each request stay
 //! below a share of the requests and a fixed allowance. Each entry keeps to the share of its own requests and to its
 //! part of the allowance, so the sum keeps to the whole without a word between them. What a process spent is forgotten
-//! with it, so the one that follows has no part of the allowance for the length of a window.
+//! with it, so the one that follows has little of the allowance for the length of a window.
 
 use std::{collections::VecDeque, time::Duration};
 
 /// Part of the declared ratio and allowance that is used, for requests that reach an upstream in another window than
 /// they reached the entry.
 const SAFETY: f64 = 0.9;
+/// Part of its share of the allowance that a process has in the first window after its start: with the margin above, an
+/// entry may start anew several times within a window.
+const START_PART: f64 = 0.125;
 /// Part of the budget that steps to a larger model leave for failures.
 const RESERVED: f64 = 0.2;
 
@@ -79,8 +82,8 @@
 
     fn allowed(&self, now: Duration, limit: &RetryLimit, entries: usize) -> f64 {
         // The process that was here before may have spent its part of the allowance just before it ended.
-        let is_free = now >= self.started + limit.window;
-        let shared = if is_free { limit.slack / entries.max(1) as f64 } else { 0.0 };
+        let part = if now < self.started + limit.window { START_PART } else { 1.0 };
+        let shared = part * limit.slack / entries.max(1) as f64;
         SAFETY * (limit.ratio * self.requests.len() as f64 + shared)
     }
 
--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -237,6 +237,8 @@
 const EVENT_TIME: Duration = Duration::from_millis(10);
 /// Bytes without end that are written at once.
 const POURED_BLOCK: usize = 16 << 10;
+/// Pause between them, so that all that a test pours leaves the machine some time for the others.
+const POUR_PAUSE: Duration = Duration::from_millis(1);
 /// Bytes after which those without end do end, lest a test never does.
 const MAX_POURED: usize = 1 << 30;
 /// Time after an end at which the upstream's entry lapses.
@@ -431,6 +433,7 @@
     socket.write_all(head.as_bytes()).await?;
     for _ in 0..MAX_POURED / POURED_BLOCK {
         socket.write_all(block.as_bytes()).await?;
+        tokio::time::sleep(POUR_PAUSE).await;
     }
     Ok(())
 }
--- a/crates/bluebell-wire/src/messages.rs
+++ b/crates/bluebell-wire/src/messages.rs
@@ -109,7 +109,10 @@
     /// It was stopped for more urgent work; what it gave stands, and the rest may be asked for again.
     Preempted,
     /// The runner failed under it; it may have run.
-    Failed,
+    Failed {
+        /// Whether the runner's process ended.
+        ended: bool,
+    },
 }
 
 /// More of an answer.
--- a/crates/bluebelld/src/entry/answer.rs
+++ b/crates/bluebelld/src/entry/answer.rs
@@ -138,7 +138,7 @@
         let left = self.left()?;
         let stall = self.flow.entry().shared.config.timing.stall;
         let Some(talk) = self.talk.as_mut() else { return Ok(None) };
-        match timeout(left.min(stall), talk.reader.expect()).await {
+        match timeout(left.min(stall), talk.receive()).await {
             Ok(Ok(message)) => Ok(Some(message)),
             Ok(Err(error)) => {
                 log::debug!("attempt at {} broke: {error}", talk.link.peer());
@@ -239,7 +239,11 @@
 
     // Some refusals would be the same everywhere.
     fn is_last(&mut self, setback: &Setback) -> bool {
-        let Setback::Refused(refusal) = setback else { return false };
+        let refusal = match setback {
+            Setback::Refused(refusal) => refusal,
+            Setback::Held(_) => return true,
+            _ => return false,
+        };
         match refusal.reason {
             RefusalReason::Withdrawn | RefusalReason::NotAllowed => true,
             RefusalReason::Overloaded | RefusalReason::Expired => {
@@ -259,6 +263,7 @@
             return Fault::RunnerFailed { ran: Ran::Unknown };
         }
         match &self.setback {
+            Some(Setback::Held(crashes)) => Fault::Held { crashes: *crashes },
             Some(Setback::Refused(refusal)) => Fault::Refused { refusal: refusal.clone() },
             _ => Fault::NoRunner { work: self.question.version.to_string() },
         }
--- a/crates/bluebelld/src/entry/attempt.rs
+++ b/crates/bluebelld/src/entry/attempt.rs
@@ -5,17 +5,18 @@
 use bluebell_core::{
     gate::{Ask, Refusal, Work},
     ids::{BranchId, InstanceId, OrgId, RequestId},
+    poison::Fingerprint,
     retry::Ended,
     routing::{self, Load},
     units::Priority,
 };
 use bluebell_wire::{
-    FrameReader, FrameWriter, Route,
+    FrameReader, FrameWriter, Route, WireError,
     messages::{FromSidecar, Payload, Task, ToSidecar},
 };
 use tokio::time::timeout;
 
-use super::state::Entry;
+use super::{held::Held, state::Entry};
 use crate::shared::{InUse, Link};
 
 /// Time beyond the patience of an attempt that its sidecar has to say so.
@@ -36,6 +37,8 @@
     pub cost: u64,
     /// Longest time that an attempt may wait for a place.
     pub patience: Duration,
+    /// What it has in common with its repeats.
+    pub fingerprint: Fingerprint,
 }
 
 /// How an attempt that gave nothing ended.
@@ -49,6 +52,8 @@
     Lost,
     /// The runner failed under it.
     Failed,
+    /// It is held back and did not run, since so many runners ended under it and its repeats.
+    Held(u32),
 }
 
 impl fmt::Display for Setback {
@@ -58,6 +63,7 @@
             Self::Unreached => f.write_str("sidecar not reached"),
             Self::Lost => f.write_str("connection lost"),
             Self::Failed => f.write_str("runner failed"),
+            Self::Held(crashes) => write!(f, "held back, {crashes} runners ended under it"),
         }
     }
 }
@@ -66,7 +72,7 @@
     /// The setback as the retry policy sees it.
     pub fn ended(&self) -> Ended {
         match self {
-            Self::Refused(_) | Self::Unreached => Ended::Refused,
+            Self::Refused(_) | Self::Unreached | Self::Held(_) => Ended::Refused,
             Self::Lost => Ended::Lost,
             Self::Failed => Ended::Failed,
         }
@@ -83,9 +89,27 @@
     pub writer: FrameWriter<ToSidecar>,
     /// Whether the sidecar has said its last word.
     pub over: bool,
+    held: Arc<Held>,
+    fingerprint: Fingerprint,
     _use: InUse,
 }
 
+impl Conversation {
+    /// The sidecar's next message.
+    ///
+    /// # Errors
+    /// When the connection broke.
+    pub async fn receive(&mut self) -> Result<FromSidecar, WireError> {
+        let message = self.reader.expect().await?;
+        match &message {
+            FromSidecar::Failed { ended: true } => self.held.crashed(self.fingerprint, self.link.peer()),
+            FromSidecar::Finished(_) | FromSidecar::Reply(_) => self.held.answered(self.fingerprint),
+            _ => {}
+        }
+        Ok(message)
+    }
+}
+
 impl Drop for Conversation {
     // A sidecar that has not ended the attempt sees that nobody listens any more.
     fn drop(&mut self) {
@@ -124,6 +148,9 @@
     work: Work,
     request: AttemptRequest,
 ) -> Result<(Conversation, FromSidecar), Setback> {
+    if let Some(crashes) = entry.held.crashes(&job.fingerprint) {
+        return Err(Setback::Held(crashes));
+    }
     let attempt = entry.next_attempt(&job.request).map_err(|_| Setback::Unreached)?;
     let connection = link.connection().ok_or(Setback::Unreached)?;
     let in_use = link.begin();
@@ -149,18 +176,19 @@
         link.eject(now);
         Setback::Unreached
     })?;
-    let mut talk = Conversation { link, reader, writer, over: false, _use: in_use };
+    let (held, fingerprint) = (Arc::clone(&entry.held), job.fingerprint);
+    let mut talk = Conversation { link, reader, writer, over: false, held, fingerprint, _use: in_use };
     if talk.writer.send(&ToSidecar::Ask(Box::new(task))).await.is_err() {
         talk.link.eject(now);
         return Err(Setback::Lost);
     }
-    let Ok(Ok(first)) = timeout(patience + ANSWER_MARGIN, talk.reader.expect()).await else {
+    let Ok(Ok(first)) = timeout(patience + ANSWER_MARGIN, talk.receive()).await else {
         talk.link.eject(now);
         return Err(Setback::Lost);
     };
     match first {
         FromSidecar::Refused(refusal) => Err(Setback::Refused(refusal)),
-        FromSidecar::Failed => Err(Setback::Failed),
+        FromSidecar::Failed { .. } => Err(Setback::Failed),
         other => Ok((talk, other)),
     }
 }
--- a/crates/bluebelld/src/entry/chat.rs
+++ b/crates/bluebelld/src/entry/chat.rs
@@ -5,6 +5,7 @@
 use bluebell_core::{
     ids::{OrgId, RequestId, VersionId},
     keys::digest,
+    poison::Fingerprint,
     routing::Wanted,
     units::Tokens,
 };
@@ -83,6 +84,7 @@
     let naming = Naming { request: request_id.clone(), version: version.clone() };
     let patience = caller.policy.targets.get(&priority).map_or(DEFAULT_PATIENCE, |target| target.first_token);
     let job = Job {
+        fingerprint: Fingerprint::of(request.uri().path(), Some(&caller.org), &bytes),
         request: request_id,
         org: caller.org.clone(),
         branch: caller.policy.branch.clone(),
--- a/crates/bluebelld/src/entry/fault.rs
+++ b/crates/bluebelld/src/entry/fault.rs
@@ -5,6 +5,7 @@
 use bluebell_core::{
     gate::{Refusal, RefusalReason},
     ids::VersionId,
+    poison::CRASH_MEMORY,
     retry::DEFAULT_PAUSE,
     routing::PlanError,
 };
@@ -112,6 +113,12 @@
         /// Whether the request ran.
         ran: Ran,
     },
+    /// Runners ended under its repeats; this one did not run.
+    #[snafu(display("{crashes} runners ended under this request, it is held back and did not run"))]
+    Held {
+        /// Runners that ended.
+        crashes: u32,
+    },
     /// The time ran out.
     #[snafu(display("the request's time ran out"))]
     Deadline {
@@ -154,7 +161,9 @@
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::TooMany { .. } => StatusCode::TOO_MANY_REQUESTS,
             Self::Refused { refusal } => refusal_status(refusal.reason),
-            Self::NoRunner { .. } | Self::NotReady { .. } | Self::Platform { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoRunner { .. } | Self::NotReady { .. } | Self::Platform { .. } | Self::Held { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::RunnerFailed { .. } => StatusCode::BAD_GATEWAY,
             Self::Deadline { .. } => StatusCode::GATEWAY_TIMEOUT,
             Self::OutcomeUnknown { .. } => StatusCode::CONFLICT,
@@ -181,6 +190,7 @@
             Self::NotReady { .. } => "not_ready",
             Self::Platform { .. } => "platform_down",
             Self::RunnerFailed { .. } => "runner_failed",
+            Self::Held { .. } => "held_back",
             Self::Deadline { .. } => "deadline",
             Self::OutcomeUnknown { .. } => "outcome_unknown",
         }
@@ -207,6 +217,7 @@
             Self::Plan { source: PlanError::NoneLeft } => Some(DEFAULT_PAUSE),
             Self::RunnerFailed { .. } | Self::Deadline { .. } => Some(DEFAULT_PAUSE),
             Self::OutcomeUnknown { is_final: false } => Some(DEFAULT_PAUSE),
+            Self::Held { .. } => Some(CRASH_MEMORY),
             _ => None,
         }
     }
--- a/crates/bluebelld/src/entry/mod.rs
+++ b/crates/bluebelld/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod chat;
 mod fault;
 mod flow;
+mod held;
 mod in_force;
 mod judge;
 mod models;
@@ -64,6 +65,8 @@
     tokio::spawn(serve_peers(Arc::clone(&shared), control, incoming));
     tokio::spawn(rollouts::drive(Arc::clone(&entry)));
     tokio::spawn(judge::follow(Arc::clone(&entry)));
+    tokio::spawn(held::follow(Arc::clone(&entry.held)));
+    tokio::spawn(held::keep(Arc::clone(&entry.held)));
     serve_public(&entry).await?;
     stop::settle(&entry).await;
     Ok(())
--- a/crates/bluebelld/src/entry/service.rs
+++ b/crates/bluebelld/src/entry/service.rs
@@ -7,6 +7,7 @@
     ids::{AttemptId, InstanceId, ServiceId},
     intent::{self, IntentRow, IntentStep, Reservation, Resolution, ResolvedStep, StoredReply},
     keys::digest,
+    poison::Fingerprint,
 };
 use bluebell_wire::{
     Route,
@@ -111,7 +112,9 @@
         body: bytes.to_vec(),
         key,
     };
+    let target = format!("{} {name}{}", call.method, call.path);
     let job = Job {
+        fingerprint: Fingerprint::of(&target, Some(&caller.org), bytes),
         request: request_id(request, &caller.org)?,
         org: caller.org.clone(),
         branch: caller.policy.branch.clone(),
@@ -143,6 +146,7 @@
         let request = AttemptRequest { two_step, resumed: false, isolated: false, deadline: served.deadline, payload };
         match attempt::ask(entry, link, &served.job, served.work.clone(), request).await {
             Ok(found) => return Ok(found),
+            Err(Setback::Held(crashes)) => return Err(Fault::Held { crashes }),
             Err(setback) => last = Some(setback),
         }
         if !lock(&entry.budget).take() {
@@ -161,7 +165,7 @@
 async fn repeatable(entry: &Entry, served: &Served) -> Result<StoredReply, Fault> {
     for _ in 0..bluebell_core::retry::MAX_CRASHES {
         let (mut talk, _) = find(entry, served, false).await?;
-        let reply = tokio::time::timeout(served.deadline, talk.reader.expect()).await;
+        let reply = tokio::time::timeout(served.deadline, talk.receive()).await;
         if let Ok(Ok(FromSidecar::Reply(reply))) = reply {
             return Ok(reply);
         }
--- a/crates/bluebelld/src/entry/stages.rs
+++ b/crates/bluebelld/src/entry/stages.rs
@@ -112,7 +112,7 @@
     /// Waits for the call to end.
     pub async fn wait(&mut self) -> Ended {
         loop {
-            match self.talk.reader.expect().await {
+            match self.talk.receive().await {
                 Ok(FromSidecar::Started) => {}
                 Ok(FromSidecar::Reply(reply)) => return Ended::Reply(reply),
                 Ok(FromSidecar::Refused(refusal)) => return Ended::NotRun(refusal),
--- a/crates/bluebelld/src/entry/state.rs
+++ b/crates/bluebelld/src/entry/state.rs
@@ -15,6 +15,7 @@
 };
 use tokio::sync::watch;
 
+use super::held::Held;
 use crate::shared::{ControlHandle, Shared};
 
 /// State of an entry.
@@ -23,6 +24,8 @@
     pub shared: Arc<Shared>,
     /// The control thread.
     pub control: ControlHandle,
+    /// Requests that are held back.
+    pub held: Arc<Held>,
     /// Budget for retries.
     pub budget: Mutex<Budget>,
     /// Requests in flight by organisation.
@@ -41,6 +44,7 @@
     /// State at the start.
     pub fn new(shared: Arc<Shared>, control: ControlHandle) -> Arc<Self> {
         Arc::new(Self {
+            held: Arc::new(Held::new(Arc::clone(&shared))),
             shared,
             control,
             budget: Mutex::default(),
--- a/crates/bluebelld/src/gateway/control/ends.rs
+++ b/crates/bluebelld/src/gateway/control/ends.rs
@@ -14,10 +14,8 @@
 use bluebell_wire::messages::{CrashNews, News};
 use tokio::task::spawn_local;
 
-use super::{
-    reports::{self, StoredReport},
-    state::Control,
-};
+use super::{reports, state::Control};
+use crate::records::StoredReport;
 
 /// Reports told in one message.
 const BATCH: usize = 32;
@@ -126,6 +124,9 @@
 
     /// A row of a report is news.
     pub(super) fn learn_report(&mut self, row: &Row, source: &str) {
+        if row.value.is_none() {
+            self.reports.unlearn(row);
+        }
         let Some(found) = self.reports.learn(row) else { return };
         let now = self.gateway.now();
         let age = self.store_clock(now).map_or(Duration::ZERO, |clock| clock.saturating_sub(found.needed));
--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -10,7 +10,8 @@
 use bluebell_platform::{operator, upstream};
 use bluebell_wire::messages::News;
 
-use super::{members, reports, rollouts, state::Control};
+use super::{members, rollouts, state::Control};
+use crate::records::REPORT_PREFIX;
 
 impl Control {
     /// Takes rows that are news, and passes them on to the other peers.
@@ -111,7 +112,7 @@
             self.members.learn(name, row, now);
         } else if row.key.starts_with(rollouts::PREFIX) {
             self.rollouts.learn_stage(row, source);
-        } else if row.key.starts_with(reports::PREFIX) {
+        } else if row.key.starts_with(REPORT_PREFIX) {
             self.learn_report(row, source);
         }
     }
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -17,10 +17,12 @@
     event::{Event, Events},
     feeds,
     members::Members,
-    reports::ReportRows,
     rollouts::Rollouts,
 };
-use crate::gateway::{beliefs::Beliefs, state::Gateway};
+use crate::{
+    gateway::{beliefs::Beliefs, state::Gateway},
+    records::ReportRows,
+};
 
 /// Time between two looks at what changes by time alone.
 const TICK: Duration = Duration::from_millis(250);
--- a/crates/bluebelld/src/records/mod.rs
+++ b/crates/bluebelld/src/records/mod.rs
@@ -5,9 +5,11 @@
 mod intents;
 mod objects;
 mod ratings;
+mod reports;
 mod settings;
 mod table;
 
 pub use ratings::Rating;
+pub use reports::{PREFIX as REPORT_PREFIX, ReportRows, StoredReport};
 pub use settings::{CommitError, HeldLease, Proposal};
 pub use table::{RecordError, Records};
--- a/crates/bluebelld/src/sidecar/attempt.rs
+++ b/crates/bluebelld/src/sidecar/attempt.rs
@@ -60,6 +60,12 @@
         self.finish();
     }
 
+    /// Says that the runner failed under the attempt, and whether it ended.
+    pub async fn report_failure(&mut self) -> Result<(), WireError> {
+        let ended = health::has_ended(&self.sidecar).await;
+        self.writer.finish(&FromSidecar::Failed { ended }).await
+    }
+
     /// Tells the gate that nobody waits for the attempt.
     pub fn abandon(&self) {
         self.tell(GateEvent::Abandon { attempt: self.id().clone() });
--- a/crates/bluebelld/src/sidecar/engine.rs
+++ b/crates/bluebelld/src/sidecar/engine.rs
@@ -129,7 +129,7 @@
         Err(error) => {
             log::warn!("the engine failed under an attempt: {error}");
             attempt.fail();
-            attempt.writer.finish(&FromSidecar::Failed).await
+            attempt.report_failure().await
         }
     }
 }
@@ -189,7 +189,7 @@
             Step::End => pieces.take(),
             Step::Broken => {
                 attempt.fail();
-                return attempt.writer.finish(&FromSidecar::Failed).await;
+                return attempt.report_failure().await;
             }
         };
         if let Some(delta) = ready
--- a/crates/bluebelld/src/sidecar/health.rs
+++ b/crates/bluebelld/src/sidecar/health.rs
@@ -27,11 +27,20 @@
     }
 }
 
+/// Whether nobody listens at the runner's address any more.
+pub async fn has_ended(sidecar: &Sidecar) -> bool {
+    let connected = timeout(PROBE_TIME, TcpStream::connect(address(sidecar))).await;
+    matches!(connected, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
+fn address(sidecar: &Sidecar) -> &str {
+    sidecar.runner.url.trim_start_matches(SCHEME).trim_end_matches('/')
+}
+
 async fn wait_for_return(sidecar: Arc<Sidecar>) {
-    let address = sidecar.runner.url.trim_start_matches(SCHEME).trim_end_matches('/').to_owned();
     loop {
         tokio::time::sleep(PROBE_PERIOD).await;
-        if matches!(timeout(PROBE_TIME, TcpStream::connect(&address)).await, Ok(Ok(_))) {
+        if matches!(timeout(PROBE_TIME, TcpStream::connect(address(&sidecar))).await, Ok(Ok(_))) {
             break;
         }
     }
--- a/crates/bluebelld/src/sidecar/service.rs
+++ b/crates/bluebelld/src/sidecar/service.rs
@@ -53,7 +53,7 @@
         Err(Missing::Unknown) => {
             attempt.sidecar.calls().end(attempt.id(), None, now);
             attempt.finish();
-            attempt.writer.finish(&FromSidecar::Failed).await
+            attempt.report_failure().await
         }
     }
 }
--- a/crates/bluebelld/tests/gateway/poison.rs
+++ b/crates/bluebelld/tests/gateway/poison.rs
@@ -376,6 +376,7 @@
     let site = deadly_site(2, 0).await;
     end_upstreams(&site, &[0, 1]).await;
     is_refused(&site, 1, "again").await;
+    until("the refusal to be logged", || async { site.gateways[1].process.log().contains("again") }).await;
     let logs: Vec<String> = site.gateways.iter().map(|gateway| gateway.process.log()).collect();
     let lines: Vec<Value> =
         logs.iter().flat_map(|log| log.lines()).filter_map(|line| serde_json::from_str(line).ok()).collect();
--- a/crates/bluebelld/tests/gateway/streams.rs
+++ b/crates/bluebelld/tests/gateway/streams.rs
@@ -106,3 +106,22 @@
         assert_eq!(answer.events(), all(), "round {round}");
     }
 }
+
+#[tokio::test]
+async fn steps_and_resumes_together_reach_no_more_upstreams_than_the_route_allows() {
+    let mut site = Site::start(1).await;
+    for number in 3..=6 {
+        site.add_engine(&format!("chat-{number}"), "v1").await;
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let faults = [Fault::Confidence(0), Fault::Cut(2), Fault::LoseAnswer, Fault::Fails(500)];
+    for round in 0..24 {
+        for (number, engine) in site.chat.iter().enumerate() {
+            engine.set_always(Some(faults[(number + round) % faults.len()].clone()));
+        }
+        let id = format!("r-{round}");
+        site.gateways[0].ask(&Ask::new("/talk/1", &id).body(&id)).await;
+        let runs = site.runs(&id);
+        assert!(runs.len() <= 3, "round {round}: {} runs", runs.len());
+    }
+}
--- a/crates/bluebelld/tests/integration/answers.rs
+++ b/crates/bluebelld/tests/integration/answers.rs
@@ -217,3 +217,48 @@
         assert!(peak < SIDECAR_MEMORY, "{} MB at the peak", peak >> 20);
     }
 }
+
+/// Repeats of a request that ends runners, beyond the third end, that the users allow.
+const ALLOWED_REPEATS: usize = 3;
+
+async fn restart_engines(fleet: &mut Fleet) -> usize {
+    let mut ended = 0;
+    for engine in &mut fleet.engines {
+        if !engine.runner.is_running() {
+            engine.runner.restart();
+            ended += 1;
+        }
+    }
+    Fleet::pause(Duration::from_millis(700)).await;
+    ended
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn repeats_of_a_request_that_crashes_engines_stop_at_all_entries_and_later_ones() {
+    let mut fleet =
+        FleetBuilder::default().engines(vec![vec!["atlas-small@1"]; 4]).entries(2).step(5_000).start().await;
+    let poison = Ask { prompt: POISON, tokens: 50, ..Ask::default() };
+    let innocent = || Ask { prompt: "an innocent question", tokens: 50, ..Ask::default() };
+    let mut ended = 0;
+    for round in 0..8 {
+        let callers = [0, 1].map(|at| fleet.caller(at, KOVACS_BENCH));
+        let asking =
+            tokio::spawn(async move { (callers[0].ask(&innocent()).await, callers[1].ask(&innocent()).await) });
+        fleet.caller(round % 2, ATLAS_VAN).ask(&poison).await;
+        let beside = asking.await.expect("the callers end");
+        assert!(beside.0.whole && beside.1.whole, "{beside:?}");
+        ended += restart_engines(&mut fleet).await;
+    }
+    assert!((3..=3 + ALLOWED_REPEATS).contains(&ended), "{ended} engines ended");
+    let stored = || async { fleet.scan("bluebell", "").await.iter().any(|row| row.key.starts_with("crash/")) };
+    until("the reports to be stored", stored).await;
+    fleet.entries.iter_mut().for_each(|entry| entry.process.kill());
+    fleet.entries.iter_mut().for_each(|entry| entry.process.restart());
+    for at in [0, 1] {
+        until("an entry to serve", || async { fleet.caller(at, KOVACS_BENCH).ask(&innocent()).await.whole }).await;
+        let answer = fleet.caller(at, ATLAS_VAN).ask(&poison).await;
+        assert_eq!((answer.code(), answer.ran()), ("held_back", "no"), "{answer:?}");
+        assert!(answer.retry_after > Some(60), "{answer:?}");
+    }
+    assert_eq!(restart_engines(&mut fleet).await, 0);
+}
--- a/crates/bluebelld/tests/integration/util/fleet.rs
+++ b/crates/bluebelld/tests/integration/util/fleet.rs
@@ -347,7 +347,12 @@
 
     /// The product's records in the partitions whose names begin so.
     pub async fn rows(&self, part: &str) -> Vec<Scanned> {
-        let url = format!("http://{}/control/rows/bluebell-records?part={part}", self.store_address);
+        self.scan("bluebell-records", part).await
+    }
+
+    /// Rows of a table whose partition begins so.
+    pub async fn scan(&self, table: &str, part: &str) -> Vec<Scanned> {
+        let url = format!("http://{}/control/rows/{table}?part={part}", self.store_address);
         self.client.get(url).send().await.expect("the store answers").json().await.expect("rows can be read")
     }
 
