The pace of a release doesn't count the time to connect to its upstreams

What callers saw: a good release was reverted, since its first answers looked slow. A release that is new needs new connections, and the time to connect counted as its pace; where heads come within a millisecond or two that is a quarter more, and seven or eight answers sufficed to reject it.

Ruled out: load by other tests (it failed alone).

Change: a try's pace begins when it is sent on a connection that stands.

--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -82,8 +82,8 @@
     pub upstream: Arc<Upstream>,
     /// The model that answers, where the choice was open.
     pub model: Option<ModelId>,
-    /// When it was sent.
-    pub begun: Duration,
+    /// When it was sent, on a connection that stood.
+    pub sent: Duration,
     /// The place taken at the upstream.
     pub place: Place,
     body: Incoming,
@@ -108,7 +108,7 @@
     pub fn pace(&self, now: Duration, events: u64) -> f64 {
         let read = self.place.reading().0 as f64 / READ_PER_MS / 1000.0;
         let expected = EXPECTED_START_S + read + EXPECTED_EVENT_S * events as f64;
-        (now - self.begun).as_secs_f64() / expected
+        (now - self.sent).as_secs_f64() / expected
     }
 
     /// The next piece of the body.
@@ -200,7 +200,8 @@
     begun: Duration,
 ) -> Result<Live, Failure> {
     let mut lease = connect(gateway, order).await?;
-    let response = loop {
+    let (response, sent) = loop {
+        let sent = gateway.now();
         place.depart();
         lease.expect_head();
         let left = job.end.saturating_sub(gateway.now());
@@ -212,7 +213,7 @@
             return Err(Failure::Unknown { reason, loss: Loss::Silent });
         };
         match answered {
-            Ok(response) => break response,
+            Ok(response) => break (response, sent),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let reason = error.into_error().to_string();
@@ -253,7 +254,7 @@
     }
     let keep = head.status.is_success() || job.body.len() <= KEEP_AFTER_FAILURE_BYTES;
     let (upstream, model) = (Arc::clone(&order.upstream), order.model.clone());
-    Ok(Live { status: head.status, headers: head.headers, proof, upstream, model, begun, place, body, lease, keep })
+    Ok(Live { status: head.status, headers: head.headers, proof, upstream, model, sent, place, body, lease, keep })
 }
 
 // None when the patience is over.
--- a/crates/bluebelld/src/gateway/front/plain.rs
+++ b/crates/bluebelld/src/gateway/front/plain.rs
@@ -74,7 +74,7 @@
         Ok(Err(reason)) => return Err(lost(gateway, live, reason, Loss::Broken)),
         Err(_) => return Err(lost(gateway, live, "the answer was not whole in time".to_owned(), Loss::Silent)),
     };
-    let took = (gateway.now() - live.begun).as_secs_f64();
+    let took = (gateway.now() - live.sent).as_secs_f64();
     record(gateway, job, &live, Took::Pace(took), tries);
     let answer = (live.status, live.headers.clone(), body);
     live.finish(gateway);
