A rejected release is logged with the counts and the evidence that rejected it

Why it was rejected is not in the logs: the line has no evidence, no paces and no counts of the old release. Change: the line names the finding (failing, slow, slower), the evidence, and the counts and paces of both releases. Conclusion: no logic changed; the hypotheses (pace, failures, no progress) can be told apart from the next failure.

--- a/crates/bluebell-core/src/canary/analysis.rs
+++ b/crates/bluebell-core/src/canary/analysis.rs
@@ -45,17 +45,30 @@
     }
 }
 
+/// What a release was found to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Finding {
+    /// Its answers fail.
+    Failing,
+    /// Many of its answers take several times as long as usual.
+    Slow,
+    /// Its answers take longer on the whole than those of the old release.
+    Slower,
+}
+
 /// Why a release was rejected.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Rejection {
+    /// What it was found to do.
+    pub finding: Finding,
     /// Kind of work in which it showed.
     pub work: String,
-    /// Whether answers failed; otherwise they were slow.
-    pub failing: bool,
-    /// Answers of the new release seen.
-    pub answers: u64,
-    /// Failures among them.
-    pub failures: u64,
+    /// Strength of the evidence: a logarithm of likelihoods, or standard deviations for a mean slowdown.
+    pub evidence: f64,
+    /// What was counted of the old release.
+    pub old: Tally,
+    /// What was counted of the new one.
+    pub new: Tally,
 }
 
 /// Judges one release against the old one, by cumulative sums.
@@ -73,18 +86,25 @@
             total.0.add(old);
             total.1.add(new);
         }
+        let rejection = |finding, work: &str, evidence, (old, new): (Tally, Tally)| Rejection {
+            finding,
+            work: work.to_owned(),
+            evidence,
+            old,
+            new,
+        };
         if by_pace
-            && slowdown(tallies).is_some_and(|(shift, deviations)| shift >= SLOW_SHIFT && deviations >= SLOW_DEVIATIONS)
+            && let Some((shift, deviations)) = slowdown(tallies)
+            && shift >= SLOW_SHIFT
+            && deviations >= SLOW_DEVIATIONS
         {
-            let (answers, failures) = (total.1.answers, total.1.failures);
-            return Some(Rejection { work: "all".to_owned(), failing: false, answers, failures });
+            return Some(rejection(Finding::Slower, "all", deviations, total));
         }
         let kinds = tallies.iter().map(|(work, pair)| (work.as_str(), pair));
-        for (work, (old, new)) in std::iter::once(("all", &total)).chain(kinds) {
+        for (work, pair) in std::iter::once(("all", &total)).chain(kinds) {
             let evidence = self.evidence.entry(work.to_owned()).or_default();
-            if let Some(failing) = evidence.take(old, new, by_pace) {
-                let work = work.to_owned();
-                return Some(Rejection { work, failing, answers: new.answers, failures: new.failures });
+            if let Some((finding, evidence)) = evidence.take(&pair.0, &pair.1, by_pace) {
+                return Some(rejection(finding, work, evidence, *pair));
             }
         }
         None
@@ -92,19 +112,18 @@
 }
 
 impl Evidence {
-    // Some(true) for a rejection by failures, Some(false) for one by pace.
-    fn take(&mut self, old: &Tally, new: &Tally, by_pace: bool) -> Option<bool> {
+    fn take(&mut self, old: &Tally, new: &Tally, by_pace: bool) -> Option<(Finding, f64)> {
         let fresh = new.since(&self.last);
         self.last = *new;
         self.failing = Self::add(self.failing, (old.failures, old.answers), (fresh.failures, fresh.answers));
         if self.failing >= REJECTION {
-            return Some(true);
+            return Some((Finding::Failing, self.failing));
         }
         if !by_pace {
             return None;
         }
         self.slow = Self::add(self.slow, (old.slow, old.answers), (fresh.slow, fresh.answers));
-        (self.slow >= REJECTION).then_some(false)
+        (self.slow >= REJECTION).then_some((Finding::Slow, self.slow))
     }
 }
 
--- a/crates/bluebell-core/src/canary/mod.rs
+++ b/crates/bluebell-core/src/canary/mod.rs
@@ -10,7 +10,7 @@
 mod stage;
 mod tally;
 
-pub use analysis::{Analysis, Rejection, slowdown};
+pub use analysis::{Analysis, Finding, Rejection, slowdown};
 pub use split::{SessionPins, Split};
 pub use stage::{Order, SETTLE_TIME, Schedule, Stage, StageRow, Verdict, next_stage};
 pub use tally::{Gathered, Spread, Tallies, Tally, UsualPace};
--- a/crates/bluebell-core/src/canary/tally.rs
+++ b/crates/bluebell-core/src/canary/tally.rs
@@ -45,6 +45,12 @@
         self.squares += value * value;
     }
 
+    /// Mean of the values taken, 0 of none.
+    #[must_use]
+    pub fn mean(&self) -> f64 {
+        self.sum / self.count.max(1) as f64
+    }
+
     fn add(&mut self, other: &Self) {
         self.count += other.count;
         self.sum += other.sum;
@@ -59,10 +65,6 @@
         }
     }
 
-    pub(super) fn mean(&self) -> f64 {
-        self.sum / self.count.max(1) as f64
-    }
-
     // Variance of the mean; the least variance keeps a few equal values from looking certain.
     pub(super) fn mean_variance(&self) -> f64 {
         let count = self.count.max(1) as f64;
--- a/crates/bluebelld/src/gateway/control/rollouts.rs
+++ b/crates/bluebelld/src/gateway/control/rollouts.rs
@@ -124,10 +124,15 @@
         }
         let Some(found) = self.analysis.weigh(self.gathered.totals(), by_pace) else { return false };
         self.verdict.rejected = true;
+        let (old, new) = (&found.old, &found.new);
         log::warn!(
-            service = self.order.service.as_str(), to = self.order.to.as_str(), work = found.work.as_str(),
-            answers = found.answers, failures = found.failures, failing = found.failing;
-            "release is bad and gets no more requests"
+            service = self.order.service.as_str(), to = self.order.to.as_str(), order = self.order.version,
+            work = found.work.as_str(), evidence = format!("{:.2}", found.evidence).as_str(),
+            answers = new.answers, failures = new.failures, slow = new.slow,
+            pace = format!("{:.2}", new.pace.mean()).as_str(), old_answers = old.answers,
+            old_failures = old.failures, old_slow = old.slow,
+            old_pace = format!("{:.2}", old.pace.mean()).as_str();
+            "release is bad and gets no more requests: {:?}", found.finding
         );
         true
     }
