Senders of one call at the same time don't close each other's places

Cause: an entry that finds another's intent asks the sidecar, and the question closed a place whose order to run was on its way; the asker took the row over and was closed by the next in the same way. Ruled out: a doubled or lost order (the ledger had no run; each sender's refusal was 'no reservation'). Change: a question doesn't close a place sooner than 2 s after it was reserved; the sidecar says 'reserved', which means wait. The test with the slow table passes before the fix as well (3 of 3); the fault needs an interleaving that it doesn't force.

--- a/crates/bluebell-core/src/calls.rs
+++ b/crates/bluebell-core/src/calls.rs
@@ -12,6 +12,8 @@
 
 /// Time for which the fate of a call is remembered.
 pub const MEMORY: Duration = Duration::from_secs(3600);
+/// Time in which the order for a reserved place is expected; a question doesn't close the place sooner.
+pub const ORDER_TIME: Duration = Duration::from_secs(2);
 
 #[derive(Debug, Clone)]
 enum Fate {
@@ -72,10 +74,12 @@
         self.set(attempt, reply.map_or(Fate::Unknown, Fate::Done), now);
     }
 
-    /// What became of a call; one that has not run yet is closed by the question.
-    pub fn resolve(&mut self, attempt: &AttemptId) -> Resolution {
+    /// What became of a call. The question closes one whose order is overdue; closed at once, senders of the same call
+    /// could close each other's places for ever.
+    pub fn resolve(&mut self, attempt: &AttemptId, now: Duration) -> Resolution {
         let Some(known) = self.0.get_mut(attempt) else { return Resolution::Unknown };
         match &known.fate {
+            Fate::Reserved if now < known.since + ORDER_TIME => Resolution::Reserved,
             Fate::Reserved | Fate::Closed => {
                 known.fate = Fate::Closed;
                 Resolution::NeverRan
--- a/crates/bluebell-core/src/intent.rs
+++ b/crates/bluebell-core/src/intent.rs
@@ -54,6 +54,8 @@
     Done(StoredReply),
     /// This incarnation can't tell.
     Unknown,
+    /// A place is reserved for it, and the order to run may come any moment.
+    Reserved,
 }
 
 /// What to do with a request whose key has a row already.
@@ -103,7 +105,7 @@
     match word {
         Some(Resolution::NeverRan) => ResolvedStep::TakeOver,
         Some(Resolution::Done(reply)) => ResolvedStep::Reply(reply),
-        Some(Resolution::Running) | None => ResolvedStep::Wait,
+        Some(Resolution::Running | Resolution::Reserved) | None => ResolvedStep::Wait,
         Some(Resolution::Unknown) => ResolvedStep::Unknown,
     }
 }
--- a/crates/bluebell-core/tests/fuzz/world.rs
+++ b/crates/bluebell-core/tests/fuzz/world.rs
@@ -350,7 +350,7 @@
             Message::ResolveAsk { from, reservation, .. } => {
                 let known = reservation.incarnation == Incarnation(self.nodes[to].life);
                 let calls = &mut self.nodes[to].calls;
-                let word = if known { calls.resolve(&reservation.attempt) } else { Resolution::Unknown };
+                let word = if known { calls.resolve(&reservation.attempt, self.now) } else { Resolution::Unknown };
                 self.net.push(Message::ResolveReply { to: from, about: reservation.attempt, word });
             }
             Message::ResolveReply { about, word, .. } => {
--- a/crates/bluebelld/tests/integration/once.rs
+++ b/crates/bluebelld/tests/integration/once.rs
@@ -112,6 +112,17 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn once_though_sent_through_both_entries_at_the_same_time() {
     let fleet = FleetBuilder::default().ledgers(2).work(20_000).start().await;
+    send_each_call_six_times(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn senders_of_one_call_do_not_keep_each_other_from_running_it_while_the_table_is_slow() {
+    let fleet = FleetBuilder::default().ledgers(2).work(20_000).start().await;
+    fleet.set_door(Door::Slow(150)).await;
+    send_each_call_six_times(&fleet).await;
+}
+
+async fn send_each_call_six_times(fleet: &Fleet) {
     let mut tasks = Vec::new();
     for number in 0..60 {
         let caller = fleet.caller(number % 2, ATLAS_VAN);
