A new release is compared with what the old one did at the same time

Cause: the old release's pace and failure rate were means since the process started, the new one's a few answers of the last second. A second in which everything is slow is most of what is known of the new release and little of the old. Class: a comparison of two quantities measured at different times. Change: paces are compared within a kind of work and a stretch of time in which both answered (canary/pace.rs); failures and slow answers are weighed against the higher of the old release's usual rate and its rate at the same time.

--- a/crates/bluebell-core/src/canary/analysis.rs
+++ b/crates/bluebell-core/src/canary/analysis.rs
@@ -1,8 +1,14 @@
 //! The judgement of a new release against the old one: cumulative sums for failures, the mean slowdown for pace.
+//!
+//! What slows or fails both releases for a while says nothing of either, so each is compared with what the other did
+//! in the same stretch of time.
 
 use indexmap::IndexMap;
 
-use super::tally::{Tallies, Tally};
+use super::{
+    pace::{Paces, Slowdown},
+    tally::{Tallies, Tally},
+};
 
 /// Evidence at which a release is rejected: one false alarm in about e^8, or 3,000, beginnings.
 const REJECTION: f64 = 8.0;
@@ -16,13 +22,18 @@
 const MAX_BAD: f64 = 0.9;
 /// Times that a bad release fails more often than a sound one.
 const BAD_FACTOR: f64 = 3.0;
-/// Answers of one kind of each release from which their paces are compared.
-const COMPARED_ANSWERS: u64 = 5;
-/// Mean slowdown, as a logarithm, from which a release is bad: a fifth of the answers four times as slow. Sound
-/// releases are faster than the old one while they get few requests.
-const SLOW_SHIFT: f64 = 0.25;
-/// Standard deviations by which the slowdown must differ from none.
-const SLOW_DEVIATIONS: f64 = 3.5;
+/// Answers of each release that a stretch of time must hold for them to be compared.
+const COMPARED_ANSWERS: u64 = 3;
+
+/// Bad answers among how many.
+type Counts = (u64, u64);
+
+// Rate that so many of these answers show at most, by two standard deviations.
+fn high_rate(bad: f64, answers: f64) -> f64 {
+    let answers = answers.max(1.0);
+    let rate = bad / answers;
+    rate + 2.0 * (rate * (1.0 - rate) / answers).sqrt()
+}
 
 #[derive(Debug, Clone, Default)]
 struct Evidence {
@@ -32,12 +43,12 @@
 }
 
 impl Evidence {
-    // Cumulative sum of the likelihood that so many of the answers are bad, against the old release's rate.
-    fn add(sum: f64, old: (u64, u64), fresh: (u64, u64)) -> f64 {
-        let count = old.1 as f64 + 5.0;
-        let rate = (old.0 as f64 + 0.5) / count;
+    // Cumulative sum of the likelihood that so many of the answers are bad, against the old release's rate on the whole
+    // and at the same time.
+    fn add(sum: f64, old: Counts, at_once: f64, fresh: Counts) -> f64 {
         // A rate that a few answers show too low would reject a release that merely fails like the old one.
-        let sound = (rate + 2.0 * (rate * (1.0 - rate) / count).sqrt()).clamp(SOUND_FAILURES, MAX_SOUND);
+        let usual = high_rate(old.0 as f64 + 0.5, old.1 as f64 + 5.0).clamp(SOUND_FAILURES, MAX_SOUND);
+        let sound = usual.max(at_once).min(MAX_BAD);
         let bad = (sound * BAD_FACTOR).clamp(BAD_FAILURES, MAX_BAD);
         let passed = fresh.1.saturating_sub(fresh.0) as f64;
         let step = fresh.0 as f64 * (bad / sound).ln() + passed * ((1.0 - bad) / (1.0 - sound)).ln();
@@ -75,17 +86,18 @@
 #[derive(Debug, Default)]
 pub struct Analysis {
     evidence: IndexMap<String, Evidence>,
+    paces: Paces,
+    // Counts at the last look, and those since the stretch of time began that is compared next.
+    last: Tallies,
+    stretch: Tallies,
 }
 
 impl Analysis {
     /// Takes the counts as they are now; gives a rejection once the evidence allows it. Pace counts only while both
     /// releases get requests, since the load that one of them gets alone slows it as well.
     pub fn weigh(&mut self, tallies: &Tallies, by_pace: bool) -> Option<Rejection> {
-        let mut total = (Tally::default(), Tally::default());
-        for (old, new) in tallies.values() {
-            total.0.add(old);
-            total.1.add(new);
-        }
+        self.extend(tallies);
+        let total = sum(tallies);
         let rejection = |finding, work: &str, evidence, (old, new): (Tally, Tally)| Rejection {
             finding,
             work: work.to_owned(),
@@ -93,51 +105,66 @@
             old,
             new,
         };
-        if by_pace
-            && let Some((shift, deviations)) = slowdown(tallies)
-            && shift >= SLOW_SHIFT
-            && deviations >= SLOW_DEVIATIONS
-        {
-            return Some(rejection(Finding::Slower, "all", deviations, total));
-        }
+        let at_once = sum(&self.stretch);
         let kinds = tallies.iter().map(|(work, pair)| (work.as_str(), pair));
         for (work, pair) in std::iter::once(("all", &total)).chain(kinds) {
+            // Trouble of both releases shows in all of their work before it does in one kind, or in that kind alone.
+            let olds =
+                [Some(&at_once), self.stretch.get(work)].into_iter().flatten().map(|(old, _)| *old).collect::<Vec<_>>();
             let evidence = self.evidence.entry(work.to_owned()).or_default();
-            if let Some((finding, evidence)) = evidence.take(&pair.0, &pair.1, by_pace) {
+            if let Some((finding, evidence)) = evidence.take(pair, &olds, by_pace) {
                 return Some(rejection(finding, work, evidence, *pair));
             }
         }
-        None
+        if at_once.0.answers.min(at_once.1.answers) >= COMPARED_ANSWERS {
+            self.paces.take(&std::mem::take(&mut self.stretch));
+        }
+        let Slowdown { deviations, .. } = self.paces.slowdown().filter(|found| by_pace && found.is_bad())?;
+        Some(rejection(Finding::Slower, "all", deviations, total))
     }
+
+    // A stretch begins with the first answers of the new release.
+    fn extend(&mut self, tallies: &Tallies) {
+        if sum(&self.stretch).1.answers == 0 {
+            self.stretch.clear();
+        }
+        for (work, now) in tallies {
+            let last = self.last.get(work).copied().unwrap_or_default();
+            let pair = self.stretch.entry(work.clone()).or_default();
+            pair.0.add(&now.0.since(&last.0));
+            pair.1.add(&now.1.since(&last.1));
+        }
+        self.last.clone_from(tallies);
+    }
+}
+
+fn sum(tallies: &Tallies) -> (Tally, Tally) {
+    let mut total = (Tally::default(), Tally::default());
+    for (old, new) in tallies.values() {
+        total.0.add(old);
+        total.1.add(new);
+    }
+    total
 }
 
 impl Evidence {
-    fn take(&mut self, old: &Tally, new: &Tally, by_pace: bool) -> Option<(Finding, f64)> {
+    fn take(&mut self, (old, new): &(Tally, Tally), at_once: &[Tally], by_pace: bool) -> Option<(Finding, f64)> {
         let fresh = new.since(&self.last);
         self.last = *new;
-        self.failing = Self::add(self.failing, (old.failures, old.answers), (fresh.failures, fresh.answers));
+        let highest = |counts: fn(&Tally) -> Counts| {
+            let rates = at_once.iter().map(counts).map(|(bad, answers)| high_rate(bad as f64, answers as f64));
+            rates.fold(0.0, f64::max)
+        };
+        let failures = |tally: &Tally| (tally.failures, tally.answers);
+        self.failing = Self::add(self.failing, failures(old), highest(failures), failures(&fresh));
         if self.failing >= REJECTION {
             return Some((Finding::Failing, self.failing));
         }
         if !by_pace {
             return None;
         }
-        self.slow = Self::add(self.slow, (old.slow, old.answers), (fresh.slow, fresh.answers));
+        let slow = |tally: &Tally| (tally.slow, tally.answers);
+        self.slow = Self::add(self.slow, slow(old), highest(slow), slow(&fresh));
         (self.slow >= REJECTION).then_some((Finding::Slow, self.slow))
     }
 }
-
-/// Mean slowdown of the new release over all kinds of work, as a logarithm, and the number of standard deviations by
-/// which it differs from none; nothing while there are too few answers.
-#[must_use]
-pub fn slowdown(tallies: &Tallies) -> Option<(f64, f64)> {
-    let enough = |(old, new): &&(Tally, Tally)| old.pace.count.min(new.pace.count) >= COMPARED_ANSWERS;
-    let (mut shift, mut variance, mut weights) = (0.0, 0.0, 0.0);
-    for (old, new) in tallies.values().filter(enough) {
-        let weight = new.pace.count as f64;
-        shift += weight * (new.pace.mean() - old.pace.mean());
-        variance += weight.powi(2) * (new.pace.mean_variance() + old.pace.mean_variance());
-        weights += weight;
-    }
-    (weights > 0.0).then(|| (shift / weights, shift / variance.sqrt()))
-}
--- a/crates/bluebell-core/src/canary/mod.rs
+++ b/crates/bluebell-core/src/canary/mod.rs
@@ -6,11 +6,12 @@
 //! once, before the stage says so.
 
 mod analysis;
+mod pace;
 mod split;
 mod stage;
 mod tally;
 
-pub use analysis::{Analysis, Finding, Rejection, slowdown};
+pub use analysis::{Analysis, Finding, Rejection};
 pub use split::{SessionPins, Split};
 pub use stage::{Order, SETTLE_TIME, Schedule, Stage, StageRow, Verdict, next_stage};
 pub use tally::{Gathered, Spread, Tallies, Tally, UsualPace};
--- a/crates/bluebell-core/src/canary/tally.rs
+++ b/crates/bluebell-core/src/canary/tally.rs
@@ -11,8 +11,6 @@
 const PACE_MEMORY: f64 = 40.0;
 /// Least pace told apart from none.
 const MIN_PACE: f64 = 1e-6;
-/// Least variance of a logarithm of a pace.
-const MIN_VARIANCE: f64 = 0.1;
 /// Times the usual pace from which an answer counts as slow; bad releases are several times slower.
 const SLOW_TIMES: f64 = 4.0;
 
@@ -65,11 +63,8 @@
         }
     }
 
-    // Variance of the mean; the least variance keeps a few equal values from looking certain.
-    pub(super) fn mean_variance(&self) -> f64 {
-        let count = self.count.max(1) as f64;
-        let variance = (self.squares / count - self.mean().powi(2)).max(MIN_VARIANCE);
-        variance / count
+    pub(super) fn squared_deviations(&self) -> f64 {
+        (self.squares - self.count as f64 * self.mean().powi(2)).max(0.0)
     }
 }
 
--- a/crates/bluebell-core/tests/canary.rs
+++ b/crates/bluebell-core/tests/canary.rs
@@ -4,8 +4,8 @@
 
 use bluebell_core::{
     canary::{
-        Analysis, Gathered, Order, Schedule, SessionPins, Split, Stage, StageRow, Tallies, Tally, UsualPace, Verdict,
-        next_stage,
+        Analysis, Gathered, Order, Rejection, Schedule, SessionPins, Split, Stage, StageRow, Tallies, Tally, UsualPace,
+        Verdict, next_stage,
     },
     ids::ReleaseId,
 };
@@ -45,12 +45,23 @@
     share: f64,
     only: Option<&'static str>,
     from: f64,
+    both: Trouble,
 }
 
-const GOOD: Bad = Bad { fails: 0.0, slower: 1.0, share: 0.5, only: None, from: 0.0 };
+/// A time in which all answers fail more often or take longer, whichever release gives them.
+struct Trouble {
+    from: f64,
+    to: f64,
+    fails: f64,
+    slower: f64,
+}
+
+const CALM: Trouble = Trouble { from: 0.0, to: 0.0, fails: 0.0, slower: 1.0 };
+const GOOD: Bad = Bad { fails: 0.0, slower: 1.0, share: 0.5, only: None, from: 0.0, both: CALM };
 
 struct Played {
     rejected: Option<f64>,
+    found: Option<Rejection>,
     bad_answers: u64,
     requests: f64,
     exposed: f64,
@@ -68,7 +79,7 @@
     let mut analysis = Analysis::default();
     let mut usual: IndexMap<&str, UsualPace> = KINDS.iter().map(|kind| (kind.0, UsualPace::default())).collect();
     let mut stage = Stage::Canary;
-    let mut played = Played { rejected: None, bad_answers: 0, requests: 0.0, exposed: 0.0 };
+    let mut played = Played { rejected: None, found: None, bad_answers: 0, requests: 0.0, exposed: 0.0 };
     for look in 0..order().within.as_millis() as usize / LOOK_MS {
         let time = (look * LOOK_MS) as f64 / 1000.0;
         let split = Split::of(&order(), Some(stage), played.rejected.is_some(), &schedule);
@@ -85,7 +96,8 @@
             played.requests += 1.0;
             played.exposed += f64::from(u8::from(is_new));
             let hit = is_new && time >= bad.from && bad.only.is_none_or(|only| only == kind.0);
-            let fails = kind.2 + if hit { bad.fails } else { 0.0 };
+            let troubled = (bad.both.from..bad.both.to).contains(&time);
+            let fails = kind.2 + if hit { bad.fails } else { 0.0 } + if troubled { bad.both.fails } else { 0.0 };
             let pair = tallies.entry(kind.0.to_owned()).or_default();
             let tally: &mut Tally = if is_new { &mut pair.1 } else { &mut pair.0 };
             tally.answers += 1;
@@ -96,7 +108,8 @@
             }
             let noise: f64 = random.random_range(0.5..2.0);
             let hit = hit && random.random_bool(bad.share);
-            let pace = 0.05 * noise * if hit { bad.slower } else { 1.0 };
+            let common = if troubled { bad.both.slower } else { 1.0 };
+            let pace = 0.05 * noise * common * if hit { bad.slower } else { 1.0 };
             tally.slow += u64::from(usual[kind.0].is_slow(pace));
             tally.pace.take(UsualPace::log(pace));
             if !is_new {
@@ -104,8 +117,11 @@
             }
         }
         let answers = tallies.values().map(|(_, new)| new.answers).sum();
-        if played.rejected.is_none() && analysis.weigh(&tallies, stage < Stage::Full).is_some() {
+        if played.rejected.is_none()
+            && let Some(found) = analysis.weigh(&tallies, stage < Stage::Full)
+        {
             played.rejected = Some(time);
+            played.found = Some(found);
         }
         let now = row(stage).began + Duration::from_secs_f64(time);
         let verdict = verdict(played.rejected.is_some(), answers);
@@ -130,6 +146,19 @@
     }
 }
 
+#[test]
+fn good_releases_are_not_convicted_of_a_time_in_which_both_releases_are_slow_or_fail() {
+    for (from, length) in [(0.0, 0.5), (0.0, 2.0), (1.0, 1.0), (6.0, 0.25), (8.0, 3.0)] {
+        for (fails, slower) in [(0.0, 3.0), (0.0, 12.0), (0.4, 1.0), (0.9, 1.0), (0.5, 6.0)] {
+            for seed in 0..50 {
+                let both = Trouble { from, to: from + length, fails, slower };
+                let found = play(&Bad { both, ..GOOD }, seed).found;
+                assert_eq!(found, None, "seed {seed}, from {from} s for {length} s, fails {fails}, slower {slower}");
+            }
+        }
+    }
+}
+
 #[test]
 fn failing_releases_are_convicted_before_fifty_bad_answers() {
     for seed in 0..50 {
