Entries hear of reports that were deleted while their feed was lost; one function for a transaction's rows

What callers saw: an entry whose feed had lost its history went on holding a request back for up to an hour after another entry had seen it answered and deleted its reports. What a committed transaction leaves in the store is computed by one function, for gateways and entries.

--- a/crates/bluebelld/src/entry/held.rs
+++ b/crates/bluebelld/src/entry/held.rs
@@ -13,14 +13,14 @@
 use bluebell_core::{
     ids::{InstanceId, UpstreamId},
     poison::{CrashReport, Crashes, EndSign, Fingerprint, Suspects},
-    replica::{Origin, Row},
+    replica::Row,
     upstreams::Life,
 };
-use bluebell_platform::store::{Committed, Put, RowKey, Snapshot, Transaction};
+use bluebell_platform::store::{Committed, Snapshot, Transaction};
 use indexmap::IndexSet;
 
 use crate::{
-    records::{Records, ReportRows, StoredReport},
+    records::{FoundReports, Records, ReportRows, StoredReport, committed_rows},
     shared::Shared,
 };
 
@@ -169,6 +169,13 @@
     loop {
         match held.shared.records.reports(reached, WAIT).await {
             Ok(found) => {
+                let found = match found {
+                    FoundReports::Changes(found) => found,
+                    FoundReports::All(mut found) => {
+                        found.rows.extend(held.lock().rows.missing(&found));
+                        found
+                    }
+                };
                 reached = Some(found.version.max(reached.unwrap_or_default()));
                 held.learn(&found);
             }
@@ -193,11 +200,7 @@
 async fn write(held: &Held, records: &Records, transaction: &Transaction) {
     match records.write_reports(transaction).await {
         Ok(Committed::Done { version, clock }) => {
-            let put = |put: &Put| (put.at.key.clone(), Some(put.value.clone()));
-            let gone = |at: &RowKey| (at.key.clone(), None);
-            let written = transaction.puts.iter().map(put).chain(transaction.deletes.iter().map(gone));
-            let row = |(key, value)| Row { origin: Origin::Fleet, key, value, version };
-            held.learn(&Snapshot { rows: written.map(row).collect(), version, clock });
+            held.learn(&Snapshot { rows: committed_rows(transaction, version), version, clock });
         }
         Ok(Committed::Conflict) => log::info!("another entry wrote reports of ended runners; looking again"),
         Err(error) => log::warn!("reports of ended runners not written: {error}"),
--- a/crates/bluebelld/src/lib.rs
+++ b/crates/bluebelld/src/lib.rs
@@ -15,7 +15,7 @@
 mod metrics;
 mod peers;
 mod probe;
-mod records;
+pub mod records;
 mod shared;
 mod shutdown;
 mod sidecar;
--- a/crates/bluebelld/src/records/reports.rs
+++ b/crates/bluebelld/src/records/reports.rs
@@ -66,6 +66,14 @@
         self.stored.shift_remove(&row.key).map(|(report, _)| report)
     }
 
+    /// Rows known here that the store doesn't hold any more, as deleted.
+    #[must_use]
+    pub fn missing(&self, all: &Snapshot) -> Vec<Row> {
+        let present: IndexSet<&str> = all.rows.iter().map(|row| row.key.as_str()).collect();
+        let missing = self.stored.keys().filter(|key| !present.contains(key.as_str())).cloned();
+        missing.map(|key| Row { origin: Origin::Fleet, key, value: None, version: all.version }).collect()
+    }
+
     /// What to write, so that the store holds just the reports that are kept here; only those looked after here count.
     pub fn due(
         &mut self,
@@ -116,22 +124,41 @@
     }
 }
 
+/// Rows that a committed transaction left in the store, or deleted from it.
+#[must_use]
+pub fn committed_rows(transaction: &Transaction, version: u64) -> Vec<Row> {
+    let put = |put: &Put| (put.at.key.clone(), Some(put.value.clone()));
+    let gone = |at: &RowKey| (at.key.clone(), None);
+    let written = transaction.puts.iter().map(put).chain(transaction.deletes.iter().map(gone));
+    written.map(|(key, value)| Row { origin: Origin::Fleet, key, value, version }).collect()
+}
+
+/// Reports read from the store.
+#[derive(Debug, Clone)]
+pub enum FoundReports {
+    /// Rows that changed.
+    Changes(Snapshot),
+    /// All rows; others were deleted.
+    All(Snapshot),
+}
+
 impl Records {
     /// Reports that changed after a version, once there are any; all of them without one, or when the store has
     /// forgotten what lies between.
     ///
     /// # Errors
     /// When the store can't be read.
-    pub async fn reports(&self, after: Option<u64>, wait: Duration) -> Result<Snapshot, RecordError> {
-        let mut found = match after {
-            Some(after) => match self.store.changes(Origin::Fleet, after, wait).await? {
-                Changes::Rows(found) => found,
-                Changes::Forgotten => self.store.snapshot(Origin::Fleet).await?,
-            },
-            None => self.store.snapshot(Origin::Fleet).await?,
+    pub async fn reports(&self, after: Option<u64>, wait: Duration) -> Result<FoundReports, RecordError> {
+        let ours = |mut found: Snapshot| {
+            found.rows.retain(|row| row.key.starts_with(PREFIX));
+            found
         };
-        found.rows.retain(|row| row.key.starts_with(PREFIX));
-        Ok(found)
+        if let Some(after) = after
+            && let Changes::Rows(found) = self.store.changes(Origin::Fleet, after, wait).await?
+        {
+            return Ok(FoundReports::Changes(ours(found)));
+        }
+        Ok(FoundReports::All(ours(self.store.snapshot(Origin::Fleet).await?)))
     }
 
     /// Writes reports on the condition that nobody else did.
