Callers, processes and waiting of the tests are shared; gateways announce where peers reach them

The soak needs what the gateways' and the integration tests have: a caller that sees whether an answer is whole, processes that are ended by their id, and waiting. They move from the tests to bluebell-standins; one copy of waiting instead of two. listen.announced: address that other gateways connect to where it is not the one listened on, for example behind an address translation; a fault proxy stands there in the soak.

--- a/crates/bluebelld/tests/gateway/caller.rs
+++ b/crates/bluebell-standins/src/caller.rs
@@ -11,36 +11,52 @@
 /// What a caller asks for.
 #[derive(Debug, Clone)]
 pub struct Ask {
+    /// Path with the query.
     pub path: String,
+    /// Its id.
     pub id: String,
+    /// Key of the caller's organisation.
     pub key: Option<String>,
+    /// Further headers.
     pub headers: Vec<(String, String)>,
+    /// Time that the caller waits.
     pub deadline: Duration,
+    /// Body.
     pub body: Bytes,
 }
 
 impl Ask {
+    /// A request with a key, a deadline of 8 s and a short body.
+    #[must_use]
     pub fn new(path: &str, id: &str) -> Self {
         let key = Some("key-1".to_owned());
         let deadline = Duration::from_secs(8);
         Self { path: path.to_owned(), id: id.to_owned(), key, headers: Vec::new(), deadline, body: "ask".into() }
     }
 
+    /// Adds a header.
+    #[must_use]
     pub fn header(mut self, name: &str, value: &str) -> Self {
         self.headers.push((name.to_owned(), value.to_owned()));
         self
     }
 
+    /// Changes the key, or takes it away.
+    #[must_use]
     pub fn key(mut self, key: Option<&str>) -> Self {
         self.key = key.map(str::to_owned);
         self
     }
 
+    /// Changes the body.
+    #[must_use]
     pub fn body(mut self, body: &str) -> Self {
         self.body = body.to_owned().into();
         self
     }
 
+    /// Changes the deadline.
+    #[must_use]
     pub fn deadline(mut self, deadline: Duration) -> Self {
         self.deadline = deadline;
         self
@@ -50,19 +66,25 @@
 /// What the caller got.
 #[derive(Debug)]
 pub struct Answer {
+    /// Status.
     pub status: u16,
+    /// Headers.
     pub headers: HeaderMap,
+    /// Body, as far as it came.
     pub body: String,
     /// Whether the answer's framing was complete.
     pub whole: bool,
 }
 
 impl Answer {
+    /// A header's value, empty where there is none.
+    #[must_use]
     pub fn header(&self, name: &str) -> &str {
         self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
     }
 
     /// Ids of the events, in order.
+    #[must_use]
     pub fn events(&self) -> Vec<u64> {
         let ids = self.body.lines().filter_map(|line| line.strip_prefix("id: "));
         ids.filter_map(|id| id.parse().ok()).collect()
@@ -82,6 +104,10 @@
 }
 
 impl Caller {
+    /// Connects.
+    ///
+    /// # Errors
+    /// When nobody takes the connection.
     pub async fn connect(address: SocketAddr) -> std::io::Result<Self> {
         let socket = TcpStream::connect(address).await?;
         let (sender, connection) = http1::handshake(TokioIo::new(socket)).await.map_err(std::io::Error::other)?;
@@ -90,6 +116,9 @@
     }
 
     /// Asks and reads the answer; none where the connection ended without one.
+    ///
+    /// # Panics
+    /// When nothing comes long after the deadline.
     pub async fn ask(&mut self, ask: &Ask) -> Option<Answer> {
         let mut request = Request::post(&ask.path)
             .header("host", "site.example")
@@ -120,6 +149,9 @@
 }
 
 /// Asks on a connection of its own.
+///
+/// # Panics
+/// When there is no connection or no answer.
 pub async fn ask(address: SocketAddr, ask: &Ask) -> Answer {
     let mut caller = Caller::connect(address).await.expect("a connection");
     caller.ask(ask).await.expect("an answer")
--- a/crates/bluebell-standins/src/lib.rs
+++ b/crates/bluebell-standins/src/lib.rs
@@ -4,13 +4,16 @@
 //! depends on them.
 
 pub mod args;
+pub mod caller;
 pub mod engine;
 pub mod error;
 pub mod floor;
 pub mod ledger;
 pub mod load;
+pub mod process;
 pub mod proxy;
 pub mod site;
+pub mod wait;
 mod web;
 
 use args::{Command, Options};
--- a/crates/bluebelld/tests/integration/util/process.rs
+++ b/crates/bluebell-standins/src/process.rs
@@ -1,4 +1,4 @@
-//! A process that a test started, ended by its id when the test is over.
+//! A process that a test or the soak started, ended by its id when that is over.
 
 use std::{
     fs::File,
@@ -11,9 +11,9 @@
     unistd::Pid,
 };
 
-use super::until;
+use crate::wait::until;
 
-/// A process that a test started.
+/// A process that was started here.
 pub struct Process {
     name: String,
     program: PathBuf,
@@ -22,17 +22,22 @@
     child: Child,
 }
 
-/// A program of this workspace, built beside the test.
+/// A program of this workspace, built beside the running one or, for a test, in the folder above.
+///
+/// # Panics
+/// When it is not built.
+#[must_use]
 pub fn program(name: &str) -> PathBuf {
-    let test = std::env::current_exe().expect("a test has a path");
-    let folder = test.parent().and_then(Path::parent).expect("a test stands in deps");
-    let program = folder.join(name);
-    assert!(program.exists(), "{name} is not built: run `cargo test --workspace` or `cargo build --workspace`");
-    program
+    let own = std::env::current_exe().expect("a program has a path");
+    let found = own.ancestors().skip(1).take(2).map(|folder| folder.join(name)).find(|path| path.exists());
+    found.unwrap_or_else(|| panic!("{name} is not built: run `cargo test --workspace` or `cargo build --workspace`"))
 }
 
 impl Process {
     /// Starts a program; what it writes goes to a file in the folder.
+    ///
+    /// # Panics
+    /// When the system refuses.
     pub fn start(name: &str, program_name: &str, args: &[String], folder: &Path) -> Self {
         let program = program(program_name);
         let log = folder.join(format!("{name}.log"));
@@ -41,6 +46,9 @@
     }
 
     /// Starts the same program again.
+    ///
+    /// # Panics
+    /// When the system refuses.
     pub fn restart(&mut self) {
         self.kill();
         self.child = spawn(&self.program, &self.args, &self.log);
@@ -52,32 +60,50 @@
     }
 
     /// Kills the process at once.
+    ///
+    /// # Panics
+    /// When the system refuses.
     pub fn kill(&mut self) {
         self.child.kill().expect("a child can be killed");
         self.child.wait().expect("a killed child ends");
     }
 
     /// Freezes the process.
+    ///
+    /// # Panics
+    /// When the system refuses.
     pub fn freeze(&self) {
         self.signal(Signal::SIGSTOP);
     }
 
     /// Lets a frozen process go on.
+    ///
+    /// # Panics
+    /// When the system refuses.
     pub fn thaw(&self) {
         self.signal(Signal::SIGCONT);
     }
 
     /// Tells the process to stop.
+    ///
+    /// # Panics
+    /// When the system refuses.
     pub fn terminate(&self) {
         self.signal(Signal::SIGTERM);
     }
 
     /// Tells the process to read its settings again.
+    ///
+    /// # Panics
+    /// When the system refuses.
     pub fn hang_up(&self) {
         self.signal(Signal::SIGHUP);
     }
 
     /// Waits for the process to end; gives its exit code.
+    ///
+    /// # Panics
+    /// When the system refuses.
     pub async fn ended(&mut self) -> Option<i32> {
         let name = self.name.clone();
         let mut code = None;
@@ -92,11 +118,16 @@
     }
 
     /// Whether the process runs.
+    #[must_use]
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
 
     /// Most memory that the process has had so far, in bytes.
+    ///
+    /// # Panics
+    /// When the system refuses.
+    #[must_use]
     pub fn peak_memory(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("a status");
         let line = status.lines().find(|line| line.starts_with("VmHWM:")).expect("a peak");
@@ -105,6 +136,7 @@
     }
 
     /// What the process logged.
+    #[must_use]
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
--- a/crates/bluebelld/src/gateway/control/links.rs
+++ b/crates/bluebelld/src/gateway/control/links.rs
@@ -113,7 +113,8 @@
 async fn open(gateway: &Gateway, address: SocketAddr) -> Result<Halves, WireError> {
     let connection = Connection::open(&address.to_string(), Arc::clone(&gateway.identity), PATIENCE).await?;
     let (mut writer, mut reader) = connection.stream(Route::Exchange).await?;
-    let own = EntryAddress { instance: gateway.settings.instance.id.clone(), address: gateway.settings.listen.peers };
+    let own =
+        EntryAddress { instance: gateway.settings.instance.id.clone(), address: gateway.settings.listen.announced() };
     exchange(&mut writer, &mut reader, &News::Hello(own), address).await?;
     Ok((writer, reader))
 }
--- a/crates/bluebelld/src/gateway/control/members.rs
+++ b/crates/bluebelld/src/gateway/control/members.rs
@@ -46,7 +46,7 @@
 
     pub(super) fn start(&self) {
         spawn_local(write_own(Arc::clone(&self.gateway), true));
-        let own = self.gateway.settings.listen.peers;
+        let own = self.gateway.settings.listen.announced();
         for seed in self.gateway.settings.seeds.iter().filter(|seed| **seed != own) {
             links::greet(&self.gateway, *seed);
         }
@@ -167,7 +167,7 @@
 
 async fn write_own(gateway: Arc<Gateway>, joins: bool) {
     let at = row_key(&gateway.settings.instance.id);
-    let value = gateway.settings.listen.peers.to_string().into_bytes();
+    let value = gateway.settings.listen.announced().to_string().into_bytes();
     let transaction = if joins {
         Transaction { puts: vec![Put { at, value }], ..Transaction::default() }
     } else {
--- a/crates/bluebelld/src/gateway/settings.rs
+++ b/crates/bluebelld/src/gateway/settings.rs
@@ -68,6 +68,17 @@
     pub metrics: SocketAddr,
     /// For other gateways.
     pub peers: SocketAddr,
+    /// Where other gateways reach that, if not at the address itself.
+    #[serde(default)]
+    pub announced: Option<SocketAddr>,
+}
+
+impl Listen {
+    /// Address that other gateways connect to.
+    #[must_use]
+    pub fn announced(&self) -> SocketAddr {
+        self.announced.unwrap_or(self.peers)
+    }
 }
 
 /// Budget for retries.
