A release that is ordered anew is judged by what it answers since

What callers saw: none; operators saw a release that had been reverted, mended and ordered again under its name reverted 250 ms after its first requests. Cause: gateways count answers by release since they started, and the judgement of a new order began with these counts. Evidence: rollouts::release_that_was_mended_and_is_ordered_anew_is_judged_by_its_new_answers failed before (stood at 'reverted', the line of the rejection counts the failures of the first order) and passes. Change: an order begins new counts for its service, and counts are told with the order that they belong to, so those of a gateway that has not heard of the order yet are not taken. Ruled out: the row of the order's stage (it names its order). The other five tests of roll-outs pass.

--- a/crates/bluebell-wire/src/messages.rs
+++ b/crates/bluebell-wire/src/messages.rs
@@ -252,7 +252,7 @@
     pub connected: bool,
     /// Work at upstreams.
     pub loads: Vec<UpstreamLoad>,
-    /// Counts by release, since the sender started.
+    /// Counts by release.
     pub tallies: Vec<ReleaseTally>,
     /// Sessions under way that a new release might take up.
     pub sessions: Vec<SessionRelease>,
@@ -289,11 +289,13 @@
 pub struct ReleaseTally {
     /// The service.
     pub service: ServiceId,
+    /// Version of the store at which the service's latest roll-out was ordered, as far as the sender knows.
+    pub order: u64,
     /// The release.
     pub release: ReleaseId,
     /// Kind of work.
     pub work: String,
-    /// The counts.
+    /// The counts since that order.
     pub tally: Tally,
 }
 
--- a/crates/bluebelld/src/gateway/control/rollouts.rs
+++ b/crates/bluebelld/src/gateway/control/rollouts.rs
@@ -114,7 +114,7 @@
     // True when the release is rejected now.
     pub(super) fn weigh(&mut self, all: &[(&InstanceId, &[ReleaseTally])], by_pace: bool) -> bool {
         for (entry, rows) in all {
-            for row in rows.iter().filter(|row| row.service == self.order.service) {
+            for row in rows.iter().filter(|row| row.order == self.order.version) {
                 self.gathered.take(entry, &row.work, row.release == self.order.to, &row.tally);
             }
         }
--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -62,6 +62,7 @@
                         within_ms = order.within.as_millis() as u64, source = source;
                         "roll-out ordered"
                     );
+                    self.gateway.traffic().begin_order(&order.service, order.version);
                     self.rollouts.put_order(&row.key, order, self.gateway.now());
                 }
                 Err(error) => log::error!(row = row.version, key = row.key.as_str(); "order not understood: {error}"),
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -42,6 +42,7 @@
     upstreams: IndexMap<UpstreamId, UpstreamState>,
     windows: IndexMap<ServiceId, RetryWindow>,
     tallies: IndexMap<TallyKey, Tally>,
+    orders: IndexMap<ServiceId, u64>,
     paces: IndexMap<(ServiceId, String), UsualPace>,
     peers: IndexMap<InstanceId, Vec<UpstreamLoad>>,
 }
@@ -120,6 +121,13 @@
         self.paces.get(&(service.clone(), kind.to_owned())).is_some_and(|usual| usual.is_slow(pace))
     }
 
+    /// A roll-out of a service was ordered; what was counted before says nothing of its release.
+    pub fn begin_order(&mut self, service: &ServiceId, version: u64) {
+        if self.orders.insert(service.clone(), version) != Some(version) {
+            self.tallies.retain(|(counted, _, _), _| counted != service);
+        }
+    }
+
     /// Counts an answer of a release in one kind of work, with its time against what its size lets expect.
     pub fn count(&mut self, work: &Counted<'_>, split: &Split) {
         let usual = self.paces.entry((work.service.clone(), work.kind.to_owned())).or_default();
@@ -148,6 +156,7 @@
     pub fn tallies(&self) -> Vec<ReleaseTally> {
         let row = |((service, release, work), tally): (&TallyKey, &Tally)| ReleaseTally {
             service: service.clone(),
+            order: self.orders.get(service).copied().unwrap_or_default(),
             release: release.clone(),
             work: work.clone(),
             tally: *tally,
--- a/crates/bluebelld/tests/gateway/rollouts.rs
+++ b/crates/bluebelld/tests/gateway/rollouts.rs
@@ -73,6 +73,18 @@
     assert_eq!(site.chat[2].runs().len(), bad);
 }
 
+#[tokio::test]
+async fn release_that_was_mended_and_is_ordered_anew_is_judged_by_its_new_answers() {
+    let mut site = Site::start(2).await;
+    site.linked().await;
+    order(&mut site).await;
+    site.chat[2].set_always(Some(Fault::Fails(500)));
+    play(&site, &[0, 1], "reverted").await;
+    site.chat[2].set_always(None);
+    site.store.put("op", "rollout/chat", &json!({ "service": "chat", "to": "v2", "durationS": WITHIN_S }));
+    play(&site, &[0, 1], "completed").await;
+}
+
 #[tokio::test]
 async fn roll_out_goes_on_when_its_driver_is_killed_or_cut_from_the_store() {
     for cut in [false, true] {
