A randomized soak of the gateways as processes, checked by what callers and upstreams see

One seed decides the fleet, the load and a series of overlapping faults: links between callers, gateways, peers, upstreams and the store; pauses, kills, stops and reloads; the store slow, away, lossy or compacted; keys, storms of declarations, a roll-out; upstreams that end, leave, answer falsely or without end; addresses reused; requests that end upstreams, sent again and again. Not played: steps of clocks. The declarations of the tests' sites move to bluebell-standins, which the soak shares.

--- /dev/null
+++ b/crates/bluebell-soak/src/checks/answers.rs
@@ -0,0 +1,92 @@
+//! What callers got.
+
+use std::time::{Duration, Instant};
+
+use bluebell_standins::{caller::Answer, site::TIMEOUT_MS};
+
+use super::{Rule, View};
+use crate::{
+    callers::{End, Seen},
+    fleet::EVENTS,
+    troubles::Reach,
+};
+
+/// Statuses that promise that a request did not run.
+const REFUSALS: [u16; 4] = [408, 421, 429, 503];
+/// Time after a route's own within which a request has its final answer.
+const HELD: Duration = Duration::from_millis(500);
+/// Time in which a machine that is busy with a whole soak may let a process wait.
+const SLACK: Duration = Duration::from_millis(500);
+
+pub(super) fn check(view: &mut View<'_>) {
+    for seen in &view.evidence.seen {
+        if let End::Answered(answer) = &seen.end {
+            check_answer(view, seen, answer);
+        }
+        check_end(view, seen);
+    }
+}
+
+fn check_answer(view: &mut View<'_>, seen: &Seen, answer: &Answer) {
+    let mut find = |rule, text: String| view.find(rule, seen.ended, &seen.id, text);
+    let is_signed = !answer.header("response-stamp").is_empty();
+    if !answer.header("request-id").is_empty() && answer.header("request-id") != seen.id {
+        find(Rule::WholeAnswers, format!("the answer is that of {}", answer.header("request-id")));
+    }
+    if answer.status == 200 && !is_signed {
+        find(Rule::WholeAnswers, "success without an upstream's signature".to_owned());
+    }
+    if is_signed && ![200, 500].contains(&answer.status) {
+        find(Rule::WholeAnswers, format!("an upstream's signature on status {}", answer.status));
+    }
+    if answer.status == 200 && seen.route.is_stream() {
+        let events = answer.events();
+        let in_order = events.iter().zip(1..).all(|(event, number)| *event == number);
+        if !in_order || answer.whole && events.len() as u64 != EVENTS {
+            find(Rule::EventOrder, format!("events {events:?}, whole: {}", answer.whole));
+        }
+    }
+    let expected = format!("POST {} done", seen.route.path());
+    if answer.status == 200 && !seen.route.is_stream() && answer.whole && answer.body != expected {
+        find(Rule::WholeAnswers, format!("body {:?}", answer.body));
+    }
+    if [400, 403, 404, 413, 431].contains(&answer.status) {
+        find(Rule::Denied, format!("status {}", answer.status));
+    }
+    if REFUSALS.contains(&answer.status) && !seen.route.is_repeatable() && !view.runs_of(&seen.id).is_empty() {
+        let count = view.runs_of(&seen.id).len();
+        view.find(Rule::TrueRefusals, seen.ended, &seen.id, format!("status {} and {count} runs", answer.status));
+    }
+}
+
+fn check_end(view: &mut View<'_>, seen: &Seen) {
+    // A request that ends upstreams is not missed.
+    if seen.session.is_empty() || is_troubled(view, seen) {
+        return;
+    }
+    let time = seen.ended.saturating_duration_since(seen.sent);
+    let limit = Duration::from_millis(TIMEOUT_MS) + HELD + SLACK;
+    match &seen.end {
+        End::Answered(answer) if answer.whole && time <= limit => {}
+        End::Answered(answer) if answer.whole => {
+            view.find(Rule::Held, seen.ended, &seen.id, format!("status {} after {time:?}", answer.status));
+        }
+        End::Answered(_) => view.find(Rule::Lost, seen.ended, &seen.id, format!("an answer broke off after {time:?}")),
+        End::Closed if view.runs_of(&seen.id).is_empty() => {}
+        End::Closed => view.find(Rule::Lost, seen.ended, &seen.id, format!("run, and closed after {time:?}")),
+        End::Left => {}
+        End::Nothing => view.find(Rule::Held, seen.ended, &seen.id, format!("nothing after {time:?}")),
+    }
+}
+
+// Planned work excuses nothing, but for what is sent late in a stop and ends with the process.
+fn is_troubled(view: &View<'_>, seen: &Seen) -> bool {
+    let from = seen.sent.checked_sub(super::CONTACT).unwrap_or(seen.sent);
+    let late = |begun: Instant| seen.sent > begun + Duration::from_secs(3);
+    view.overlaps(from, seen.ended, |mark| match mark.reach {
+        Reach::Gateway(at) if at == seen.gateway => !mark.planned || late(mark.from),
+        Reach::Gateway(_) => false,
+        // What happens at any upstream or to the store may reach a request of any gateway.
+        Reach::AllGateways | Reach::Store | Reach::Upstream(_) => true,
+    })
+}
--- /dev/null
+++ b/crates/bluebell-standins/src/site/declarations.rs
@@ -0,0 +1,49 @@
+//! What an operator declares, and what an upstream says of itself, as the tests' sites have them.
+
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+
+/// Time that a route's callers are kept waiting, in milliseconds.
+pub const TIMEOUT_MS: u64 = 4000;
+
+/// An operator's declarations: an engine service with two routes, a plain service with two, one organisation.
+#[must_use]
+pub fn declarations(version: u64) -> Value {
+    let route = |name: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "host": "site.example", "prefix": format!("/{name}/"), "routeType": kind,
+            "timeoutMs": TIMEOUT_MS, "targetLatencyMs": 300, "priority": 1, "service": service,
+            "maxAttempts": 3, "public": false, "streamResume": false, "gapAimMs": 1000,
+        })
+    };
+    let mut talk = route("talk", "stream", "chat");
+    talk["streamResume"] = json!(true);
+    talk["sizes"] = json!(["small", "middle", "large"]);
+    let mut once = route("once", "stream", "chat");
+    once["sizes"] = json!(["small"]);
+    let mut book = route("book", "non_idempotent", "ledger");
+    book["maxAttempts"] = json!(1);
+    json!({
+        "version": version,
+        "routes": [talk, once, book, route("look", "idempotent", "ledger")],
+        "services": [
+            { "name": "chat", "healthPath": "/health", "maxConnections": 100, "engine": {
+                "slots": 8, "kvCapacityTokens": 100_000,
+                "models": [{ "name": "small", "cost": 0.02 }, { "name": "middle", "cost": 0.1 },
+                           { "name": "large", "cost": 0.3 }] } },
+            { "name": "ledger", "healthPath": "/health", "maxConnections": 100 },
+        ],
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
+        "tenants": [{ "name": "org-1", "apiKeys": ["key-1", "key-2"] }],
+    })
+}
+
+/// An upstream's own entry.
+#[must_use]
+pub fn server_entry(address: SocketAddr, service: &str, zone: &str, release: &str, state: &str) -> Value {
+    json!({
+        "service": service, "address": address.to_string(), "zone": zone, "version": release, "slots": 8,
+        "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
+    })
+}
--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -185,6 +185,17 @@
         state.listing = Some(listing);
     }
 
+    /// Says in its entry that it leaves; gives the id that it has now.
+    pub fn drain(&self) -> String {
+        let state = lock(&self.state);
+        if let Some(listing) = &state.listing {
+            let mut entry = listing.entry.clone();
+            entry["state"] = json!("draining");
+            Listing { entry, ..listing.clone() }.put(&state.id, state.starts);
+        }
+        state.id.clone()
+    }
+
     /// Times that it ended.
     #[must_use]
     pub fn ends(&self) -> u64 {
--- a/crates/bluebelld/tests/gateway/site.rs
+++ b/crates/bluebelld/tests/gateway/site.rs
@@ -7,8 +7,9 @@
     time::Duration,
 };
 
-use bluebell_standins::site::{Door, Run, SiteStore, SiteUpstream, UpstreamKind};
-use serde_json::{Value, json};
+pub use bluebell_standins::site::TIMEOUT_MS;
+use bluebell_standins::site::{Door, Run, SiteStore, SiteUpstream, UpstreamKind, declarations, server_entry};
+use serde_json::Value;
 use tokio::sync::watch;
 
 use super::{
@@ -19,8 +20,6 @@
 
 /// Events of a streamed answer.
 pub const EVENTS: u64 = 8;
-/// Time that a route's callers are kept waiting.
-pub const TIMEOUT_MS: u64 = 4000;
 
 /// First port of the gateways of a site.
 const FIRST_PORT: u16 = 10_000;
@@ -137,33 +136,7 @@
 
     /// Writes the operator's declarations, changed for the test.
     pub fn put_config(&self, version: u64, change: impl FnOnce(&mut Value)) {
-        let route = |name: &str, kind: &str, service: &str| {
-            json!({
-                "name": name, "host": "site.example", "prefix": format!("/{name}/"), "routeType": kind,
-                "timeoutMs": TIMEOUT_MS, "targetLatencyMs": 300, "priority": 1, "service": service,
-                "maxAttempts": 3, "public": false, "streamResume": false, "gapAimMs": 1000,
-            })
-        };
-        let mut talk = route("talk", "stream", "chat");
-        talk["streamResume"] = json!(true);
-        talk["sizes"] = json!(["small", "middle", "large"]);
-        let mut once = route("once", "stream", "chat");
-        once["sizes"] = json!(["small"]);
-        let mut book = route("book", "non_idempotent", "ledger");
-        book["maxAttempts"] = json!(1);
-        let mut config = json!({
-            "version": version,
-            "routes": [talk, once, book, route("look", "idempotent", "ledger")],
-            "services": [
-                { "name": "chat", "healthPath": "/health", "maxConnections": 100, "engine": {
-                    "slots": 8, "kvCapacityTokens": 100_000,
-                    "models": [{ "name": "small", "cost": 0.02 }, { "name": "middle", "cost": 0.1 },
-                               { "name": "large", "cost": 0.3 }] } },
-                { "name": "ledger", "healthPath": "/health", "maxConnections": 100 },
-            ],
-            "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
-            "tenants": [{ "name": "org-1", "apiKeys": ["key-1", "key-2"] }],
-        });
+        let mut config = declarations(version);
         change(&mut config);
         self.store.put("op", "config", &config);
     }
@@ -219,10 +192,7 @@
 }
 
 fn entry(one: &SiteUpstream, service: &str, release: &str, state: &str) -> Value {
-    json!({
-        "service": service, "address": one.address.to_string(), "zone": "z1", "version": release, "slots": 8,
-        "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1,
-    })
+    server_entry(one.address, service, "z1", release, state)
 }
 
 impl Drop for Site {
