Whole events that come together with bytes astray reach the caller before a stream goes on elsewhere

What callers saw: a stream that ends as complete with an event missing. An upstream that sends, in one piece, the next event and one that doesn't follow it (or has no id) lost the first one for the caller: [1, 2, 4, 5, ...]. Cause: the cutter counted the whole event as passed on and then returned the fault of the next one instead of the batch; the stream was resumed after the event that the caller never got. Class: a result dropped on an error path after its side effect. Looked for elsewhere: EventCutter has this one user; plain answers are gathered whole before any of them is passed on. Evidence: found by reading the cutter for its fuzzing. events::whole_events_before_bytes_that_are_none_are_passed_on failed (Gap { last: 4 } with event 4 undelivered), and so did the process test with a stand-in that sends such a piece ([1, 2, 4, 5, 6, 7, 8]); both pass. Change: the batch is given first and the fault is kept until the relay asks for it, before it reads on. The soak draws the fault, too.

--- a/crates/bluebell-core/src/events.rs
+++ b/crates/bluebell-core/src/events.rs
@@ -57,13 +57,14 @@
     // Where the line begins that is not whole yet, and up to where it was looked through.
     line: usize,
     seen: usize,
+    fault: Option<EventError>,
 }
 
 impl EventCutter {
     /// A cutter that expects the event after the last one that the caller has.
     #[must_use]
     pub fn after(last: u64) -> Self {
-        Self { buffer: Vec::new(), last, idle: 0, line: 0, seen: 0 }
+        Self { buffer: Vec::new(), last, idle: 0, line: 0, seen: 0, fault: None }
     }
 
     /// Id of the last whole event.
@@ -72,33 +73,48 @@
         self.last
     }
 
-    /// Takes bytes; gives the events that are whole now.
+    /// Takes bytes; gives the events that are whole now. Those before a fault are given, too; the fault comes next.
     ///
     /// # Errors
-    /// When an event can't be read or doesn't follow the one before.
+    /// When the first event can't be read or doesn't follow the one before.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Batch, EventError> {
         self.buffer.extend_from_slice(bytes);
-        let mut batch = Batch::default();
+        let mut count = 0;
         let mut start = 0;
         while let Some(end) = self.next_end() {
-            let length = end - start;
-            let last = checked_id(&self.buffer[start..end], self.last)?;
-            let is_event = last > self.last;
-            self.idle = if is_event { 0 } else { self.idle + length };
-            if self.idle > MAX_IDLE_BYTES {
-                return NoEventSnafu { last: self.last }.fail();
+            match self.check(start, end) {
+                Ok(is_event) => count += u64::from(is_event),
+                Err(error) => {
+                    self.fault = Some(error);
+                    break;
+                }
             }
-            batch.count += u64::from(is_event);
-            self.last = last;
             start = end;
         }
-        batch.bytes.extend_from_slice(&self.buffer[..start]);
+        let batch = Batch { bytes: self.buffer[..start].to_vec(), count };
         self.buffer.drain(..start);
         (self.line, self.seen) = (self.line - start, self.buffer.len());
         if self.buffer.len() > MAX_EVENT_BYTES {
-            return TooLongSnafu.fail();
+            self.fault.get_or_insert(EventError::TooLong);
         }
-        Ok(batch)
+        if batch.bytes.is_empty() { self.fault().map_or(Ok(batch), Err) } else { Ok(batch) }
+    }
+
+    // Takes a whole event, or lines that are none; tells which.
+    fn check(&mut self, start: usize, end: usize) -> Result<bool, EventError> {
+        let last = checked_id(&self.buffer[start..end], self.last)?;
+        let is_event = last > self.last;
+        let idle = if is_event { 0 } else { self.idle + end - start };
+        if idle > MAX_IDLE_BYTES {
+            return NoEventSnafu { last: self.last }.fail();
+        }
+        (self.last, self.idle) = (last, idle);
+        Ok(is_event)
+    }
+
+    /// Takes the fault that came after the events given last.
+    pub fn fault(&mut self) -> Option<EventError> {
+        self.fault.take()
     }
 
     // End of the first event that has not been taken, with the empty line that ends it.
@@ -124,7 +140,7 @@
     /// Drops an unfinished event, since another upstream goes on after the last whole one.
     pub fn reset(&mut self) {
         self.buffer.clear();
-        (self.idle, self.line, self.seen) = (0, 0, 0);
+        (self.idle, self.line, self.seen, self.fault) = (0, 0, 0, None);
     }
 }
 
--- a/crates/bluebell-core/tests/events.rs
+++ b/crates/bluebell-core/tests/events.rs
@@ -70,3 +70,15 @@
         assert_eq!(pushed.map(|batch| batch.count), Ok(1));
     }
 }
+
+#[test]
+fn whole_events_before_bytes_that_are_none_are_passed_on() {
+    for bad in [event(6), b"data: no id\n\n".to_vec(), b"id: x\n\n".to_vec()] {
+        let mut cutter = EventCutter::after(3);
+        let batch = cutter.push(&[event(4), bad].concat()).expect("event 4");
+        assert_eq!((batch.bytes, batch.count, cutter.last()), (event(4), 1, 4));
+        assert!(cutter.fault().is_some() && cutter.fault().is_none());
+        cutter.reset();
+        assert_eq!(cutter.push(&event(5)).expect("resumed").bytes, event(5));
+    }
+}
--- a/crates/bluebell-soak/src/plan.rs
+++ b/crates/bluebell-soak/src/plan.rs
@@ -232,6 +232,7 @@
         Fault::LoseAnswer,
         Fault::Cut(random.random_range(0..8)),
         Fault::CutUnframed(random.random_range(0..8)),
+        Fault::Astray(random.random_range(0..8)),
         Fault::WrongId,
         Fault::SecondAnswer,
         Fault::Fails(500),
--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -44,6 +44,8 @@
     Cut(u64),
     /// Its answer has no length and ends with its connection, in the middle of an event after so many.
     CutUnframed(u64),
+    /// After so many events of its answer, the next comes in one piece with one that doesn't follow it.
+    Astray(u64),
     /// Its answer bears another request's id.
     WrongId,
     /// A second answer follows the whole one on the same connection.
@@ -410,6 +412,11 @@
                 _ => false,
             };
             let bytes = if cut { &event.as_bytes()[..event.len() / 2] } else { event.as_bytes() };
+            if matches!(fault, Some(Fault::Astray(after)) if number > after) {
+                let astray = format!("{event}id: 999\ndata: astray\n\n");
+                write_piece(socket, astray.as_bytes(), framed).await?;
+                return Ok(false);
+            }
             write_piece(socket, bytes, framed).await?;
             if cut {
                 return Ok(false);
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -216,6 +216,11 @@
 
     async fn next(&mut self) -> Option<Result<Bytes, io::Error>> {
         loop {
+            if let Some(error) = self.cutter.fault()
+                && let Err(error) = self.resume(error.to_string(), Loss::Broken).await
+            {
+                return Some(Err(error));
+            }
             let live = self.live.as_mut()?;
             let now = self.gateway.now();
             let left = self.job.end.saturating_sub(now);
--- a/crates/bluebelld/tests/gateway/streams.rs
+++ b/crates/bluebelld/tests/gateway/streams.rs
@@ -37,6 +37,16 @@
     }
 }
 
+#[tokio::test]
+async fn event_that_comes_with_one_astray_reaches_the_caller_before_the_stream_goes_on_elsewhere() {
+    let site = Site::start(1).await;
+    site.chat[0].set_always(Some(Fault::Astray(2)));
+    for round in 0..6 {
+        let answer = site.gateways[0].ask(&talk(&format!("r-{round}"))).await;
+        assert_eq!((answer.status, answer.whole, answer.events()), (200, true, all()), "round {round}");
+    }
+}
+
 #[tokio::test]
 async fn stream_that_cannot_be_resumed_breaks_towards_the_caller() {
     let site = Site::start(1).await;
