--- a/crates/bluebell-core/src/events.rs
+++ b/crates/bluebell-core/src/events.rs
@@ -150,7 +150,7 @@
         return Ok(last);
     }
     let found = event_id(event).ok_or(EventError::NoId { last })?;
-    if found != last + 1 {
+    if last.checked_add(1) != Some(found) {
         return GapSnafu { last, found }.fail();
     }
     Ok(found)
--- /dev/null
+++ b/crates/bluebell-core/tests/bytes.rs
@@ -0,0 +1,97 @@
+//! Streams and settings of any bytes: typed errors, no panic, nothing made up.
+
+use bluebell_core::{
+    events::{EventCutter, EventError},
+    settings::Branch,
+};
+use proptest::{collection::vec, prelude::*};
+
+const SETTINGS: &str = include_str!("../../../sample_configs/settings/valid/two_crews.yaml");
+
+/// Pieces of a stream: proper events, events out of order, and what is none.
+fn piece() -> impl Strategy<Value = Vec<u8>> {
+    prop_oneof![
+        6 => (1u64..12).prop_map(|id| format!("id: {id}\ndata: piece {id}\n\n").into_bytes()),
+        1 => (1u64..12).prop_map(|id| format!("data: first\r\nid:{id}\r\n\r\n").into_bytes()),
+        1 => any::<u64>().prop_map(|id| format!("id: {id}\n\n").into_bytes()),
+        1 => Just(b": a comment\n\n".to_vec()),
+        1 => Just(b"data: no id\n\n".to_vec()),
+        1 => Just(b"\n".to_vec()),
+        1 => vec(any::<u8>(), 0..40),
+    ]
+}
+
+/// What comes out of a stream cut into pieces up to its first fault.
+fn cut(pieces: &[Vec<u8>]) -> (Vec<u8>, u64, Option<EventError>) {
+    let mut cutter = EventCutter::after(0);
+    let mut out = Vec::new();
+    for piece in pieces {
+        match cutter.push(piece) {
+            Ok(batch) => out.extend(batch.bytes),
+            Err(error) => return (out, cutter.last(), Some(error)),
+        }
+        if let Some(error) = cutter.fault() {
+            return (out, cutter.last(), Some(error));
+        }
+    }
+    (out, cutter.last(), None)
+}
+
+fn ids(out: &[u8]) -> Vec<u64> {
+    let text = String::from_utf8_lossy(out);
+    text.lines().filter_map(|line| line.strip_prefix("id:")?.trim().parse().ok()).collect()
+}
+
+proptest! {
+    #[test]
+    fn what_comes_out_of_a_stream_does_not_depend_on_how_it_was_cut(
+        pieces in vec(piece(), 0..24),
+        cuts in vec(1usize..50, 1..80),
+    ) {
+        let stream = pieces.concat();
+        let mut rest = stream.as_slice();
+        let mut chunks = Vec::new();
+        for length in cuts.iter().cycle() {
+            if rest.is_empty() {
+                break;
+            }
+            let (chunk, other) = rest.split_at((*length).min(rest.len()));
+            chunks.push(chunk.to_vec());
+            rest = other;
+        }
+        prop_assert_eq!(cut(&chunks), cut(&[stream]));
+    }
+
+    #[test]
+    fn events_come_out_once_each_in_order_and_as_they_came(pieces in vec(piece(), 0..40)) {
+        let (out, last, _) = cut(&pieces);
+        prop_assert!(pieces.concat().starts_with(&out));
+        prop_assert!(out.is_empty() || out.ends_with(b"\n"));
+        prop_assert_eq!(ids(&out), (1..=last).collect::<Vec<_>>());
+    }
+
+    #[test]
+    fn streams_that_go_on_after_any_event_are_read_or_refused(
+        last in prop_oneof![any::<u64>(), Just(u64::MAX)],
+        pieces in vec(piece(), 0..8),
+    ) {
+        let mut cutter = EventCutter::after(last);
+        for piece in pieces {
+            let before = cutter.last();
+            let Ok(batch) = cutter.push(&piece) else { break };
+            prop_assert_eq!(cutter.last(), before + batch.count);
+        }
+    }
+
+    #[test]
+    fn settings_of_any_text_are_read_or_refused(text in ".{0,400}") {
+        let _ = Branch::file_from_yaml(&text);
+    }
+
+    #[test]
+    fn settings_with_a_part_replaced_are_read_or_refused(at in 0..SETTINGS.len(), length in 0usize..40, other in ".{0,40}") {
+        let mut text = SETTINGS.as_bytes().to_vec();
+        text.splice(at..(at + length).min(SETTINGS.len()), other.into_bytes());
+        let _ = Branch::file_from_yaml(&String::from_utf8_lossy(&text));
+    }
+}
--- a/crates/bluebell-soak/src/play.rs
+++ b/crates/bluebell-soak/src/play.rs
@@ -78,7 +78,7 @@
     };
     let mut findings = check(&evidence);
     for finding in &mut findings {
-        finding.lines = fleet.log_lines(&finding.request);
+        finding.lines = fleet.log_lines(&format!("\"{}\"", finding.request));
         finding.lines.truncate(MAX_LINES);
     }
     let served = evidence.seen.iter().filter(|one| one.is_served()).count();
