A row deleted before a gateway's start doesn't come back from a peer that missed the deletion

What callers saw: requests to an upstream that was gone, from a gateway in touch with the store: for ever, since its feed begins after the deletion. A peer that the store turned away when the row was deleted then told all its rows, and the row that the new gateway didn't know was news to it. The other way round, the new gateway had no word of the deletion for that peer. A gateway tells these versions with all its rows when a connection opens, so a peer learns what was deleted.

--- a/crates/bluebell-core/src/replica.rs
+++ b/crates/bluebell-core/src/replica.rs
@@ -1,5 +1,6 @@
 //! A copy of rows that lie in the platform's store, fed by several sources: the store's feed, its snapshots, and
-//! other entries. Each row only moves forward in version, whichever source is late.
+//! other entries. Each row only moves forward in version, whichever source is late; one that a snapshot lacks does not
+//! come back from a source that missed its deletion.
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -40,6 +41,8 @@
 #[derive(Debug, Default)]
 pub struct Replica {
     rows: IndexMap<(Origin, String), Row>,
+    // Version of the latest snapshot of each origin.
+    snapshots: IndexMap<Origin, u64>,
 }
 
 impl Replica {
@@ -48,6 +51,8 @@
         let key = (row.origin, row.key.clone());
         match self.rows.get(&key) {
             Some(known) if known.version >= row.version => return false,
+            // It was deleted before the snapshot.
+            None if self.snapshots.get(&row.origin).is_some_and(|version| row.version <= *version) => return false,
             None if row.value.is_none() => {
                 self.rows.insert(key, row);
                 return false;
@@ -66,7 +71,26 @@
         let gone = |row: &Row| Row { value: None, version, ..row.clone() };
         let lost: Vec<Row> = self.rows.values().filter(is_gone).map(gone).collect();
         let all = rows.into_iter().chain(lost);
-        all.filter_map(|row| self.apply(row.clone()).then_some(row)).collect()
+        let news = all.filter_map(|row| self.apply(row.clone()).then_some(row)).collect();
+        let latest = self.snapshots.entry(origin).or_default();
+        *latest = version.max(*latest);
+        news
+    }
+
+    /// Versions of the latest snapshots: rows up to there that are not known here do not exist.
+    pub fn snapshots(&self) -> impl Iterator<Item = (Origin, u64)> {
+        self.snapshots.iter().map(|(origin, version)| (*origin, *version))
+    }
+
+    /// Takes all that another copy knows, with the versions of its snapshots; gives the rows that changed.
+    pub fn apply_copy(&mut self, rows: Vec<Row>, snapshots: &[(Origin, u64)]) -> Vec<Row> {
+        let mut news = Vec::new();
+        for (origin, version) in snapshots {
+            let live = rows.iter().filter(|row| row.origin == *origin && row.value.is_some()).cloned().collect();
+            news.extend(self.apply_snapshot(*origin, live, *version));
+        }
+        news.extend(rows.into_iter().filter(|row| self.apply(row.clone())));
+        news
     }
 
     /// A row's content and version, unless it is deleted.
--- a/crates/bluebell-core/tests/replica.rs
+++ b/crates/bluebell-core/tests/replica.rs
@@ -26,6 +26,15 @@
     assert_eq!(replica.get(Origin::Operator, "key"), None);
 }
 
+#[test]
+fn row_deleted_before_a_snapshot_does_not_come_back_from_a_late_peer() {
+    let mut replica = Replica::default();
+    replica.apply_snapshot(Origin::Operator, vec![row("kept", Some("c"), 4)], 6);
+    assert!(!replica.apply(row("gone", Some("a"), 5)));
+    assert!(replica.apply(row("newer", Some("b"), 7)));
+    assert_eq!(replica.get(Origin::Operator, "gone"), None);
+}
+
 #[test]
 fn snapshot_deletes_what_it_lacks_but_not_what_is_newer() {
     let mut replica = Replica::default();
--- a/crates/bluebell-wire/src/messages.rs
+++ b/crates/bluebell-wire/src/messages.rs
@@ -11,7 +11,7 @@
     },
     intent::{Reservation, Resolution, StoredReply},
     poison::{CrashReport, Fingerprint},
-    replica::Row,
+    replica::{Origin, Row},
     settings::Snapshot,
     units::{Cost, Price, Tokens},
 };
@@ -228,6 +228,13 @@
     Hello(EntryAddress),
     /// Rows of the store that the sender learnt.
     Rows(Vec<Row>),
+    /// All rows of the store that the sender knows.
+    AllRows {
+        /// The rows, deleted ones included.
+        rows: Vec<Row>,
+        /// Versions of its latest snapshots; rows up to there that are missing were deleted.
+        snapshots: Vec<(Origin, u64)>,
+    },
     /// What the sender does at the moment.
     Standing(Box<EntryStanding>),
     /// What was under way at upstreams that ended.
--- a/crates/bluebelld/src/gateway/control/event.rs
+++ b/crates/bluebelld/src/gateway/control/event.rs
@@ -36,7 +36,14 @@
     /// A peer named itself.
     Hello(EntryAddress),
     /// Rows that a peer learnt.
-    PeerRows(InstanceId, Vec<Row>),
+    PeerRows {
+        /// The peer.
+        peer: InstanceId,
+        /// The rows.
+        rows: Vec<Row>,
+        /// Versions of its snapshots, where these are all of its rows.
+        snapshots: Vec<(Origin, u64)>,
+    },
     /// What a peer does.
     Standing(InstanceId, Box<EntryStanding>),
     /// What a peer tells of upstreams that ended.
--- a/crates/bluebelld/src/gateway/control/links.rs
+++ b/crates/bluebelld/src/gateway/control/links.rs
@@ -53,7 +53,8 @@
     while let Some(news) = reader.next().await? {
         let event = match news {
             News::Hello(address) => Event::Hello(address),
-            News::Rows(rows) => Event::PeerRows(peer.clone(), rows),
+            News::Rows(rows) => Event::PeerRows { peer: peer.clone(), rows, snapshots: Vec::new() },
+            News::AllRows { rows, snapshots } => Event::PeerRows { peer: peer.clone(), rows, snapshots },
             News::Standing(standing) => Event::Standing(peer.clone(), standing),
             News::Crashes(reports) => Event::Crashes(peer.clone(), reports),
             News::Answered(requests) => Event::Answered(peer.clone(), requests),
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -6,7 +6,7 @@
     ids::InstanceId,
     ingress::Declared,
     poison::{Crashes, Suspects},
-    replica::{Origin, Replica, Row},
+    replica::{Origin, Replica},
     upstreams::Upstreams,
 };
 use bluebell_wire::messages::{EntryStanding, News};
@@ -112,7 +112,8 @@
         match event {
             Event::Changes { rows, clock } => {
                 self.hear_store(clock);
-                self.take_rows(rows, None);
+                let news = self.replica.apply_copy(rows, &[]);
+                self.learn(news, None);
             }
             Event::Snapshot { origin, rows, version, clock } => {
                 self.hear_store(clock);
@@ -123,9 +124,10 @@
             }
             Event::StoreFailed(reason) => self.lose_store(&reason),
             Event::Hello(address) => self.members.hello(address, self.gateway.now()),
-            Event::PeerRows(peer, rows) => {
+            Event::PeerRows { peer, rows, snapshots } => {
                 self.awaited.has_fleet = true;
-                self.take_rows(rows, Some(&peer));
+                let news = self.replica.apply_copy(rows, &snapshots);
+                self.learn(news, Some(&peer));
                 self.inform(self.gateway.now());
             }
             Event::Standing(peer, standing) => self.take_standing(peer, *standing),
@@ -136,11 +138,6 @@
         }
     }
 
-    fn take_rows(&mut self, rows: Vec<Row>, from: Option<&InstanceId>) {
-        let news = rows.into_iter().filter(|row| self.replica.apply(row.clone())).collect();
-        self.learn(news, from);
-    }
-
     fn take_standing(&mut self, peer: InstanceId, standing: EntryStanding) {
         let now = self.gateway.now();
         let mut traffic = self.gateway.traffic();
@@ -164,7 +161,8 @@
         if open {
             // A gateway is ready once it has the rows, and must know by then what to hold back.
             self.tell_crashes(peer);
-            self.members.send(peer, &News::Rows(self.replica.rows().cloned().collect()));
+            let rows = self.replica.rows().cloned().collect();
+            self.members.send(peer, &News::AllRows { rows, snapshots: self.replica.snapshots().collect() });
         }
         if self.members.set_link(peer, open, now) {
             log::info!(peer = peer.as_str(); "connection to peer {}", if open { "opened" } else { "lost" });
--- a/crates/bluebelld/tests/gateway/members.rs
+++ b/crates/bluebelld/tests/gateway/members.rs
@@ -69,6 +69,29 @@
     assert_eq!(site.ledger[0].runs().len(), before);
 }
 
+#[tokio::test]
+async fn upstream_deleted_before_a_gateways_start_is_used_by_neither_it_nor_a_peer_that_missed_the_deletion() {
+    let mut site = Site::start(2).await;
+    site.linked().await;
+    site.gateways[0].process.kill();
+    site.gateways[1].door.send_replace(Door::Reset);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    site.store.delete("servers", "ledger-1");
+    site.gateways[0].process.restart();
+    until("the gateway to be ready", || site.gateways[0].is_ready()).await;
+    let opened = || async { site.gateways[0].process.log().matches("connection to peer opened").count() >= 2 };
+    until("connections between gateways", opened).await;
+    tokio::time::sleep(IN_FORCE).await;
+    let before = site.ledger[0].runs().len();
+    for gateway in [0, 1] {
+        for round in 0..20 {
+            let ask = Ask::new("/look/1", &format!("d-{gateway}-{round}"));
+            assert_eq!(status(&site, gateway, &ask).await, 200);
+        }
+        assert_eq!(site.ledger[0].runs().len(), before, "gateway {gateway} sends to an upstream that is gone");
+    }
+}
+
 #[tokio::test]
 async fn entry_that_cannot_be_read_names_no_upstream_and_harms_no_other() {
     let site = Site::start(1).await;
