--- a/crates/bluebell-core/tests/fuzz/main.rs
+++ b/crates/bluebell-core/tests/fuzz/main.rs
@@ -3,9 +3,9 @@
 //! A world of entries, sidecars, operators and a table takes random steps: messages are delivered late, twice, out
 //! of order or never, processes are frozen or begin anew with empty memory, the table is down or loses answers. After
 //! each step the oracle checks what must always hold.
-//!
-//! `BLUEBELL_SEED` sets the seed and `PROPTEST_CASES` the number of cases; both are printed.
 
+#[path = "../support/fuzz_config.rs"]
+mod config;
 mod once;
 mod oracle;
 mod parts;
@@ -16,34 +16,12 @@
 use proptest::{
     prelude::{Just, Strategy, any},
     prop_oneof,
-    test_runner::{Config, RngSeed},
 };
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use world::World;
 
-/// Seed where none is set.
-const DEFAULT_SEED: u64 = 20_261_204;
 /// Cases where no number is set.
 const DEFAULT_CASES: u32 = 64;
-/// Tries to make a failing case shorter; each takes as long as a case.
-const MAX_SHRINKS: u32 = 100;
-
-fn setting<T: std::str::FromStr>(name: &str, default: T) -> T {
-    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
-}
-
-fn config() -> Config {
-    let seed = setting("BLUEBELL_SEED", DEFAULT_SEED);
-    let cases = setting("PROPTEST_CASES", DEFAULT_CASES);
-    eprintln!("BLUEBELL_SEED={seed} PROPTEST_CASES={cases}");
-    Config {
-        cases,
-        rng_seed: RngSeed::Fixed(seed),
-        failure_persistence: None,
-        max_shrink_iters: MAX_SHRINKS,
-        ..Config::default()
-    }
-}
 
 struct Steps;
 
@@ -106,7 +84,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(config::config(DEFAULT_CASES))]
 
     #[test]
     fn promises_hold_under_faults(sequential 40..240 => Steps);
