--- a/crates/bluebell-soak/src/checks/answers.rs
+++ b/crates/bluebell-soak/src/checks/answers.rs
@@ -79,14 +79,17 @@
     }
 }
 
-// Planned work excuses nothing, but for what is sent late in a stop and ends with the process.
+// Planned work and the loss of the store excuse nothing, but for what is sent late in a stop and ends with the process.
 fn is_troubled(view: &View<'_>, seen: &Seen) -> bool {
     let from = seen.sent.checked_sub(super::CONTACT).unwrap_or(seen.sent);
     let late = |begun: Instant| seen.sent > begun + Duration::from_secs(3);
+    let runs = view.runs_of(&seen.id);
     view.overlaps(from, seen.ended, |mark| match mark.reach {
         Reach::Gateway(at) if at == seen.gateway => !mark.planned || late(mark.from),
-        Reach::Gateway(_) => false,
-        // What happens at any upstream or to the store may reach a request of any gateway.
-        Reach::AllGateways | Reach::Store | Reach::Upstream(_) => true,
+        Reach::Gateway(_) | Reach::Contact(_) | Reach::Store => false,
+        // A request that ran nowhere may have waited for any upstream of its service.
+        Reach::Upstream(at) if runs.is_empty() => at.service() == seen.route.service(),
+        Reach::Upstream(at) => runs.iter().any(|(ran, _)| *ran == at),
+        Reach::AllGateways => true,
     })
 }
--- a/crates/bluebell-soak/src/checks/mod.rs
+++ b/crates/bluebell-soak/src/checks/mod.rs
@@ -14,8 +14,9 @@
 
 use crate::{
     callers::Seen,
+    fleet::{DOWN, POISON},
     plan::{Plan, Server},
-    troubles::{Done, Mark, Reach},
+    troubles::{Done, LAPSE, Mark, Reach},
 };
 
 /// Time without faults after which bounds hold for a gateway.
@@ -108,6 +109,8 @@
     evidence: &'a Evidence<'a>,
     by_id: IndexMap<&'a str, &'a Seen>,
     runs: IndexMap<&'a str, Vec<(Server, &'a Run)>>,
+    // Upstreams ended by the requests that end them.
+    ends: Vec<Mark>,
     findings: Vec<Finding>,
 }
 
@@ -119,7 +122,13 @@
             runs.entry(run.request.header("request-id")).or_default().push((*at, run));
         }
         runs.values_mut().for_each(|runs| runs.sort_by_key(|(_, run)| run.began));
-        Self { evidence, by_id, runs, findings: Vec::new() }
+        let ends = evidence.runs.iter().filter(|(_, run)| run.request.contains(POISON)).map(|(at, run)| Mark {
+            from: run.began,
+            to: run.began + DOWN + LAPSE,
+            reach: Reach::Upstream(*at),
+            planned: false,
+        });
+        Self { evidence, by_id, runs, ends: ends.collect(), findings: Vec::new() }
     }
 
     fn find(&mut self, rule: Rule, at: Instant, request: &str, text: String) {
@@ -132,14 +141,14 @@
     }
 
     fn overlaps(&self, from: Instant, to: Instant, counts: impl Fn(&Mark) -> bool) -> bool {
-        self.evidence.done.marks.iter().any(|mark| counts(mark) && mark.from <= to && mark.to >= from)
+        self.evidence.done.marks.iter().chain(&self.ends).any(|mark| counts(mark) && mark.from <= to && mark.to >= from)
     }
 
     /// Whether a gateway was without faults for the time of contact before a moment, the store as well.
     fn in_touch(&self, gateway: usize, at: Instant) -> bool {
         let from = at.checked_sub(CONTACT).unwrap_or(at);
         !self.overlaps(from, at, |mark| match mark.reach {
-            Reach::Gateway(one) => one == gateway,
+            Reach::Gateway(one) | Reach::Contact(one) => one == gateway,
             Reach::AllGateways | Reach::Store => true,
             Reach::Upstream(_) => false,
         })
--- a/crates/bluebell-soak/src/checks/runs.rs
+++ b/crates/bluebell-soak/src/checks/runs.rs
@@ -73,12 +73,8 @@
     if request.header("tenant") != "org-1" || !request.header("authorization").is_empty() {
         find(Rule::Unchanged, format!("organisation {:?}, or a key passed on", request.header("tenant")));
     }
-    let service = match at {
-        Server::Chat(_) => "chat",
-        Server::Ledger(_) => "ledger",
-    };
-    if service != seen.route.service() {
-        find(Rule::AllowedVersion, format!("run by {service}"));
+    if at.service() != seen.route.service() {
+        find(Rule::AllowedVersion, format!("run by {}", at.service()));
     }
 }
 
@@ -120,7 +116,7 @@
     let Some(order) = view.evidence.done.rollout else { return };
     let half = order.taken + ROLLOUT_TIME / 2;
     let fresh = Server::Chat(view.evidence.plan.chat);
-    let mut last: IndexMap<&str, (Instant, bool)> = IndexMap::new();
+    let mut last: IndexMap<&str, (Instant, bool, usize)> = IndexMap::new();
     let in_session = |seen: &&Seen| seen.route.is_stream() && !seen.session.is_empty();
     let mut streams: Vec<&Seen> = view.evidence.seen.iter().filter(in_session).collect();
     streams.sort_by_key(|seen| seen.sent);
@@ -128,9 +124,14 @@
     for seen in streams {
         let Some((at, run)) = view.runs_of(&seen.id).last() else { continue };
         let is_new = *at == fresh;
-        let before = last.insert(&seen.session, (run.began, is_new));
-        let Some((since, false)) = before.filter(|(since, _)| *since + SESSION > run.began) else { continue };
-        let is_calm = !view.overlaps(since.checked_sub(CONTACT).unwrap_or(since), run.began, |mark| !mark.planned);
+        let before = last.insert(&seen.session, (run.began, is_new, seen.gateway));
+        let Some((since, false, former)) = before.filter(|(since, ..)| *since + SESSION > run.began) else { continue };
+        let from = since.checked_sub(CONTACT).unwrap_or(since);
+        let is_calm = !view.overlaps(from, run.began, |mark| match mark.reach {
+            Reach::Gateway(one) | Reach::Contact(one) => one == seen.gateway || one == former,
+            Reach::Upstream(at) => at.service() == "chat",
+            Reach::AllGateways | Reach::Store => true,
+        });
         if is_new && run.began < half && is_calm {
             moved.push((run.began, seen));
         }
--- a/crates/bluebell-soak/src/fleet.rs
+++ b/crates/bluebell-soak/src/fleet.rs
@@ -95,21 +95,12 @@
 }
 
 impl Upstream {
-    /// The service that it runs.
-    #[must_use]
-    pub fn service(&self) -> &'static str {
-        match self.at {
-            Server::Chat(_) => "chat",
-            Server::Ledger(_) => "ledger",
-        }
-    }
-
     /// Its entry in the store.
     #[must_use]
     pub fn entry(&self, release: &str) -> Value {
         let address = self.link.as_ref().map_or(self.server.address, Proxy::address);
         let (Server::Chat(number) | Server::Ledger(number)) = self.at;
-        server_entry(address, self.service(), &format!("z{}", number % ZONES + 1), release, "ready")
+        server_entry(address, self.at.service(), &format!("z{}", number % ZONES + 1), release, "ready")
     }
 }
 
--- a/crates/bluebell-soak/src/plan.rs
+++ b/crates/bluebell-soak/src/plan.rs
@@ -15,7 +15,7 @@
 /// Upstreams of a service, at most.
 const MAX_UPSTREAMS: usize = 5;
 /// Mean time between two faults.
-const FAULT_GAP: Duration = Duration::from_millis(900);
+const FAULT_GAP: Duration = Duration::from_millis(700);
 /// Longest fault.
 const MAX_FAULT: Duration = Duration::from_millis(6000);
 /// Time in which a roll-out has to be done.
@@ -52,6 +52,17 @@
     Ledger(usize),
 }
 
+impl Server {
+    /// The service that it runs.
+    #[must_use]
+    pub fn service(self) -> &'static str {
+        match self {
+            Self::Chat(_) => "chat",
+            Self::Ledger(_) => "ledger",
+        }
+    }
+}
+
 /// What goes wrong.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Kind {
--- a/crates/bluebell-soak/src/troubles.rs
+++ b/crates/bluebell-soak/src/troubles.rs
@@ -25,7 +25,7 @@
 /// Time for which an upstream that leaves goes on serving.
 pub const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Time after an upstream's end in which its entry is still there.
-const LAPSE: Duration = Duration::from_millis(2600);
+pub const LAPSE: Duration = Duration::from_millis(2600);
 /// Time between two declarations of a storm.
 const STORM_PAUSE: Duration = Duration::from_millis(30);
 /// Time between two looks at a process that is to end.
@@ -34,8 +34,10 @@
 /// Whom a fault reaches.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reach {
-    /// A gateway, its links included.
+    /// A gateway, or the link of its callers.
     Gateway(usize),
+    /// What a gateway hears of the store and its peers.
+    Contact(usize),
     /// All gateways.
     AllGateways,
     /// The store, for all gateways.
@@ -176,7 +178,8 @@
                 sleep(length).await;
                 self.set_link(*link, Harms::default());
                 let reach = match link {
-                    Link::Callers(at) | Link::Peers(at) | Link::Store(at) => Reach::Gateway(*at),
+                    Link::Callers(at) => Reach::Gateway(*at),
+                    Link::Peers(at) | Link::Store(at) => Reach::Contact(*at),
                     Link::Upstream(at) => Reach::Upstream(*at),
                 };
                 self.mark(from, reach, false);
@@ -197,7 +200,7 @@
                 self.set_door(*at, *door);
                 sleep(length).await;
                 self.set_door(*at, Door::Open);
-                self.mark(from, at.map_or(Reach::Store, Reach::Gateway), false);
+                self.mark(from, at.map_or(Reach::Store, Reach::Contact), false);
             }
             Kind::Compact => self.fleet.store.compact(),
             Kind::ChangeKey => self.change_key(),
@@ -351,7 +354,7 @@
     // The entry of an upstream of the other service names an address at which this one has started anew.
     async fn reuse(&self, at: Server, length: Duration) {
         let Some(one) = self.fleet.upstream(at) else { return };
-        let other = if one.service() == "chat" { "ledger" } else { "chat" };
+        let other = if at.service() == "chat" { "ledger" } else { "chat" };
         let address = one.link.as_ref().map_or(one.server.address, |link| link.address());
         let key = format!("x-{}", address.port());
         let begin = async {
