A gateway that missed an answer learns which ends it clears, from peers and from the stored reports

What callers saw: an innocent request that ran at three ends and was answered since could be held back for up to an hour by a gateway whose link to the one that answered it was down at that moment; held back, it is never answered there. Cause: answers were told once. All reports are told when a link opens, but not what was answered; and rows of reports were merged, so that what their gateway had taken out of them stayed. Change: when a link opens a gateway tells the answers by the ends that they clear; what a stored report doesn't hold any more was answered, at gateways and entries; a deleted report clears at gateways as it did at entries.

--- a/crates/bluebell-core/src/poison/crashes.rs
+++ b/crates/bluebell-core/src/poison/crashes.rs
@@ -137,6 +137,31 @@
         cleared
     }
 
+    /// Requests that were answered after the end of an upstream are not to blame for it; tells whether any had been
+    /// suspected.
+    pub fn clear_at(&mut self, life: &Life, answered: &[Fingerprint]) -> bool {
+        let Some(crash) = self.known.get_mut(life) else { return false };
+        let is_known = |one: &&Fingerprint| crash.reports.values().any(|suspects| suspects.contains(*one));
+        let known: Vec<Fingerprint> = answered.iter().filter(is_known).copied().collect();
+        let before = crash.answered.len();
+        crash.answered.extend(known);
+        crash.answered.len() > before
+    }
+
+    /// Takes a report as its gateway keeps it: what it doesn't hold any more was answered.
+    pub fn settle(&mut self, report: &CrashReport) -> bool {
+        let known = self.known.get(&report.life).and_then(|crash| crash.reports.get(&report.reporter));
+        let gone = known.into_iter().flatten().filter(|one| !report.suspects.contains(one)).copied();
+        let gone: Vec<Fingerprint> = gone.collect();
+        self.clear_at(&report.life, &gone)
+    }
+
+    /// Requests that were answered after the ends at which they were under way.
+    pub fn answered(&self) -> impl Iterator<Item = (&Life, &IndexSet<Fingerprint>)> {
+        let any = |(_, crash): &(&Life, &Crash)| !crash.answered.is_empty();
+        self.known.iter().filter(any).map(|(life, crash)| (life, &crash.answered))
+    }
+
     /// An upstream whose entry had lapsed is back without a new start, so it never ended.
     pub fn retract(&mut self, life: &Life) -> bool {
         let is_lapse = self.known.get(life).is_some_and(|crash| crash.sign == EndSign::Lapsed);
--- a/crates/bluebell-core/tests/canary.rs
+++ b/crates/bluebell-core/tests/canary.rs
@@ -188,6 +188,16 @@
     assert_caught(&Bad { fails: 0.42, from: 14.0, ..GOOD });
 }
 
+#[test]
+fn trouble_of_both_releases_does_not_hide_a_bad_one_that_gets_all_requests_soon_after() {
+    let both = Trouble { from: 20.75, to: 21.8, fails: 0.9, slower: 1.0 };
+    for seed in 0..50 {
+        let bad = Bad { fails: 0.5, from: 21.8, both: Trouble { ..both }, ..GOOD };
+        let rejected = play(&bad, seed).rejected;
+        assert!(rejected.is_some_and(|at| at >= 21.8), "seed {seed}: {rejected:?}");
+    }
+}
+
 #[test]
 fn release_whose_badness_never_shows_stays_within_the_exposure_allowed() {
     for exposure in [0.0975, 0.15, 0.3] {
--- a/crates/bluebell-core/tests/gateways/gateway.rs
+++ b/crates/bluebell-core/tests/gateways/gateway.rs
@@ -50,6 +50,7 @@
     Rows(Vec<Row>, Vec<(Origin, u64)>),
     Crashes(Vec<CrashReport>),
     Answered(Vec<Fingerprint>),
+    Cleared(Vec<(Life, Vec<Fingerprint>)>),
     Counts { order: u64, old: Tally, new: Tally },
     Rejected(u64),
 }
@@ -197,6 +198,13 @@
         news
     }
 
+    pub fn clear_ends(&mut self, answered: &[(Life, Vec<Fingerprint>)]) {
+        for (life, requests) in answered {
+            self.crashes.clear_at(life, requests);
+        }
+        self.judge();
+    }
+
     pub fn judge(&mut self) {
         self.suspects = self.crashes.judge();
     }
--- a/crates/bluebell-core/tests/gateways/world.rs
+++ b/crates/bluebell-core/tests/gateways/world.rs
@@ -216,7 +216,10 @@
         let rows: Vec<Row> = gateway.replica.rows().cloned().collect();
         let snapshots = gateway.replica.snapshots().collect();
         let reports: Vec<CrashReport> = gateway.crashes.reports().map(|(report, _)| report).collect();
-        self.net.extend([(from, to, News::Rows(rows, snapshots)), (from, to, News::Crashes(reports))]);
+        let answered = gateway.crashes.answered().map(|(life, all)| (life.clone(), all.iter().copied().collect()));
+        let answered = News::Cleared(answered.collect());
+        let all = [News::Rows(rows, snapshots), News::Crashes(reports), answered];
+        self.net.extend(all.map(|news| (from, to, news)));
         if let Some(order) = &gateway.order {
             let (old, new) = gateway.counts;
             self.net.push((from, to, News::Counts { order: order.version, old, new }));
@@ -243,6 +246,7 @@
                 }
             }
             News::Answered(answered) => drop(gateway.clear(&answered)),
+            News::Cleared(answered) => gateway.clear_ends(&answered),
             News::Counts { order, old, new } if gateway.order.as_ref().is_some_and(|own| own.version == order) => {
                 gateway.count(&sender, &old, &new);
             }
--- a/crates/bluebell-core/tests/poison.rs
+++ b/crates/bluebell-core/tests/poison.rs
@@ -287,3 +287,27 @@
         assert!(text.parse::<Fingerprint>().is_err(), "{text:?}");
     }
 }
+
+#[test]
+fn answer_that_a_peer_missed_is_told_by_the_ends_it_clears() {
+    let ends: [&[&str]; 4] = [&["innocent", "a"], &["innocent", "b"], &["innocent", "c"], &["innocent", "d"]];
+    let (mut own, mut peer) = (crashes(&ends), crashes(&ends));
+    own.clear(&[request("innocent")]);
+    peer.take(SECOND, Duration::ZERO, &report(9, "g-2", &["innocent", "e"]));
+    assert!(is_held(&peer, "innocent"));
+    for (life, answered) in own.answered() {
+        assert!(peer.clear_at(life, &answered.iter().copied().collect::<Vec<_>>()));
+    }
+    assert!(!is_held(&peer, "innocent"));
+    assert_eq!(peer.judge().get(&request("innocent")).map(|one| one.crashes), Some(1), "a later end still counts");
+}
+
+#[test]
+fn what_a_stored_report_does_not_hold_any_more_was_answered() {
+    let mut known = crashes(&[&["innocent", "poison"][..]; 4]);
+    for number in 0..4 {
+        assert!(known.settle(&report(number, "g-1", &["poison"])));
+        assert!(!known.settle(&report(number, "g-1", &["poison"])), "no news");
+    }
+    assert!(is_held(&known, "poison") && !is_held(&known, "innocent"));
+}
--- a/crates/bluebell-wire/src/messages.rs
+++ b/crates/bluebell-wire/src/messages.rs
@@ -14,6 +14,7 @@
     replica::{Origin, Row},
     settings::Snapshot,
     units::{Cost, Price, Tokens},
+    upstreams::Life,
 };
 use serde::{Deserialize, Serialize};
 
@@ -241,6 +242,8 @@
     Crashes(Vec<CrashNews>),
     /// Requests under which upstreams had ended, and that were answered since.
     Answered(Vec<Fingerprint>),
+    /// The same by the upstreams that had ended, for a peer that may have missed it.
+    Cleared(Vec<(Life, Vec<Fingerprint>)>),
 }
 
 /// A report of an ended upstream.
--- a/crates/bluebelld/src/entry/held.rs
+++ b/crates/bluebelld/src/entry/held.rs
@@ -130,6 +130,7 @@
             return;
         }
         let Some(stored) = state.rows.learn(row) else { return };
+        state.crashes.settle(&stored.report);
         let age = state.clock.map_or(Duration::ZERO, |(clock, _)| clock.saturating_sub(stored.needed));
         if state.crashes.take(now, age, &stored.report) {
             let fingerprints: Vec<String> = stored.report.suspects.iter().map(ToString::to_string).collect();
--- a/crates/bluebelld/src/gateway/control/ends.rs
+++ b/crates/bluebelld/src/gateway/control/ends.rs
@@ -74,6 +74,16 @@
         }
     }
 
+    /// Requests were answered after the ends of some upstreams.
+    pub(super) fn clear_ends(&mut self, answered: Vec<(Life, Vec<Fingerprint>)>, from: Option<&InstanceId>) {
+        let news: Vec<(Life, Vec<Fingerprint>)> =
+            answered.into_iter().filter(|(life, requests)| self.crashes.clear_at(life, requests)).collect();
+        if !news.is_empty() {
+            self.judge();
+            self.members.broadcast(&News::Cleared(news), from);
+        }
+    }
+
     /// An upstream's entry came.
     pub(super) fn retract(&mut self, life: &Life) {
         if self.crashes.retract(life) {
@@ -93,6 +103,11 @@
         for some in all.chunks(BATCH) {
             self.members.send(peer, &News::Crashes(some.to_vec()));
         }
+        let answered = self.crashes.answered().map(|(life, all)| (life.clone(), all.iter().copied().collect()));
+        let answered: Vec<(Life, Vec<Fingerprint>)> = answered.collect();
+        for some in answered.chunks(BATCH) {
+            self.members.send(peer, &News::Cleared(some.to_vec()));
+        }
     }
 
     // A release that a completed roll-out replaced is stopped with what it still runs.
@@ -125,9 +140,15 @@
     /// A row of a report is news.
     pub(super) fn learn_report(&mut self, row: &Row, source: &str) {
         if row.value.is_none() {
-            self.reports.unlearn(row);
+            // Whoever deleted it saw its requests answered, or it was too old.
+            let gone = self.reports.unlearn(row).map(|gone| gone.report);
+            self.clear_ends(gone.into_iter().map(|gone| (gone.life, gone.suspects)).collect(), None);
+            return;
         }
         let Some(found) = self.reports.learn(row) else { return };
+        if self.crashes.settle(&found.report) {
+            self.judge();
+        }
         let now = self.gateway.now();
         let age = self.store_clock(now).map_or(Duration::ZERO, |clock| clock.saturating_sub(found.needed));
         // Peers get the row itself.
--- a/crates/bluebelld/src/gateway/control/event.rs
+++ b/crates/bluebelld/src/gateway/control/event.rs
@@ -6,6 +6,7 @@
     ids::InstanceId,
     poison::Fingerprint,
     replica::{Origin, Row},
+    upstreams::Life,
 };
 use bluebell_wire::messages::{CrashNews, EntryAddress, EntryStanding};
 use tokio::sync::mpsc;
@@ -50,6 +51,8 @@
     Crashes(InstanceId, Vec<CrashNews>),
     /// Requests that a peer saw answered.
     Answered(InstanceId, Vec<Fingerprint>),
+    /// Requests that were answered after the ends of these upstreams, by a peer.
+    Cleared(InstanceId, Vec<(Life, Vec<Fingerprint>)>),
     /// A connection to a peer opened or broke.
     Link(InstanceId, bool),
     /// This process is leaving.
--- a/crates/bluebelld/src/gateway/control/links.rs
+++ b/crates/bluebelld/src/gateway/control/links.rs
@@ -58,6 +58,7 @@
             News::Standing(standing) => Event::Standing(peer.clone(), standing),
             News::Crashes(reports) => Event::Crashes(peer.clone(), reports),
             News::Answered(requests) => Event::Answered(peer.clone(), requests),
+            News::Cleared(answered) => Event::Cleared(peer.clone(), answered),
         };
         // The control thread is gone only when the process ends.
         let _ = events.send(event);
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -133,6 +133,7 @@
             Event::Standing(peer, standing) => self.take_standing(peer, *standing),
             Event::Crashes(peer, reports) => self.take_crashes(reports, Some(&peer)),
             Event::Answered(peer, requests) => self.clear(&requests, Some(&peer)),
+            Event::Cleared(peer, answered) => self.clear_ends(answered, Some(&peer)),
             Event::Link(peer, open) => self.take_link(&peer, open),
             Event::Leave => self.members.leave(),
         }
