The soak excuses nothing for upstreams that are merely slow, and sessions only where no old upstream was sound

Change: such answers leave no mark; a session is excused by faults of its own gateways or of the store, or where no engine of the old release was sound.

--- a/crates/bluebell-soak/src/checks/runs.rs
+++ b/crates/bluebell-soak/src/checks/runs.rs
@@ -129,9 +129,11 @@
         let from = since.checked_sub(CONTACT).unwrap_or(since);
         let is_calm = !view.overlaps(from, run.began, |mark| match mark.reach {
             Reach::Gateway(one) | Reach::Contact(one) => one == seen.gateway || one == former,
-            Reach::Upstream(at) => at.service() == "chat",
             Reach::AllGateways | Reach::Store => true,
+            Reach::Upstream(_) => false,
         });
+        let is_up = |at: usize| !view.overlaps(from, run.began, |mark| mark.reach == Reach::Upstream(Server::Chat(at)));
+        let is_calm = is_calm && (0..view.evidence.plan.chat).any(is_up);
         if is_new && run.began < half && is_calm {
             moved.push((run.began, seen));
         }
--- a/crates/bluebell-soak/src/troubles.rs
+++ b/crates/bluebell-soak/src/troubles.rs
@@ -8,7 +8,7 @@
 use bluebell_standins::{
     process::Process,
     proxy::Harms,
-    site::{Door, server_entry},
+    site::{Door, Fault, server_entry},
 };
 use futures_util::future::join_all;
 use serde_json::json;
@@ -214,7 +214,9 @@
                 self.set_answers(*at, Some(fault.clone()));
                 sleep(length).await;
                 self.set_answers(*at, None);
-                self.mark(from, Reach::Upstream(*at), false);
+                if !is_sound(fault) {
+                    self.mark(from, Reach::Upstream(*at), false);
+                }
             }
             Kind::End(at) => self.end(*at).await,
             Kind::Drain(at) => self.drain(*at).await,
@@ -247,7 +249,7 @@
         });
     }
 
-    fn set_answers(&self, at: Server, fault: Option<bluebell_standins::site::Fault>) {
+    fn set_answers(&self, at: Server, fault: Option<Fault>) {
         self.fleet.upstream(at).into_iter().for_each(|one| one.server.set_always(fault.clone()));
     }
 
@@ -371,7 +373,7 @@
     async fn order(&self, bad: bool) {
         let fresh = &self.fleet.fresh;
         if bad {
-            fresh.server.set_always(Some(bluebell_standins::site::Fault::Fails(500)));
+            fresh.server.set_always(Some(Fault::Fails(500)));
         }
         fresh.server.list(&self.fleet.store, &fresh.entry(NEW_RELEASE));
         let order = json!({ "service": "chat", "to": NEW_RELEASE, "durationS": ROLLOUT_TIME.as_secs() });
@@ -380,3 +382,8 @@
         sleep(ROLLOUT_TIME).await;
     }
 }
+
+// Whether an upstream is slow, refuses or doubts its answers, which excuses nothing.
+fn is_sound(fault: &Fault) -> bool {
+    matches!(fault, Fault::NotRun | Fault::Slow(_) | Fault::Paced(_) | Fault::Confidence(_))
+}
