The oracle of the gateways' fuzzer stands apart from its world

Change: the checks and the agreement at the end move to oracle.rs, unchanged; world.rs has 430 lines. No check or bound differs.

--- a/crates/bluebell-core/tests/gateways/main.rs
+++ b/crates/bluebell-core/tests/gateways/main.rs
@@ -8,6 +8,7 @@
 #[path = "../support/fuzz_config.rs"]
 mod config;
 mod gateway;
+mod oracle;
 mod store;
 mod world;
 
--- a/crates/bluebell-core/tests/gateways/world.rs
+++ b/crates/bluebell-core/tests/gateways/world.rs
@@ -3,31 +3,26 @@
 use std::time::Duration;
 
 use bluebell_core::{
-    canary::{Schedule, Split, Stage, StageRow, next_stage},
+    canary::{Schedule, Stage, StageRow, next_stage},
     poison::{CrashReport, Fingerprint, Landing, Loss},
     replica::{Origin, Row},
     retry::RetryLimit,
-    upstreams::{LAPSE_GRACE, Life},
+    upstreams::Life,
 };
-use indexmap::IndexSet;
 
 use crate::{
     gateway::{CONFIG, Gateway, News, ORDER, ORIGINS, STAGE, entry},
     store::Store,
 };
 
-const GATEWAYS: usize = 3;
-const UPSTREAMS: usize = 5;
+pub const GATEWAYS: usize = 3;
+pub const UPSTREAMS: usize = 5;
 /// Upstreams that run the release that orders bring in.
-const FRESH: std::ops::Range<usize> = 4..5;
+pub const FRESH: std::ops::Range<usize> = 4..5;
 const BODIES: u8 = 12;
 /// Bodies of requests that end upstreams.
-const POISON: u8 = 1;
-/// Ends under a request after which it is never sent, whatever ran beside it.
-const CERTAIN: usize = 4;
-const LIMIT: RetryLimit = RetryLimit { ratio: 0.5, slack: 16.0, window: Duration::from_secs(10) };
-/// Starts of gateways within a window that the allowance bears.
-const STARTS: usize = 3;
+pub const POISON: u8 = 1;
+pub const LIMIT: RetryLimit = RetryLimit { ratio: 0.5, slack: 16.0, window: Duration::from_secs(10) };
 const EXPOSURE: f64 = 0.3;
 const STEP: Duration = Duration::from_millis(40);
 
@@ -55,14 +50,14 @@
     Advance { steps: u8 },
 }
 
-struct Server {
-    born: u64,
-    up: bool,
-    leaving: bool,
+pub struct Server {
+    pub born: u64,
+    pub up: bool,
+    pub leaving: bool,
 }
 
 #[derive(Clone)]
-struct Run {
+pub struct Run {
     gateway: usize,
     at: usize,
     life: Life,
@@ -72,21 +67,21 @@
 }
 
 pub struct World {
-    now: Duration,
-    store: Store,
-    gateways: Vec<Gateway>,
-    servers: Vec<Server>,
-    runs: Vec<Run>,
-    net: Vec<(usize, usize, News)>,
-    bad: bool,
-    requests: Vec<Duration>,
-    retries: Vec<Duration>,
-    starts: Vec<Duration>,
-    declared: u64,
-    keys: u64,
+    pub now: Duration,
+    pub store: Store,
+    pub gateways: Vec<Gateway>,
+    pub servers: Vec<Server>,
+    pub runs: Vec<Run>,
+    pub net: Vec<(usize, usize, News)>,
+    pub bad: bool,
+    pub requests: Vec<Duration>,
+    pub retries: Vec<Duration>,
+    pub starts: Vec<Duration>,
+    pub declared: u64,
+    pub keys: u64,
 }
 
-fn fingerprint(body: u8) -> Fingerprint {
+pub fn fingerprint(body: u8) -> Fingerprint {
     Fingerprint::of("/talk", None, &[body])
 }
 
@@ -94,7 +89,7 @@
     if FRESH.contains(&at) { "v2" } else { "v1" }
 }
 
-fn name(at: usize) -> String {
+pub fn name(at: usize) -> String {
     format!("chat-{at}")
 }
 
@@ -182,7 +177,7 @@
         self.declared = self.store.put(Origin::Operator, CONFIG, Some(self.keys.to_string()));
     }
 
-    fn read(&mut self, at: usize) {
+    pub fn read(&mut self, at: usize) {
         if self.gateways[at].frozen || self.gateways[at].away {
             return;
         }
@@ -200,15 +195,7 @@
         self.check_read(at);
     }
 
-    // Whoever has just read the store knows what stands there.
-    fn check_read(&self, at: usize) {
-        for row in self.store.rows() {
-            let known = self.gateways[at].replica.get(row.origin, &row.key).map(|(value, _)| value);
-            assert_eq!(known, row.value.as_deref(), "{} at {}", row.key, self.gateways[at].id);
-        }
-    }
-
-    fn tell(&mut self, from: usize, to: usize) {
+    pub fn tell(&mut self, from: usize, to: usize) {
         let gateway = &self.gateways[from];
         if gateway.frozen || from == to {
             return;
@@ -230,7 +217,7 @@
         self.net.extend((0..GATEWAYS).filter(|to| *to != from).map(|to| (from, to, news.clone())));
     }
 
-    fn deliver(&mut self, from: usize, to: usize, news: News) {
+    pub fn deliver(&mut self, from: usize, to: usize, news: News) {
         let sender = self.gateways[from].id.clone();
         let gateway = &mut self.gateways[to];
         if gateway.frozen {
@@ -294,21 +281,6 @@
         }
     }
 
-    fn check_send(&self, at: usize, body: u8, to: usize, split: &Split) {
-        let gateway = &self.gateways[at];
-        let row = gateway.heard.get(&(Origin::Upstreams, name(to))).expect("its row was heard");
-        let leaves = row.value.as_ref().is_some_and(|value| value.ends_with(b"true"));
-        assert!(!leaves, "{} sends to {} that said it leaves", gateway.id, name(to));
-        let ends = gateway.ends.iter().filter(|(_, under)| under.contains(&fingerprint(body))).count();
-        let is_poison = body < POISON;
-        assert!(!is_poison || ends < CERTAIN, "{} sends a request under which {ends} upstreams ended", gateway.id);
-        if FRESH.contains(&to) {
-            let is_over = gateway.stage().is_some_and(|row| row.stage == Stage::Reverted);
-            assert!(!is_over && !gateway.verdict.rejected, "{} sends to a rejected release", gateway.id);
-            assert!(matches!(split, Split::Share { .. } | Split::Only(_)), "{} sends without a stage", gateway.id);
-        }
-    }
-
     fn finish(&mut self, at: u8) {
         if self.runs.is_empty() {
             return;
@@ -347,20 +319,6 @@
         self.send(run.gateway, run.body, run.before + 1, &[run.at]);
     }
 
-    fn check_budget(&self) {
-        let begin = self.now.saturating_sub(LIMIT.window);
-        let recent = |all: &[Duration], from: Duration| all.iter().filter(|at| **at >= from).count();
-        if recent(&self.starts, begin) > STARTS {
-            return;
-        }
-        let before = begin.saturating_sub(LIMIT.window);
-        let requests =
-            recent(&self.requests, begin).max(recent(&self.requests, before) - recent(&self.requests, begin));
-        let allowed = LIMIT.ratio * requests as f64 + LIMIT.slack;
-        let retries = recent(&self.retries, begin);
-        assert!(retries as f64 <= allowed, "{retries} retries, {allowed} allowed");
-    }
-
     fn end(&mut self, at: usize) {
         if !self.servers[at].up {
             return;
@@ -417,7 +375,7 @@
         }
     }
 
-    fn look(&mut self, at: usize) {
+    pub fn look(&mut self, at: usize) {
         if self.gateways[at].frozen {
             return;
         }
@@ -468,48 +426,4 @@
         let row = self.store.rows().find(|row| row.key == STAGE)?;
         serde_json::from_slice(row.value.as_ref()?).ok()
     }
-
-    /// Faults end, and all is told: then all gateways hold the same for true.
-    pub fn settle(&mut self) {
-        for gateway in &mut self.gateways {
-            (gateway.frozen, gateway.away) = (false, false);
-        }
-        for _ in 0..3 {
-            // Entries that lapsed together have their grace.
-            self.now += LAPSE_GRACE;
-            for at in 0..GATEWAYS {
-                self.read(at);
-                self.look(at);
-                (0..GATEWAYS).for_each(|to| self.tell(at, to));
-            }
-            for (from, to, news) in std::mem::take(&mut self.net) {
-                self.deliver(from, to, news);
-            }
-        }
-        let first = &self.gateways[0];
-        let open = |one: &Gateway| {
-            let open = one.upstreams.open(self.now);
-            open.values().flatten().map(bluebell_core::upstreams::Upstream::life).collect::<IndexSet<_>>()
-        };
-        let listed: IndexSet<Life> = (0..UPSTREAMS).filter_map(|at| self.listed_life(at)).collect();
-        for gateway in &self.gateways {
-            assert_eq!(gateway.replica.get(Origin::Operator, CONFIG).map(|(_, version)| version), Some(self.declared));
-            assert!(
-                open(gateway).iter().all(|life| listed.contains(life)),
-                "{} uses an upstream that left",
-                gateway.id
-            );
-            assert!(listed.iter().all(|life| open(gateway).contains(life)), "{} doesn't use all upstreams", gateway.id);
-            let poison = |one: &Gateway| one.suspects.poison().map(|(print, _)| *print).collect::<IndexSet<_>>();
-            assert!(poison(gateway) == poison(first), "{} holds other requests back than {}", gateway.id, first.id);
-        }
-    }
-
-    fn listed_life(&self, at: usize) -> Option<Life> {
-        let server = &self.servers[at];
-        let stands = self.store.standing(Origin::Upstreams, &name(at)) > 0 && !server.leaving;
-        let row = self.store.rows().find(|row| row.key == name(at))?;
-        let born = String::from_utf8(row.value.clone()?).ok()?.split(' ').nth(1)?.parse().ok()?;
-        stands.then(|| Life { upstream: name(at).parse().expect("an id"), born })
-    }
 }
