--- a/crates/bluebell-core/tests/gateways/gateway.rs
+++ b/crates/bluebell-core/tests/gateways/gateway.rs
@@ -12,6 +12,8 @@
 };
 use indexmap::{IndexMap, IndexSet};
 
+use crate::world::fingerprint;
+
 pub const CONFIG: &str = "config";
 pub const ORDER: &str = "rollout/chat";
 pub const STAGE: &str = "stage/chat";
@@ -181,6 +183,12 @@
         Split::of(order, self.stage().map(|row| row.stage), self.verdict.rejected, schedule)
     }
 
+    /// Ends heard of at which a request was under way.
+    pub fn ends_under(&self, body: u8) -> u32 {
+        let print = fingerprint(body);
+        self.ends.values().filter(|under| under.contains(&print)).count() as u32
+    }
+
     /// Takes a report of an ended upstream; tells whether it is news.
     pub fn report(&mut self, now: Duration, report: &CrashReport) -> bool {
         self.ends.entry(report.life.clone()).or_default().extend(&report.suspects);
--- a/crates/bluebell-core/tests/gateways/oracle.rs
+++ b/crates/bluebell-core/tests/gateways/oracle.rs
@@ -33,7 +33,7 @@
         let row = gateway.heard.get(&(Origin::Upstreams, name(to))).expect("its row was heard");
         let leaves = row.value.as_ref().is_some_and(|value| value.ends_with(b"true"));
         assert!(!leaves, "{} sends to {} that said it leaves", gateway.id, name(to));
-        let ends = gateway.ends.iter().filter(|(_, under)| under.contains(&fingerprint(body))).count();
+        let ends = gateway.ends_under(body) as usize;
         let is_poison = body < POISON;
         assert!(!is_poison || ends < CERTAIN, "{} sends a request under which {ends} upstreams ended", gateway.id);
         if FRESH.contains(&to) {
@@ -88,6 +88,8 @@
                 gateway.id
             );
             assert!(listed.iter().all(|life| open(gateway).contains(life)), "{} doesn't use all upstreams", gateway.id);
+            let held = self.cleared.keys().find(|body| gateway.suspects.is_poison(&fingerprint(**body)));
+            assert_eq!(held, None, "{} holds back a request that was answered", gateway.id);
             let poison = |one: &Gateway| one.suspects.poison().map(|(print, _)| *print).collect::<IndexSet<_>>();
             assert!(poison(gateway) == poison(first), "{} holds other requests back than {}", gateway.id, first.id);
         }
--- a/crates/bluebell-core/tests/gateways/world.rs
+++ b/crates/bluebell-core/tests/gateways/world.rs
@@ -10,6 +10,8 @@
     upstreams::Life,
 };
 
+use indexmap::{IndexMap, IndexSet};
+
 use crate::{
     gateway::{CONFIG, Gateway, News, ORDER, ORIGINS, STAGE, entry},
     store::Store,
@@ -23,8 +25,9 @@
 /// Bodies of requests that end upstreams.
 pub const POISON: u8 = 1;
 pub const LIMIT: RetryLimit = RetryLimit { ratio: 0.5, slack: 16.0, window: Duration::from_secs(10) };
-const EXPOSURE: f64 = 0.3;
+const EXPOSURE: f64 = 0.9;
 const STEP: Duration = Duration::from_millis(40);
+const MAX_STEPS: u8 = 40;
 
 #[derive(Debug, Clone)]
 pub enum Op {
@@ -79,6 +82,10 @@
     pub starts: Vec<Duration>,
     pub declared: u64,
     pub keys: u64,
+    /// Ends of upstreams at which a request was under way.
+    pub ends: IndexMap<u8, u32>,
+    /// Requests answered at a gateway that knew of all these ends.
+    pub cleared: IndexMap<u8, usize>,
 }
 
 pub fn fingerprint(body: u8) -> Fingerprint {
@@ -111,6 +118,8 @@
             starts: Vec::new(),
             declared: 0,
             keys: 0,
+            ends: IndexMap::new(),
+            cleared: IndexMap::new(),
         };
         for at in 0..FRESH.start {
             world.list(at);
@@ -158,11 +167,12 @@
                 self.gateways[gateway(at)] = Gateway::new(gateway(at), self.now);
                 self.starts.push(self.now);
                 self.runs.retain(|run| run.gateway != gateway(at));
+                self.cleared.retain(|_, by| *by != gateway(at));
             }
             Op::Freeze { gateway: at } => self.gateways[gateway(at)].frozen ^= true,
             Op::TurnAway { gateway: at } => self.gateways[gateway(at)].away ^= true,
             Op::Compact => self.store.compact(),
-            Op::Advance { steps } => self.now += STEP * u32::from(steps),
+            Op::Advance { steps } => self.now += STEP * u32::from(steps % MAX_STEPS),
         }
     }
 
@@ -296,6 +306,9 @@
         gateway.flights.land(self.now, &run.life, fingerprint(run.body), landing);
         if !fails && gateway.suspects.get(&fingerprint(run.body)).is_some() {
             gateway.flights.clear(fingerprint(run.body));
+            if gateway.ends_under(run.body) == self.ends.get(&run.body).copied().unwrap_or_default() {
+                self.cleared.insert(run.body, run.gateway);
+            }
         }
         let tally = if FRESH.contains(&run.at) { &mut gateway.counts.1 } else { &mut gateway.counts.0 };
         tally.answers += 1;
@@ -327,6 +340,11 @@
         let (lost, kept): (Vec<Run>, Vec<Run>) =
             std::mem::take(&mut self.runs).into_iter().partition(|run| run.at == at);
         self.runs = kept;
+        let bodies: IndexSet<u8> = lost.iter().map(|run| run.body).collect();
+        for body in bodies {
+            *self.ends.entry(body).or_default() += 1;
+            self.cleared.shift_remove(&body);
+        }
         for run in lost {
             let gateway = &mut self.gateways[run.gateway];
             gateway.flights.land(self.now, &run.life, fingerprint(run.body), Landing::Unanswered);
--- a/crates/bluebell-soak/src/fleet.rs
+++ b/crates/bluebell-soak/src/fleet.rs
@@ -11,7 +11,7 @@
 use bluebell_standins::{
     process::Process,
     proxy::Proxy,
-    site::{Door, Poison, SiteStore, SiteUpstream, UpstreamKind, declarations, server_entry},
+    site::{Door, Fault, Poison, SiteStore, SiteUpstream, UpstreamKind, declarations, server_entry},
 };
 use serde_json::{Value, json};
 use tokio::sync::watch;
@@ -92,9 +92,15 @@
     pub at: Server,
     /// Where gateways reach it; none where they connect to it.
     pub link: Option<Proxy>,
+    sound: Fault,
 }
 
 impl Upstream {
+    /// Has it answer as it should.
+    pub fn mend(&self) {
+        self.server.set_always(Some(self.sound.clone()));
+    }
+
     /// Its entry in the store.
     #[must_use]
     pub fn entry(&self, release: &str) -> Value {
@@ -261,5 +267,11 @@
     } else {
         Some(Proxy::start(&any, &server.address.to_string()).await.map_err(io::Error::other)?)
     };
-    Ok(Upstream { server, at, link })
+    let sound = match at {
+        Server::Chat(_) => Fault::Paced(plan.pace),
+        Server::Ledger(_) => Fault::Slow(plan.work),
+    };
+    let upstream = Upstream { server, at, link, sound };
+    upstream.mend();
+    Ok(upstream)
 }
--- a/crates/bluebell-soak/src/plan.rs
+++ b/crates/bluebell-soak/src/plan.rs
@@ -123,6 +123,10 @@
     pub chat: usize,
     /// Runners of the ledger.
     pub ledger: usize,
+    /// Time between two events of an engine.
+    pub pace: Duration,
+    /// Time that a runner of the ledger takes.
+    pub work: Duration,
     /// Callers that send one request after the other.
     pub callers: usize,
     /// Whether some callers send requests that end each upstream which runs them.
@@ -149,6 +153,8 @@
             gateways,
             chat: random.random_range(2..=MAX_UPSTREAMS),
             ledger: random.random_range(2..=MAX_UPSTREAMS),
+            pace: Duration::from_millis(random.random_range(10..100)),
+            work: Duration::from_millis(random.random_range(0..150)),
             callers: random.random_range(6..=16),
             poison: random.random_bool(0.4),
             poison_events: random.random_range(0..4),
--- a/crates/bluebell-soak/src/troubles.rs
+++ b/crates/bluebell-soak/src/troubles.rs
@@ -164,7 +164,7 @@
         for one in self.fleet.all_upstreams() {
             one.link.iter().for_each(|link| link.set(Harms::default()));
             if one.at != self.fleet.fresh.at {
-                one.server.set_always(None);
+                one.mend();
             }
         }
     }
@@ -211,9 +211,10 @@
                 }
             }
             Kind::Answers(at, fault) => {
-                self.set_answers(*at, Some(fault.clone()));
+                let Some(one) = self.fleet.upstream(*at) else { return };
+                one.server.set_always(Some(fault.clone()));
                 sleep(length).await;
-                self.set_answers(*at, None);
+                one.mend();
                 if !is_sound(fault) {
                     self.mark(from, Reach::Upstream(*at), false);
                 }
@@ -249,10 +250,6 @@
         });
     }
 
-    fn set_answers(&self, at: Server, fault: Option<Fault>) {
-        self.fleet.upstream(at).into_iter().for_each(|one| one.server.set_always(fault.clone()));
-    }
-
     async fn kill(&self, at: usize, down: Duration) {
         let from = Instant::now();
         let gateway = &self.fleet.gateways[at];
