--- a/crates/bluebell-core/tests/gateways/main.rs
+++ b/crates/bluebell-core/tests/gateways/main.rs
@@ -35,7 +35,7 @@
     fn transitions(_: &()) -> proptest::strategy::BoxedStrategy<Op> {
         let byte = any::<u8>;
         prop_oneof![
-            10 => byte().prop_map(|gateway| Op::Read { gateway }),
+            16 => byte().prop_map(|gateway| Op::Read { gateway }),
             6 => (byte(), byte()).prop_map(|(from, to)| Op::Tell { from, to }),
             30 => byte().prop_map(|at| Op::Deliver { at }),
             3 => byte().prop_map(|at| Op::Duplicate { at }),
@@ -48,8 +48,8 @@
             2 => byte().prop_map(|upstream| Op::Drain { upstream }),
             2 => byte().prop_map(|upstream| Op::Lapse { upstream }),
             2 => Just(Op::Declare),
-            3 => any::<bool>().prop_map(|bad| Op::Order { bad }),
-            6 => byte().prop_map(|gateway| Op::Drive { gateway }),
+            1 => any::<bool>().prop_map(|bad| Op::Order { bad }),
+            12 => byte().prop_map(|gateway| Op::Drive { gateway }),
             1 => byte().prop_map(|gateway| Op::Restart { gateway }),
             2 => byte().prop_map(|gateway| Op::Freeze { gateway }),
             3 => byte().prop_map(|gateway| Op::TurnAway { gateway }),
