--- a/crates/bluebell-soak/src/callers.rs
+++ b/crates/bluebell-soak/src/callers.rs
@@ -9,7 +9,10 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::{sync::watch, time::timeout};
 
-use crate::fleet::{Fleet, POISON};
+use crate::{
+    fleet::{Fleet, POISON},
+    plan::Service,
+};
 
 /// Time that callers wait for an answer.
 pub const DEADLINE: Duration = Duration::from_secs(6);
@@ -65,8 +68,8 @@
 
     /// The service that runs it.
     #[must_use]
-    pub fn service(self) -> &'static str {
-        if self.is_stream() { "chat" } else { "ledger" }
+    pub fn service(self) -> Service {
+        if self.is_stream() { Service::Chat } else { Service::Ledger }
     }
 }
 
--- a/crates/bluebell-soak/src/checks/beliefs.rs
+++ b/crates/bluebell-soak/src/checks/beliefs.rs
@@ -5,8 +5,8 @@
 use super::{CONTACT, Rule, View};
 use crate::{
     callers::Seen,
-    fleet::{EXPOSURE, RETRY_SLACK},
-    plan::{ROLLOUT_TIME, Server},
+    fleet::{EXPOSURE, EXPOSURE_SLACK},
+    plan::{ROLLOUT_TIME, Server, Service},
     troubles::KeyChange,
 };
 
@@ -80,9 +80,9 @@
         |view: &View<'_>, id: &str, at: Instant| view.by_id.get(id).is_some_and(|seen| view.in_touch(seen.gateway, at));
     let exposed = runs.iter().filter(|run| run.began < deadline);
     let exposed = exposed.filter(|run| is_touched(view, run.request.header("request-id"), run.began)).count();
-    let chat = view.evidence.seen.iter().filter(|one| one.route.service() == "chat");
+    let chat = view.evidence.seen.iter().filter(|one| one.route.service() == Service::Chat);
     let all = chat.filter(|one| one.sent >= order.taken && one.sent < deadline).count();
-    let allowed = EXPOSURE * all as f64 + RETRY_SLACK;
+    let allowed = EXPOSURE * all as f64 + EXPOSURE_SLACK;
     if exposed as f64 > allowed {
         let text = format!("a bad release got {exposed} of {all} requests, {allowed:.0} allowed");
         view.find(Rule::Exposure, deadline, "-", text);
--- a/crates/bluebell-soak/src/checks/runs.rs
+++ b/crates/bluebell-soak/src/checks/runs.rs
@@ -9,7 +9,7 @@
 use crate::{
     callers::{DEADLINE, End, Seen},
     fleet::{POISON, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW},
-    plan::{ROLLOUT_TIME, Server},
+    plan::{ROLLOUT_TIME, Server, Service},
     troubles::{DRAIN_TIME, Reach},
 };
 
@@ -57,7 +57,7 @@
     check_sessions(view);
     check_drains(view);
     check_poison(view);
-    for service in ["chat", "ledger"] {
+    for service in [Service::Chat, Service::Ledger] {
         check_budget(view, service);
     }
 }
@@ -74,7 +74,7 @@
         find(Rule::Unchanged, format!("organisation {:?}, or a key passed on", request.header("tenant")));
     }
     if at.service() != seen.route.service() {
-        find(Rule::AllowedVersion, format!("run by {}", at.service()));
+        find(Rule::AllowedVersion, format!("run by {}", at.service().name()));
     }
 }
 
@@ -203,7 +203,7 @@
     }
 }
 
-fn check_budget(view: &mut View<'_>, service: &str) {
+fn check_budget(view: &mut View<'_>, service: Service) {
     let mut requests: Vec<Instant> =
         view.evidence.seen.iter().filter(|seen| seen.route.service() == service).map(|seen| seen.sent).collect();
     requests.sort();
@@ -224,7 +224,7 @@
         let base = windows.into_iter().max().unwrap_or_default();
         let allowed = RETRY_RATIO * base as f64 + RETRY_SLACK;
         if repeats as f64 > allowed {
-            let text = format!("{repeats} repeats at {service} in {RETRY_WINDOW:?}, {allowed:.0} allowed");
+            let text = format!("{repeats} repeats at {} in {RETRY_WINDOW:?}, {allowed:.0} allowed", service.name());
             view.find(Rule::RetryBudget, *end, id, text);
             return;
         }
--- a/crates/bluebell-soak/src/fleet.rs
+++ b/crates/bluebell-soak/src/fleet.rs
@@ -23,13 +23,15 @@
 /// What the body of a request contains that ends upstreams.
 pub const POISON: &str = "deadly";
 /// Retries allowed for each request.
-pub const RETRY_RATIO: f64 = 0.5;
+pub const RETRY_RATIO: f64 = 0.1;
 /// Retries allowed beyond those.
-pub const RETRY_SLACK: f64 = 30.0;
+pub const RETRY_SLACK: f64 = 12.0;
 /// Time over which retries are counted.
 pub const RETRY_WINDOW: Duration = Duration::from_secs(10);
 /// Share of a service's requests that a new release may get.
 pub const EXPOSURE: f64 = 0.3;
+/// Requests beyond that share that it may get.
+pub const EXPOSURE_SLACK: f64 = 30.0;
 /// Time that an upstream which ended is away.
 pub const DOWN: Duration = Duration::from_millis(1500);
 /// Release that a roll-out brings in.
@@ -106,7 +108,7 @@
     pub fn entry(&self, release: &str) -> Value {
         let address = self.link.as_ref().map_or(self.server.address, Proxy::address);
         let (Server::Chat(number) | Server::Ledger(number)) = self.at;
-        server_entry(address, self.at.service(), &format!("z{}", number % ZONES + 1), release, "ready")
+        server_entry(address, self.at.service().name(), &format!("z{}", number % ZONES + 1), release, "ready")
     }
 }
 
--- a/crates/bluebell-soak/src/plan.rs
+++ b/crates/bluebell-soak/src/plan.rs
@@ -52,13 +52,33 @@
     Ledger(usize),
 }
 
+/// A service of the fleet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Service {
+    /// Engines.
+    Chat,
+    /// Plain calls.
+    Ledger,
+}
+
+impl Service {
+    /// Its name in the declarations.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Chat => "chat",
+            Self::Ledger => "ledger",
+        }
+    }
+}
+
 impl Server {
     /// The service that it runs.
     #[must_use]
-    pub fn service(self) -> &'static str {
+    pub fn service(self) -> Service {
         match self {
-            Self::Chat(_) => "chat",
-            Self::Ledger(_) => "ledger",
+            Self::Chat(_) => Service::Chat,
+            Self::Ledger(_) => Service::Ledger,
         }
     }
 }
@@ -88,6 +108,8 @@
     ConfigStorm(u32),
     /// An upstream answers falsely.
     Answers(Server, Fault),
+    /// All upstreams of a service answer falsely.
+    AllAnswer(Service, Fault),
     /// An upstream ends with all that it runs, and starts again.
     End(Server),
     /// An upstream leaves as planned; another comes in its place.
@@ -181,7 +203,12 @@
         let gateway = random.random_range(0..self.gateways);
         let server = self.draw_server(random);
         match random.random_range(0..100) {
-            0..28 => Kind::Link(self.draw_link(random), draw_harms(random)),
+            0..24 => Kind::Link(self.draw_link(random), draw_harms(random)),
+            24..28 => {
+                let service = if random.random_bool(0.5) { Service::Chat } else { Service::Ledger };
+                let faults = [Fault::Fails(500), Fault::LoseAnswer, Fault::Cut(2)];
+                Kind::AllAnswer(service, faults.choose(random).cloned().unwrap_or(Fault::LoseAnswer))
+            }
             28..34 => Kind::Freeze(gateway),
             34..42 => Kind::Kill(gateway),
             42..43 => Kind::KillAll,
--- a/crates/bluebell-soak/src/troubles.rs
+++ b/crates/bluebell-soak/src/troubles.rs
@@ -16,8 +16,8 @@
 
 use crate::{
     callers::Keys,
-    fleet::{DOWN, Fleet, NEW_RELEASE},
-    plan::{Kind, Link, Plan, ROLLOUT_TIME, Server, Trouble},
+    fleet::{DOWN, Fleet, NEW_RELEASE, Upstream},
+    plan::{Kind, Link, Plan, ROLLOUT_TIME, Server, Service, Trouble},
 };
 
 /// Time between the order to stop and the end by force.
@@ -210,15 +210,8 @@
                     sleep(STORM_PAUSE).await;
                 }
             }
-            Kind::Answers(at, fault) => {
-                let Some(one) = self.fleet.upstream(*at) else { return };
-                one.server.set_always(Some(fault.clone()));
-                sleep(length).await;
-                one.mend();
-                if !is_sound(fault) {
-                    self.mark(from, Reach::Upstream(*at), false);
-                }
-            }
+            Kind::Answers(at, fault) => self.spoil(|one| one.at == *at, fault, length).await,
+            Kind::AllAnswer(service, fault) => self.spoil(|one| one.at.service() == *service, fault, length).await,
             Kind::End(at) => self.end(*at).await,
             Kind::Drain(at) => self.drain(*at).await,
             Kind::Reuse(at) => self.reuse(*at, length).await,
@@ -250,6 +243,17 @@
         });
     }
 
+    async fn spoil(&self, which: impl Fn(&Upstream) -> bool, fault: &Fault, length: Duration) {
+        let from = Instant::now();
+        let spoilt: Vec<&Upstream> = self.fleet.upstreams.iter().filter(|one| which(one)).collect();
+        spoilt.iter().for_each(|one| one.server.set_always(Some(fault.clone())));
+        sleep(length).await;
+        spoilt.iter().for_each(|one| one.mend());
+        if !is_sound(fault) {
+            spoilt.iter().for_each(|one| self.mark(from, Reach::Upstream(one.at), false));
+        }
+    }
+
     async fn kill(&self, at: usize, down: Duration) {
         let from = Instant::now();
         let gateway = &self.fleet.gateways[at];
@@ -353,12 +357,12 @@
     // The entry of an upstream of the other service names an address at which this one has started anew.
     async fn reuse(&self, at: Server, length: Duration) {
         let Some(one) = self.fleet.upstream(at) else { return };
-        let other = if at.service() == "chat" { "ledger" } else { "chat" };
+        let other = if at.service() == Service::Chat { Service::Ledger } else { Service::Chat };
         let address = one.link.as_ref().map_or(one.server.address, |link| link.address());
         let key = format!("x-{}", address.port());
         let begin = async {
             sleep(DOWN).await;
-            self.fleet.store.put("servers", &key, &server_entry(address, other, "z1", "v1", "ready"));
+            self.fleet.store.put("servers", &key, &server_entry(address, other.name(), "z1", "v1", "ready"));
             sleep(length).await;
             self.fleet.store.delete("servers", &key);
         };
