A copy of all rows is compared by a set of keys

Cause: each row known was looked up in a list of the copy's keys. Change: an index set in place of the list. Nothing else differs. Measured: taking a copy of 3,800 rows that are all known, release build, median of 20 on a machine doing little else: 22.1 ms before, 0.9 ms after (a scratch example). replica: 7 of 7 pass.

--- a/crates/bluebell-core/src/replica.rs
+++ b/crates/bluebell-core/src/replica.rs
@@ -2,7 +2,7 @@
 //! other entries. Each row only moves forward in version, whichever source is late; one that a snapshot lacks does not
 //! come back from a source that missed its deletion.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
 /// Who writes a row.
@@ -68,8 +68,8 @@
     /// Takes all rows of an origin as of one version of the store; gives those that changed. A row that is missing
     /// was deleted, unless a later version of it is known.
     pub fn apply_snapshot(&mut self, origin: Origin, rows: Vec<Row>, version: u64) -> Vec<Row> {
-        let present: Vec<&str> = rows.iter().map(|row| row.key.as_str()).collect();
-        let is_gone = |row: &&Row| row.origin == origin && row.value.is_some() && !present.contains(&row.key.as_str());
+        let present: IndexSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+        let is_gone = |row: &&Row| row.origin == origin && row.value.is_some() && !present.contains(row.key.as_str());
         let gone = |row: &Row| Row { value: None, version, ..row.clone() };
         let lost: Vec<Row> = self.rows.values().filter(is_gone).map(gone).collect();
         let all = rows.into_iter().chain(lost);
