The functions of a release's evidence stand together

Cause: Evidence had two impl blocks with the types of the analysis between them. Change: one block; no line of the functions differs.

--- a/crates/bluebell-core/src/canary/analysis.rs
+++ b/crates/bluebell-core/src/canary/analysis.rs
@@ -54,6 +54,26 @@
         let step = fresh.0 as f64 * (bad / sound).ln() + passed * ((1.0 - bad) / (1.0 - sound)).ln();
         (sum + step).max(0.0)
     }
+
+    fn take(&mut self, (old, new): &(Tally, Tally), at_once: &[Tally], by_pace: bool) -> Option<(Finding, f64)> {
+        let fresh = new.since(&self.last);
+        self.last = *new;
+        let highest = |counts: fn(&Tally) -> Counts| {
+            let rates = at_once.iter().map(counts).map(|(bad, answers)| high_rate(bad as f64, answers as f64));
+            rates.fold(0.0, f64::max)
+        };
+        let failures = |tally: &Tally| (tally.failures, tally.answers);
+        self.failing = Self::add(self.failing, failures(old), highest(failures), failures(&fresh));
+        if self.failing >= REJECTION {
+            return Some((Finding::Failing, self.failing));
+        }
+        if !by_pace {
+            return None;
+        }
+        let slow = |tally: &Tally| (tally.slow, tally.answers);
+        self.slow = Self::add(self.slow, slow(old), highest(slow), slow(&fresh));
+        (self.slow >= REJECTION).then_some((Finding::Slow, self.slow))
+    }
 }
 
 /// What a release was found to do.
@@ -146,25 +166,3 @@
     }
     total
 }
-
-impl Evidence {
-    fn take(&mut self, (old, new): &(Tally, Tally), at_once: &[Tally], by_pace: bool) -> Option<(Finding, f64)> {
-        let fresh = new.since(&self.last);
-        self.last = *new;
-        let highest = |counts: fn(&Tally) -> Counts| {
-            let rates = at_once.iter().map(counts).map(|(bad, answers)| high_rate(bad as f64, answers as f64));
-            rates.fold(0.0, f64::max)
-        };
-        let failures = |tally: &Tally| (tally.failures, tally.answers);
-        self.failing = Self::add(self.failing, failures(old), highest(failures), failures(&fresh));
-        if self.failing >= REJECTION {
-            return Some((Finding::Failing, self.failing));
-        }
-        if !by_pace {
-            return None;
-        }
-        let slow = |tally: &Tally| (tally.slow, tally.answers);
-        self.slow = Self::add(self.slow, slow(old), highest(slow), slow(&fresh));
-        (self.slow >= REJECTION).then_some((Finding::Slow, self.slow))
-    }
-}
