The stateful fuzzers share what plays steps in a world

Change: tests/support/fuzzing.rs has that once, with the settings of a run; each fuzzer names its steps and its world. Weights, seeds, cases and checks are as they were.

--- a/crates/bluebell-core/tests/fuzz/main.rs
+++ b/crates/bluebell-core/tests/fuzz/main.rs
@@ -4,36 +4,34 @@
 //! of order or never, processes are frozen or begin anew with empty memory, the table is down or loses answers. After
 //! each step the oracle checks what must always hold.
 
-#[path = "../support/fuzz_config.rs"]
-mod config;
+#[path = "../support/fuzzing.rs"]
+mod fuzzing;
 mod once;
 mod oracle;
 mod parts;
 mod table;
 mod world;
 
+use fuzzing::{Steppable, Steps};
 use parts::Op;
 use proptest::{
-    prelude::{Just, Strategy, any},
+    prelude::{BoxedStrategy, Strategy, any},
     prop_oneof,
 };
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use proptest_state_machine::prop_state_machine;
 use world::World;
 
 /// Cases where no number is set.
 const DEFAULT_CASES: u32 = 64;
 
-struct Steps;
+impl Steppable for World {
+    type Op = Op;
 
-impl ReferenceStateMachine for Steps {
-    type State = ();
-    type Transition = Op;
-
-    fn init_state() -> proptest::strategy::BoxedStrategy<()> {
-        Just(()).boxed()
+    fn new() -> Self {
+        World::new()
     }
 
-    fn transitions(_: &()) -> proptest::strategy::BoxedStrategy<Op> {
+    fn ops() -> BoxedStrategy<Op> {
         let byte = any::<u8>;
         prop_oneof![
             3 => (byte(), byte()).prop_map(|(kind, version)| Op::Commit { kind, version }),
@@ -57,35 +55,23 @@
         .boxed()
     }
 
-    fn apply((): (), _: &Op) {}
-}
-
-impl StateMachineTest for Steps {
-    type SystemUnderTest = World;
-    type Reference = Self;
-
-    fn init_test((): &()) -> World {
-        World::new()
-    }
-
-    fn apply(mut world: World, (): &(), op: Op) -> World {
-        world.step(op);
-        world
+    fn step(&mut self, op: Op) {
+        World::step(self, op);
     }
 
-    fn check_invariants(world: &World, (): &()) {
-        world.check();
+    fn check(&self) {
+        World::check(self);
     }
 
-    fn teardown(mut world: World, (): ()) {
-        world.settle();
-        world.check_bills();
+    fn settle(mut self) {
+        World::settle(&mut self);
+        self.check_bills();
     }
 }
 
 prop_state_machine! {
-    #![proptest_config(config::config(DEFAULT_CASES))]
+    #![proptest_config(fuzzing::config(DEFAULT_CASES))]
 
     #[test]
-    fn promises_hold_under_faults(sequential 40..240 => Steps);
+    fn promises_hold_under_faults(sequential 40..240 => Steps<World>);
 }
--- a/crates/bluebell-core/tests/gateways/main.rs
+++ b/crates/bluebell-core/tests/gateways/main.rs
@@ -5,34 +5,32 @@
 //! upstreams end under requests, leave and come back, and releases are rolled out. What must hold is checked at the step
 //! that could break it.
 
-#[path = "../support/fuzz_config.rs"]
-mod config;
+#[path = "../support/fuzzing.rs"]
+mod fuzzing;
 mod gateway;
 mod oracle;
 mod store;
 mod world;
 
+use fuzzing::{Steppable, Steps};
 use proptest::{
-    prelude::{Just, Strategy, any},
+    prelude::{BoxedStrategy, Just, Strategy, any},
     prop_oneof,
 };
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use proptest_state_machine::prop_state_machine;
 use world::{Op, World};
 
 /// Cases where no number is set.
 const DEFAULT_CASES: u32 = 256;
 
-struct Steps;
+impl Steppable for World {
+    type Op = Op;
 
-impl ReferenceStateMachine for Steps {
-    type State = ();
-    type Transition = Op;
-
-    fn init_state() -> proptest::strategy::BoxedStrategy<()> {
-        Just(()).boxed()
+    fn new() -> Self {
+        World::new()
     }
 
-    fn transitions(_: &()) -> proptest::strategy::BoxedStrategy<Op> {
+    fn ops() -> BoxedStrategy<Op> {
         let byte = any::<u8>;
         prop_oneof![
             16 => byte().prop_map(|gateway| Op::Read { gateway }),
@@ -59,30 +57,18 @@
         .boxed()
     }
 
-    fn apply((): (), _: &Op) {}
-}
-
-impl StateMachineTest for Steps {
-    type SystemUnderTest = World;
-    type Reference = Self;
-
-    fn init_test((): &()) -> World {
-        World::new()
-    }
-
-    fn apply(mut world: World, (): &(), op: Op) -> World {
-        world.step(op);
-        world
+    fn step(&mut self, op: Op) {
+        World::step(self, op);
     }
 
-    fn teardown(mut world: World, (): ()) {
-        world.settle();
+    fn settle(mut self) {
+        World::settle(&mut self);
     }
 }
 
 prop_state_machine! {
-    #![proptest_config(config::config(DEFAULT_CASES))]
+    #![proptest_config(fuzzing::config(DEFAULT_CASES))]
 
     #[test]
-    fn gateways_keep_the_rules_under_faults(sequential 60..300 => Steps);
+    fn gateways_keep_the_rules_under_faults(sequential 60..300 => Steps<World>);
 }
