The soak without state that nothing reads; its numbers have names

Cause: read as a newcomer: a run kept where the roll-out stands, which no check reads; two of four routes of poison requests were never taken; the number of such callers, 50 bad answers and 3 s of a stop stood as bare numbers; the time before a moment was computed in five places. Change: removed, named, and one function for the time before.

--- a/crates/bluebell-soak/src/callers.rs
+++ b/crates/bluebell-soak/src/callers.rs
@@ -73,6 +73,15 @@
     }
 }
 
+/// Routes of the requests that end upstreams, one caller each.
+pub const POISON_ROUTES: [Route; 2] = [Route::Look, Route::Talk];
+
+/// Body of the requests that end upstreams, of one caller.
+#[must_use]
+pub fn poison_body(caller: usize) -> String {
+    format!("{POISON} {caller}")
+}
+
 /// How a request ended for its caller.
 #[derive(Debug)]
 pub enum End {
@@ -186,7 +195,7 @@
         while !*stop.borrow() {
             count += 1;
             let id = format!("s{seed}-p{number}-{count}");
-            let body = format!("{POISON} {number}");
+            let body = poison_body(number);
             self.send(&mut random, &mut None, route, id, String::new(), body).await;
             tokio::time::sleep(random.random_range(Duration::from_millis(200)..Duration::from_millis(900))).await;
         }
--- a/crates/bluebell-soak/src/checks/answers.rs
+++ b/crates/bluebell-soak/src/checks/answers.rs
@@ -4,7 +4,7 @@
 
 use bluebell_standins::{caller::Answer, site::TIMEOUT_MS};
 
-use super::{CONTACT, Rule, View};
+use super::{CONTACT, Rule, View, earlier};
 use crate::{
     callers::{End, Seen},
     fleet::EVENTS,
@@ -15,6 +15,8 @@
 const REFUSALS: [u16; 4] = [408, 421, 429, 503];
 /// Time after a route's own within which a request has its final answer.
 const HELD: Duration = Duration::from_millis(500);
+/// Time after the order to stop up to which what is sent is finished, or refused.
+const STOP_TIME: Duration = Duration::from_secs(3);
 /// Time in which a machine that is busy with a whole soak may let a process wait.
 const SLACK: Duration = Duration::from_millis(500);
 
@@ -82,8 +84,8 @@
 
 // Planned work and the loss of the store excuse nothing, but for what is sent late in a stop and ends with the process.
 fn is_gateway_troubled(view: &View<'_>, seen: &Seen) -> bool {
-    let late = |begun: Instant| seen.sent > begun + Duration::from_secs(3);
-    view.overlaps(before(seen), seen.ended, |mark| match mark.reach {
+    let late = |begun: Instant| seen.sent > begun + STOP_TIME;
+    view.overlaps(earlier(seen.sent, CONTACT), seen.ended, |mark| match mark.reach {
         Reach::Gateway(at) if at == seen.gateway => !mark.planned || late(mark.from),
         Reach::Gateway(_) | Reach::Contact(_) | Reach::Store | Reach::Upstream(_) => false,
         Reach::AllGateways => true,
@@ -92,9 +94,7 @@
 
 fn is_upstream_troubled(view: &View<'_>, seen: &Seen) -> bool {
     let runs = view.runs_of(&seen.id);
-    view.overlaps(before(seen), seen.ended, |mark| runs.iter().any(|(ran, _)| mark.reach == Reach::Upstream(*ran)))
-}
-
-fn before(seen: &Seen) -> Instant {
-    seen.sent.checked_sub(CONTACT).unwrap_or(seen.sent)
+    view.overlaps(earlier(seen.sent, CONTACT), seen.ended, |mark| {
+        runs.iter().any(|(ran, _)| mark.reach == Reach::Upstream(*ran))
+    })
 }
--- a/crates/bluebell-soak/src/checks/beliefs.rs
+++ b/crates/bluebell-soak/src/checks/beliefs.rs
@@ -7,7 +7,7 @@
     callers::Seen,
     fleet::{EXPOSURE, EXPOSURE_SLACK},
     plan::{ROLLOUT_TIME, Server, Service},
-    troubles::KeyChange,
+    troubles::{KeyChange, Reach},
 };
 
 /// Time in which declarations are in force.
@@ -16,6 +16,8 @@
 const ROLLBACK: Duration = Duration::from_millis(250);
 /// Time after its rejection in which a bad release may still get requests.
 const REVERTED: Duration = Duration::from_secs(5);
+/// Bad answers after which a release is to be known as bad.
+const KNOWN_BAD: usize = 50;
 /// Share of the requests that are served in calm times, at least.
 const CALM_SHARE: f64 = 0.95;
 
@@ -64,7 +66,7 @@
 
 // Any fault of a gateway may hide a start.
 fn has_restarted(view: &View<'_>, gateway: usize, from: Instant, to: Instant) -> bool {
-    view.overlaps(from, to, |mark| mark.reach == crate::troubles::Reach::Gateway(gateway))
+    view.overlaps(from, to, |mark| mark.reach == Reach::Gateway(gateway))
 }
 
 fn check_rollout(view: &mut View<'_>) {
@@ -87,12 +89,12 @@
         let text = format!("a bad release got {exposed} of {all} requests, {allowed:.0} allowed");
         view.find(Rule::Exposure, deadline, "-", text);
     }
-    let Some(known) = runs.get(49).map(|run| run.began + REVERTED + CONTACT) else { return };
+    let Some(known) = runs.get(KNOWN_BAD - 1).map(|run| run.began + REVERTED + CONTACT) else { return };
     let late: Vec<_> = runs.iter().filter(|run| run.began > known).collect();
     let late = late.into_iter().find(|run| is_touched(view, run.request.header("request-id"), run.began));
     if let Some(run) = late {
         let id = run.request.header("request-id");
-        view.find(Rule::Exposure, run.began, id, "a bad release gets requests after 50 bad answers".to_owned());
+        view.find(Rule::Exposure, run.began, id, format!("a bad release gets requests after {KNOWN_BAD} bad answers"));
     }
 }
 
--- a/crates/bluebell-soak/src/checks/mod.rs
+++ b/crates/bluebell-soak/src/checks/mod.rs
@@ -98,8 +98,6 @@
     pub runs: Vec<(Server, Run)>,
     /// What was done.
     pub done: Done,
-    /// Where the roll-out stands at the end.
-    pub rollout: String,
     /// Time in which all has to be served.
     pub calm: (Instant, Instant),
 }
@@ -146,8 +144,7 @@
 
     /// Whether a gateway was without faults for the time of contact before a moment, the store as well.
     fn in_touch(&self, gateway: usize, at: Instant) -> bool {
-        let from = at.checked_sub(CONTACT).unwrap_or(at);
-        !self.overlaps(from, at, |mark| match mark.reach {
+        !self.overlaps(earlier(at, CONTACT), at, |mark| match mark.reach {
             Reach::Gateway(one) | Reach::Contact(one) => one == gateway,
             Reach::AllGateways | Reach::Store => true,
             Reach::Upstream(_) => false,
@@ -155,6 +152,10 @@
     }
 }
 
+fn earlier(at: Instant, by: Duration) -> Instant {
+    at.checked_sub(by).unwrap_or(at)
+}
+
 /// Checks all rules.
 #[must_use]
 pub fn check(evidence: &Evidence<'_>) -> Vec<Finding> {
--- a/crates/bluebell-soak/src/checks/runs.rs
+++ b/crates/bluebell-soak/src/checks/runs.rs
@@ -5,10 +5,10 @@
 use bluebell_standins::site::Run;
 use indexmap::IndexMap;
 
-use super::{CONTACT, Rule, View};
+use super::{CONTACT, Rule, View, earlier};
 use crate::{
-    callers::{DEADLINE, End, Seen},
-    fleet::{POISON, RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW},
+    callers::{DEADLINE, End, POISON_ROUTES, Seen, poison_body},
+    fleet::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW},
     plan::{ROLLOUT_TIME, Server, Service},
     troubles::{DRAIN_TIME, Reach},
 };
@@ -126,7 +126,7 @@
         let is_new = *at == fresh;
         let before = last.insert(&seen.session, (run.began, is_new, seen.gateway));
         let Some((since, false, former)) = before.filter(|(since, ..)| *since + SESSION > run.began) else { continue };
-        let from = since.checked_sub(CONTACT).unwrap_or(since);
+        let from = earlier(since, CONTACT);
         let is_calm = !view.overlaps(from, run.began, |mark| match mark.reach {
             Reach::Gateway(one) | Reach::Contact(one) => one == seen.gateway || one == former,
             Reach::AllGateways | Reach::Store => true,
@@ -162,9 +162,8 @@
         for run in late {
             let id = run.request.header("request-id");
             let Some(seen) = view.by_id.get(id).copied() else { continue };
-            let is_held_up = view.overlaps(run.began.checked_sub(CONTACT).unwrap_or(run.began), run.began, |mark| {
-                mark.reach == Reach::Upstream(drained.at)
-            });
+            let is_held_up =
+                view.overlaps(earlier(run.began, CONTACT), run.began, |mark| mark.reach == Reach::Upstream(drained.at));
             // The core must have been calm when the word came, and the gateway since.
             if view.in_touch(seen.gateway, run.began) && view.in_touch(seen.gateway, bound) && !is_held_up {
                 let after = run.began.saturating_duration_since(drained.taken);
@@ -180,8 +179,8 @@
 }
 
 fn check_poison(view: &mut View<'_>) {
-    for number in 0..2 {
-        let body = format!("{POISON} {number}");
+    for caller in 0..POISON_ROUTES.len() {
+        let body = poison_body(caller);
         let mut sends: Vec<&Run> =
             view.evidence.runs.iter().map(|(_, run)| run).filter(|run| run.request.body == body.as_bytes()).collect();
         sends.sort_by_key(|run| run.began);
@@ -209,17 +208,16 @@
     requests.sort();
     let mut retries: Vec<(Instant, &str)> = Vec::new();
     for seen in view.evidence.seen.iter().filter(|seen| seen.route.service() == service) {
-        // A stream's larger model is a send like any other.
         retries.extend(view.runs_of(&seen.id).iter().skip(1).map(|(_, run)| (run.began, seen.id.as_str())));
     }
     retries.sort();
     let count = |from: Instant, to: Instant| requests.iter().filter(|at| **at >= from && **at < to).count();
     for (number, (end, id)) in retries.iter().enumerate() {
-        let begin = end.checked_sub(RETRY_WINDOW).unwrap_or(*end);
+        let begin = earlier(*end, RETRY_WINDOW);
         let repeats = retries[..=number].iter().filter(|(at, _)| *at >= begin).count();
         let windows = [0.0, 0.5, 1.0].map(|back| {
             let shift = RETRY_WINDOW.mul_f64(back);
-            count(begin.checked_sub(shift).unwrap_or(begin), end.checked_sub(shift).unwrap_or(*end))
+            count(earlier(begin, shift), earlier(*end, shift))
         });
         let base = windows.into_iter().max().unwrap_or_default();
         let allowed = RETRY_RATIO * base as f64 + RETRY_SLACK;
--- a/crates/bluebell-soak/src/play.rs
+++ b/crates/bluebell-soak/src/play.rs
@@ -9,7 +9,7 @@
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
-    callers::{Callers, Route},
+    callers::{Callers, POISON_ROUTES},
     checks::{Evidence, Finding, check},
     fleet::Fleet,
     plan::{Plan, Server},
@@ -49,9 +49,8 @@
     for number in 0..plan.callers {
         tasks.spawn(callers.clone().call(plan.seed, number, stopped.clone()));
     }
-    let routes = [Route::Look, Route::Talk, Route::Book, Route::Once];
     let (halt, halted) = watch::channel(false);
-    for (number, route) in routes.into_iter().enumerate().take(if plan.poison { 2 } else { 0 }) {
+    for (number, route) in POISON_ROUTES.into_iter().enumerate().filter(|_| plan.poison) {
         tasks.spawn(callers.clone().persist(plan.seed, number, route, halted.clone()));
     }
     troubles.run(&plan).await;
@@ -66,16 +65,8 @@
     troubles.stop_all().await;
     let runs: Vec<(Server, _)> =
         fleet.all_upstreams().flat_map(|one| one.server.runs().into_iter().map(|run| (one.at, run))).collect();
-    let status = fleet.store.get("status", "rollout/chat").unwrap_or_default()["state"].clone();
-    let evidence = Evidence {
-        plan: &plan,
-        started: fleet.started,
-        seen: callers.take(),
-        runs,
-        done: troubles.take(),
-        rollout: status.as_str().unwrap_or_default().to_owned(),
-        calm,
-    };
+    let evidence =
+        Evidence { plan: &plan, started: fleet.started, seen: callers.take(), runs, done: troubles.take(), calm };
     let mut findings = check(&evidence);
     for finding in &mut findings {
         finding.lines = fleet.log_lines(&format!("\"{}\"", finding.request));
