Wait for a stalled stream that no other attempt can go on with

`Relay::next_data` gave a silent stream up before it asked whether anything may follow, and the 2 s took no account of the prompt: 54,600 tokens take 2.6 s and more on these engines with the largest model.

Ruled out: the configuration that was acknowledged meanwhile. A request keeps the time limit with which it was admitted; the same cut shows without it.

Change: a stream is given up for silence only while attempts and the retry budget allow another one (`choose::may_give_up`); otherwise it is awaited until the deadline.

--- a/crates/bluebell-core/src/retry/window.rs
+++ b/crates/bluebell-core/src/retry/window.rs
@@ -50,6 +50,11 @@
         self.take(now, limit, gateways, 1.0)
     }
 
+    /// Whether `retry` would succeed now.
+    pub fn may_retry(&mut self, now: Duration, limit: &RetryLimit, gateways: usize) -> bool {
+        self.has_room(now, limit, gateways, 1.0)
+    }
+
     /// Spends a retry on an escalation to a larger model. Returns false if that would use the part of the budget that
     /// is reserved for failures.
     pub fn escalate(&mut self, now: Duration, limit: &RetryLimit, gateways: usize) -> bool {
--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -62,6 +62,13 @@
     Slow(Duration),
     /// Sets the time between two events of the answer.
     Paced(Duration),
+    /// Sends nothing for a while after this many events, then the rest of the answer.
+    Stall {
+        /// Number of events before the stall.
+        after: u64,
+        /// Its duration.
+        time: Duration,
+    },
     /// Sets the model's confidence, in per cent.
     Confidence(u8),
     /// Sends an unbounded answer until the caller closes the connection.
@@ -413,6 +420,11 @@
             if matches!(fault, Some(Fault::Crash(after)) if number > after) {
                 return self.crash().await;
             }
+            if let Some(Fault::Stall { after, time }) = fault
+                && number == after + 1
+            {
+                tokio::time::sleep(time).await;
+            }
             let cut = match fault {
                 Some(Fault::Cut(after) | Fault::CutUnframed(after)) => number > after,
                 _ => false,
--- a/crates/bluebelld/src/gateway/front/attempts.rs
+++ b/crates/bluebelld/src/gateway/front/attempts.rs
@@ -145,6 +145,14 @@
             && self.maybe_ran + self.not_run < job.route.attempts + EXTRA_SENDS
     }
 
+    /// Whether the limits on attempts would allow another send if the attempt in progress were lost.
+    #[must_use]
+    pub fn may_send_after_loss(&self, job: &Job) -> bool {
+        job.route.repeat.may_repeat()
+            && self.maybe_ran + 1 < job.route.attempts
+            && self.sends() + 1 < job.route.attempts + EXTRA_SENDS
+    }
+
     /// Number of sends so far.
     #[must_use]
     pub fn sends(&self) -> u32 {
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -21,7 +21,7 @@
 use super::{
     attempts::{AttemptHistory, InFlight},
     body::Response,
-    choose::{SendOptions, next_upstream, prefill_backlog},
+    choose::{SendOptions, may_give_up, next_upstream, prefill_backlog},
     record::{record_answer, record_head},
     reply::{final_refusal, forward_buffered, forward_response, outcome},
 };
@@ -37,9 +37,10 @@
 };
 
 /// Time without data from an upstream, on any connection, after which a request without an answer is sent to another
-/// one. Processing the longest prompts takes up to two seconds.
+/// one. The time for processing prompts is added.
 const HEAD_IDLE_TIMEOUT: Duration = Duration::from_millis(2000);
-/// Time without data from an upstream, on any connection, after which a stream is resumed at another one.
+/// Time without data from an upstream, on any connection, after which a stream is resumed at another one, if it can be.
+/// The time for processing prompts is added.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Number of events after which the pace of a stream is checked.
@@ -185,7 +186,7 @@
 }
 
 fn head_timeout(job: &Job, history: &AttemptHistory) -> HeadTimeout {
-    if job.route.repeat.may_repeat() && history.maybe_ran + 1 < job.route.attempts {
+    if history.may_send_after_loss(job) {
         return HeadTimeout::Alive(HEAD_IDLE_TIMEOUT);
     }
     HeadTimeout::Whole
@@ -247,11 +248,10 @@
             {
                 return Some(Err(error));
             }
-            let response = self.response.as_mut()?;
             let now = self.gateway.now();
             let left = self.job.deadline.saturating_sub(now);
-            let wait =
-                self.gateway.traffic().remaining_wait(now, &self.upstream.id, self.last_received, STREAM_IDLE_TIMEOUT);
+            let wait = self.idle_wait(now);
+            let response = self.response.as_mut()?;
             let (reason, loss) = match timeout(wait.min(left), response.next_chunk()).await {
                 Ok(BodyChunk::Data(data)) => match self.accept_data(&data) {
                     Ok(batch) if batch.bytes.is_empty() => continue,
@@ -273,6 +273,15 @@
         }
     }
 
+    // Time to wait for data before the stream is resumed elsewhere. A stream that can't be resumed is awaited until the
+    // deadline, however long its upstream is silent; the retry budget may allow a resumption later.
+    fn idle_wait(&self, now: Duration) -> Duration {
+        if !may_give_up(&self.gateway, &self.job, &self.history) {
+            return STREAM_IDLE_TIMEOUT;
+        }
+        self.gateway.traffic().remaining_wait(now, &self.upstream.id, self.last_received, STREAM_IDLE_TIMEOUT)
+    }
+
     fn accept_data(&mut self, data: &[u8]) -> Result<Batch, EventError> {
         let now = self.gateway.now();
         self.last_received = now;
--- a/crates/bluebelld/tests/gateway/streams.rs
+++ b/crates/bluebelld/tests/gateway/streams.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bluebell_standins::site::Fault;
+use serde_json::json;
 
 use super::{
     caller::{Ask, Caller},
@@ -139,3 +140,63 @@
         assert!(runs.len() <= 3, "round {round}: {} runs", runs.len());
     }
 }
+
+/// Time for which engines send nothing: longer than gateways wait for a stream that can be resumed elsewhere.
+const STALL: Duration = Duration::from_millis(3200);
+/// Timeout of the routes in tests with stalls.
+const LONG_TIMEOUT_MS: u64 = 9000;
+
+/// Starts a site with one gateway and routes whose timeout leaves room for stalls.
+async fn start_site_with_long_timeouts() -> Site {
+    let site = Site::start(1).await;
+    site.put_declarations(2, |config| {
+        for route in config["routes"].as_array_mut().expect("the routes should be a list") {
+            route["timeoutMs"] = json!(LONG_TIMEOUT_MS);
+        }
+    });
+    let has_version = || async { site.gateways[0].process.log().contains("\"version\":2") };
+    until("the longer timeouts to be in force", has_version).await;
+    site
+}
+
+// A gateway that gives such a stream up loses the answer for the caller: nothing else can go on with it.
+#[tokio::test]
+async fn stalled_stream_that_cannot_be_resumed_is_awaited() {
+    let site = start_site_with_long_timeouts().await;
+    let stall = Fault::Stall { after: 3, time: STALL };
+    site.chat.iter().for_each(|upstream| upstream.set_default_fault(Some(stall.clone())));
+    let once = Ask::new("/once/1", "r-once").header("model", "*").header("token-count", "10,50");
+    // Both engines cut off one attempt, so that the third one is the last that the route allows.
+    let last_attempt = async {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        site.chat.iter().for_each(|upstream| upstream.next_faults([Fault::Cut(1)]));
+        site.gateways[0].ask(&stream_request("r-last")).await
+    };
+    let (once, last) = tokio::join!(site.gateways[0].ask(&once), last_attempt);
+    for answer in [once, last] {
+        assert_eq!((answer.status, answer.complete, answer.events()), (200, true, all_events()));
+    }
+    assert_eq!((site.runs("r-once").len(), site.runs("r-last").len()), (1, 3));
+}
+
+#[tokio::test]
+async fn stalled_stream_is_resumed_while_attempts_are_left() {
+    let site = start_site_with_long_timeouts().await;
+    let stall = Fault::Stall { after: 3, time: Duration::from_secs(30) };
+    site.chat[0].set_default_fault(Some(stall));
+    for round in 0..2 {
+        let answer = site.gateways[0].ask(&stream_request(&format!("r-{round}"))).await;
+        assert_eq!((answer.status, answer.complete, answer.events()), (200, true, all_events()));
+    }
+}
+
+// An engine sends nothing while it processes a long prompt. Another attempt would process it again.
+#[tokio::test]
+async fn engine_that_processes_a_long_prompt_is_not_given_up() {
+    let site = start_site_with_long_timeouts().await;
+    site.chat.iter().for_each(|upstream| upstream.set_default_fault(Some(Fault::Slow(STALL))));
+    let ask = Ask::new("/talk/1", "r-long").header("model", "middle").header("token-count", "150000,50");
+    let answer = site.gateways[0].ask(&ask).await;
+    assert_eq!((answer.status, answer.complete, answer.events()), (200, true, all_events()));
+    assert_eq!(site.runs("r-long").len(), 1, "the prompt was processed again");
+}
