Extend silence timeouts by the request's own prompt only

Its timeout grew by the prompts of all requests of the gateway at that engine, and these piled up there.

Change: the allowance counts the request's own prompt, and after the head only until the first event (placing::prefill_allowance).

Ruled out: the 2 s of the timeout itself, which is unchanged.

--- a/crates/bluebell-core/src/placing/liveness.rs
+++ b/crates/bluebell-core/src/placing/liveness.rs
@@ -4,6 +4,20 @@
 
 use std::time::Duration;
 
+use super::pick::PREFILL_TOKENS_PER_MS;
+use crate::units::Tokens;
+
+/// Time that the slowest engines take for a long prompt, as a multiple of the nominal time: their rate is lower, and
+/// attention makes a token of a long prompt more expensive than one of a short prompt.
+const SLOW_PREFILL_FACTOR: f64 = 3.0;
+
+/// Time for which an upstream may be silent because it processes a prompt of the given weighted length. Prompts of other
+/// requests are left out: those of requests that pile up at a crashed upstream would delay its detection.
+#[must_use]
+pub fn prefill_allowance(prefill: Tokens) -> Duration {
+    Duration::from_secs_f64(SLOW_PREFILL_FACTOR * prefill.0 as f64 / PREFILL_TOKENS_PER_MS / 1000.0)
+}
+
 /// Time of the last activity of an upstream.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Liveness {
--- a/crates/bluebell-core/src/placing/load.rs
+++ b/crates/bluebell-core/src/placing/load.rs
@@ -3,16 +3,11 @@
 
 use std::time::Duration;
 
-use super::pick::PREFILL_TOKENS_PER_MS;
 use crate::units::Tokens;
 
 /// Half-life of the weight of reports about the load of other callers.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(700);
 
-/// Time that the slowest engines take for a long prompt, as a multiple of the nominal time: their rate is lower, and
-/// attention makes a token of a long prompt more expensive than one of a short prompt.
-const SLOW_PREFILL_FACTOR: f64 = 3.0;
-
 /// Load that an upstream reports about itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Report {
@@ -77,12 +72,6 @@
         Tokens(self.pending_prefill)
     }
 
-    /// Time for which the upstream may be silent because it processes prompts of this gateway's requests.
-    #[must_use]
-    pub fn prefill_allowance(&self) -> Duration {
-        Duration::from_secs_f64(SLOW_PREFILL_FACTOR * self.pending_prefill as f64 / PREFILL_TOKENS_PER_MS / 1000.0)
-    }
-
     /// Estimated requests of all callers.
     #[must_use]
     pub fn requests(&self, now: Duration) -> f64 {
--- a/crates/bluebell-core/src/placing/mod.rs
+++ b/crates/bluebell-core/src/placing/mod.rs
@@ -7,7 +7,7 @@
 mod pick;
 
 pub use health::{Health, HealthEvent};
-pub use liveness::Liveness;
+pub use liveness::{Liveness, prefill_allowance};
 pub use load::{Load, Report};
 pub use parts::{Part, PartCache};
 pub use pick::{Candidate, PREFILL_TOKENS_PER_MS, RequestProfile, pick};
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -8,8 +8,9 @@
     cascade::{self, AnswerHead},
     events::{Batch, EventError, EventSplitter},
     ids::ModelId,
-    placing::PREFILL_TOKENS_PER_MS,
+    placing::{PREFILL_TOKENS_PER_MS, prefill_allowance},
     poison::ResponseLoss,
+    units::Tokens,
     upstreams::Upstream,
 };
 use bytes::Bytes;
@@ -37,10 +38,10 @@
 };
 
 /// Time without data from an upstream, on any connection, after which a request without an answer is sent to another
-/// one. The time for processing prompts is added.
+/// one. The time for processing its prompt is added.
 const HEAD_IDLE_TIMEOUT: Duration = Duration::from_millis(2000);
 /// Time without data from an upstream, on any connection, after which a stream is resumed at another one, if it can be.
-/// The time for processing prompts is added.
+/// Before the first event, the time for processing its prompt is added.
 const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Number of events after which the pace of a stream is checked.
@@ -137,7 +138,8 @@
     while let Some(upstream) = next_upstream(gateway, job, history, &options) {
         options.skip_budget = false;
         let model = options.model.cloned();
-        let plan = AttemptPlan { upstream, model, last_event, head_timeout: head_timeout(job, history) };
+        let head_timeout = head_timeout(job, model.as_ref(), history);
+        let plan = AttemptPlan { upstream, model, last_event, head_timeout };
         match attempt::send(gateway, job, &plan).await {
             Ok(response) if response.status.is_success() => {
                 record_head(gateway, job, &response);
@@ -185,13 +187,19 @@
     (!may_retry).then_some(reply)
 }
 
-fn head_timeout(job: &Job, history: &AttemptHistory) -> HeadTimeout {
+fn head_timeout(job: &Job, model: Option<&ModelId>, history: &AttemptHistory) -> HeadTimeout {
     if history.may_send_after_loss(job) {
-        return HeadTimeout::Alive(HEAD_IDLE_TIMEOUT);
+        return HeadTimeout::Alive(HEAD_IDLE_TIMEOUT + prompt_allowance(job, model));
     }
     HeadTimeout::Whole
 }
 
+// Time for which an engine may be silent while it processes the request's prompt.
+fn prompt_allowance(job: &Job, model: Option<&ModelId>) -> Duration {
+    let model = model.or(job.caller.model.as_ref());
+    prefill_allowance(Tokens((job.caller.prompt.0 as f64 * job.token_weight(model)) as u64))
+}
+
 /// Forwards the events of a stream to the caller as they arrive, and resumes the stream when an upstream fails.
 struct Relay {
     gateway: Arc<Gateway>,
@@ -279,7 +287,10 @@
         if !may_give_up(&self.gateway, &self.job, &self.history) {
             return STREAM_IDLE_TIMEOUT;
         }
-        self.gateway.traffic().remaining_wait(now, &self.upstream.id, self.last_received, STREAM_IDLE_TIMEOUT)
+        let is_unread = self.response_events == 0;
+        let allowance = if is_unread { prompt_allowance(&self.job, self.model.as_ref()) } else { Duration::ZERO };
+        let timeout = STREAM_IDLE_TIMEOUT + allowance;
+        self.gateway.traffic().remaining_wait(now, &self.upstream.id, self.last_received, timeout)
     }
 
     fn accept_data(&mut self, data: &[u8]) -> Result<Batch, EventError> {
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -250,14 +250,11 @@
         }
     }
 
-    /// Time for which a request may still wait for an upstream that is silent. The timeout is extended by the time that
-    /// the upstream may need for the prompts sent to it.
+    /// Time for which a request may still wait for an upstream that is silent.
     #[must_use]
     pub fn remaining_wait(&self, now: Duration, id: &UpstreamId, since: Duration, timeout: Duration) -> Duration {
-        let state = self.upstreams.get(id);
-        let liveness = state.map(|state| state.liveness).unwrap_or_default();
-        let allowance = state.map_or(Duration::ZERO, |state| state.load.prefill_allowance());
-        liveness.remaining(now, since, timeout + allowance)
+        let liveness = self.upstreams.get(id).map(|state| state.liveness).unwrap_or_default();
+        liveness.remaining(now, since, timeout)
     }
 
     /// Mean time until the prompts pending at the available upstreams are processed.
--- a/crates/bluebelld/tests/gateway/streams.rs
+++ b/crates/bluebelld/tests/gateway/streams.rs
@@ -200,3 +200,18 @@
     assert_eq!((answer.status, answer.complete, answer.events()), (200, true, all_events()));
     assert_eq!(site.runs("r-long").len(), 1, "the prompt was processed again");
 }
+
+// Requests that pile up at a silent engine must not extend each other's timeouts.
+#[tokio::test]
+async fn long_prompts_at_a_silent_engine_are_soon_sent_to_another() {
+    let site = Site::start(1).await;
+    site.chat[0].set_default_fault(Some(Fault::Silent));
+    let asks = (0..12).map(|number| {
+        let ask = Ask::new("/talk/1", &format!("r-{number}")).header("model", "middle");
+        let gateway = &site.gateways[0];
+        async move { gateway.ask(&ask.header("token-count", "30000,50")).await }
+    });
+    for answer in futures_util::future::join_all(asks).await {
+        assert_eq!((answer.status, answer.complete, answer.events()), (200, true, all_events()));
+    }
+}
