Publish the routing state once per batch of events

Cause: `handle_status` published the whole routing state for each status of a connected peer, about 160 a second with 41 gateways, and each publication copied every upstream with its strings. Each changed row and each change of a connection published again, so the registrations of a start or of a roll-out cost a publication a row.

Change: events queued together are handled in batches of up to 64 and published once. A status renews only the time of the last contact, at most once per tick. Upstreams are shared, not copied.

Checked: core tests of upstreams, gateways and peer loads; all 73 gateway tests. No test of its own: the publication is inside the control thread.

--- a/crates/bluebell-core/src/upstreams.rs
+++ b/crates/bluebell-core/src/upstreams.rs
@@ -6,7 +6,7 @@
 //! registrations disappear at once, their upstreams therefore stay in use for a grace period. It is shorter than the
 //! shortest drain, so that an upstream that did leave gets its last request before it stops accepting work.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -75,7 +75,7 @@
 
 #[derive(Debug, Clone)]
 struct Record {
-    upstream: Upstream,
+    upstream: Arc<Upstream>,
     removed_at: Option<Duration>,
     seen: Duration,
 }
@@ -91,7 +91,7 @@
     pub fn put(&mut self, now: Duration, upstream: Upstream) {
         // The latest registration of an address replaces any other upstream at that address.
         self.records.retain(|id, record| record.upstream.address != upstream.address || *id == upstream.id);
-        self.records.insert(upstream.id.clone(), Record { upstream, removed_at: None, seen: now });
+        self.records.insert(upstream.id.clone(), Record { upstream: Arc::new(upstream), removed_at: None, seen: now });
     }
 
     /// Records that a registration disappeared or became unreadable.
@@ -117,15 +117,19 @@
 
     /// Upstreams that accept new requests, by service.
     #[must_use]
-    pub fn open(&self, now: Duration) -> IndexMap<ServiceId, Vec<Upstream>> {
-        let mut open: IndexMap<ServiceId, Vec<Upstream>> = IndexMap::new();
+    pub fn open(&self, now: Duration) -> IndexMap<ServiceId, Vec<Arc<Upstream>>> {
+        let mut open: IndexMap<ServiceId, Vec<Arc<Upstream>>> = IndexMap::new();
         for record in self.records.values().filter(|record| record.upstream.phase == Phase::Ready) {
             let is_open = match record.removed_at {
                 None => true,
                 Some(removed_at) => now < removed_at + LAPSE_GRACE && self.lapsed_together(record, removed_at),
             };
             if is_open {
-                open.entry(record.upstream.service.clone()).or_default().push(record.upstream.clone());
+                let service = &record.upstream.service;
+                match open.get_mut(service) {
+                    Some(all) => all.push(Arc::clone(&record.upstream)),
+                    None => drop(open.insert(service.clone(), vec![Arc::clone(&record.upstream)])),
+                }
             }
         }
         open
@@ -142,13 +146,19 @@
 
     /// Upstreams with a current registration, including those that are leaving.
     pub fn listed(&self) -> impl Iterator<Item = &Upstream> {
-        self.records.values().filter(|record| record.removed_at.is_none()).map(|record| &record.upstream)
+        self.records.values().filter(|record| record.removed_at.is_none()).map(|record| record.upstream.as_ref())
+    }
+
+    /// Whether an upstream has a current registration.
+    #[must_use]
+    pub fn is_listed(&self, id: &UpstreamId) -> bool {
+        self.records.get(id).is_some_and(|record| record.removed_at.is_none())
     }
 
     /// Looks up an upstream, whether or not its registration has disappeared.
     #[must_use]
     pub fn get(&self, id: &UpstreamId) -> Option<&Upstream> {
-        self.records.get(id).map(|record| &record.upstream)
+        self.records.get(id).map(|record| record.upstream.as_ref())
     }
 
     /// Time at which the registration of an upstream was last updated.
--- a/crates/bluebell-core/tests/gateways/oracle.rs
+++ b/crates/bluebell-core/tests/gateways/oracle.rs
@@ -95,7 +95,7 @@
         let first = &self.gateways[0];
         let open = |gateway: &Gateway| {
             let open = gateway.upstreams.open(self.now);
-            open.values().flatten().map(bluebell_core::upstreams::Upstream::incarnation).collect::<IndexSet<_>>()
+            open.values().flatten().map(|upstream| upstream.incarnation()).collect::<IndexSet<_>>()
         };
         let registered: IndexSet<UpstreamIncarnation> =
             (0..UPSTREAMS).filter_map(|index| self.registered_incarnation(index)).collect();
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -1,6 +1,6 @@
 //! State of the control thread, and how it handles each event.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use bluebell_core::{
     ids::InstanceId,
@@ -31,6 +31,8 @@
 const FLEET_ROWS_TIMEOUT: Duration = Duration::from_millis(700);
 /// Ticks between two sweeps of pooled connections and of the state of removed upstreams.
 const SWEEP_TICKS: u64 = 8;
+/// Queued events that are handled before the routing state is published.
+const EVENT_BATCH: usize = 64;
 
 /// State of the control thread.
 pub(super) struct Control {
@@ -49,6 +51,8 @@
     pub(super) peer_statuses: IndexMap<InstanceId, (Duration, GatewayStatus)>,
     pub(super) store: StoreContact,
     pub(super) ticks: u64,
+    // Whether the routing state has changed since it was published.
+    unpublished: bool,
 }
 
 /// Progress of a gateway that has just started.
@@ -89,6 +93,7 @@
             peer_statuses: IndexMap::new(),
             store: StoreContact::default(),
             ticks: 0,
+            unpublished: false,
         }
     }
 
@@ -103,12 +108,22 @@
         loop {
             tokio::select! {
                 event = inbox.recv() => match event {
-                    Some(event) => self.handle(event),
+                    Some(event) => self.handle_batch(event, &mut inbox),
                     None => return,
                 },
                 _ = ticks.tick() => self.tick(),
                 () = gateway.crash_check.notified() => self.process_crashes(),
             }
+            self.publish_changes();
+        }
+    }
+
+    // Handles an event and those queued behind it, so that a burst of changes is published once.
+    fn handle_batch(&mut self, first: Event, inbox: &mut mpsc::UnboundedReceiver<Event>) {
+        self.handle(first);
+        for _ in 1..EVENT_BATCH {
+            let Ok(event) = inbox.try_recv() else { return };
+            self.handle(event);
         }
     }
 
@@ -157,7 +172,7 @@
         let connected = status.connected;
         self.peer_statuses.insert(peer, (now, status));
         if connected {
-            self.publish();
+            self.publish_contact(now);
         }
     }
 
@@ -217,10 +232,10 @@
     }
 
     fn sweep(&self, now: Duration) {
-        let listed: Vec<_> = self.upstreams.listed().map(|upstream| (upstream.id.clone(), upstream.address)).collect();
-        self.gateway.pools.sweep(now, |address| listed.iter().any(|(_, known)| known == address));
+        let addresses: HashSet<SocketAddr> = self.upstreams.listed().map(|upstream| upstream.address).collect();
+        self.gateway.pools.sweep(now, |address| addresses.contains(address));
         let mut traffic = self.gateway.traffic();
-        traffic.retain(|id| listed.iter().any(|(known, _)| known == id));
+        traffic.retain(|id| self.upstreams.is_listed(id));
         traffic.in_flight.expire(now);
         traffic.sessions.expire(now, self.gateway.settings.session_seconds);
         for (service, left) in traffic.retries_left(now, &self.gateway.retry_limit, self.members.count()) {
@@ -256,8 +271,8 @@
         self.members.broadcast(&ExchangeMessage::Status(Box::new(status)), None);
     }
 
-    // Publishes that the store has just responded. At most once per tick, as publishing copies the whole routing state
-    // to change one field.
+    // Publishes that the store has just responded, here or at a peer. At most once per tick, as publishing copies the
+    // whole routing state to change one field.
     fn publish_contact(&self, now: Duration) {
         let routing = self.gateway.routing.load();
         if routing.last_contact + TICK < now {
@@ -265,16 +280,22 @@
         }
     }
 
-    /// Publishes the current routing state.
-    pub(super) fn publish(&self) {
+    /// Has the routing state published once the queued events are handled.
+    pub(super) fn publish(&mut self) {
+        self.unpublished = true;
+    }
+
+    // Publishes the routing state if it has changed.
+    fn publish_changes(&mut self) {
+        if !std::mem::take(&mut self.unpublished) {
+            return;
+        }
         let now = self.gateway.now();
-        let open = self.upstreams.open(now);
-        let open = open.into_iter().map(|(service, all)| (service, all.into_iter().map(Arc::new).collect()));
         let peers = self.peer_statuses.values().filter(|(_, status)| status.connected).map(|(at, _)| *at);
         let last_contact = peers.chain(self.store.last_response.filter(|_| !self.store.lost)).max();
         let routing = RoutingState {
             declared: self.declared.clone(),
-            open: open.collect(),
+            open: self.upstreams.open(now),
             splits: self.rollouts.splits(&self.gateway.schedule),
             suspects: Arc::clone(&self.suspects),
             gateways: self.members.count(),
@@ -292,6 +313,7 @@
         if *self.gateway.synced.borrow() {
             return;
         }
+        self.publish_changes();
         let routing = self.gateway.routing.load();
         if routing.declared.is_none() || routing.open.is_empty() {
             return;
