Forward rows and reports to a logarithmic number of gateways

Cause: each gateway forwarded each changed row and crash report to all others, whoever had heard it first: 41 x 40 messages a change, and all rows to each peer whose connection opened. Each change of a registration also woke a long poll of each gateway.

Change: `bluebell_core::dissemination`. Gateways form a ring by id; a gateway forwards once what it learns to its next three and to some at doubling distances (6 of 40, 10 of 680), and sends all rows on a new connection only to those, and to a peer that only announced itself. A gateway pauses between two reads of the registrations by 25 ms for each gateway, up to 1 s. The feeds of declarations and of the fleet's own rows have no pause.

Weighed: a tree (one loss cuts off a branch), random gossip (4 in 100 missed at three targets each), the mesh as before.

Tests: dissemination.rs simulates 4, 9, 41 and 681 gateways: messages a change, hops, a third of the gateways turned away with two links cut, a zone and a tenth of the rest dead. They fit the new function only, so none failed before. All 73 gateway tests pass; fleets up to four forward as before.

Not covered: a gateway that the store turns away and whose links to all its predecessors are cut while others still reach it hears nothing until one heals.

--- a/crates/bluebelld/src/gateway/control/crashes.rs
+++ b/crates/bluebelld/src/gateway/control/crashes.rs
@@ -57,7 +57,7 @@
         let suspects: Vec<Fingerprint> = updates.iter().flat_map(|aged| aged.report.suspects.clone()).collect();
         let answered = self.recently_answered(&suspects, now);
         self.update_suspects();
-        self.members.broadcast(&ExchangeMessage::Crashes(updates), from);
+        self.members.forward(&ExchangeMessage::Crashes(updates), from);
         self.clear_answered(&answered, None);
     }
 
@@ -72,7 +72,7 @@
     pub(super) fn clear_answered(&mut self, answered: &[Fingerprint], from: Option<&InstanceId>) {
         if !answered.is_empty() && self.crashes.clear(answered) {
             self.update_suspects();
-            self.members.broadcast(&ExchangeMessage::Answered(answered.to_vec()), from);
+            self.members.forward(&ExchangeMessage::Answered(answered.to_vec()), from);
         }
     }
 
@@ -89,7 +89,7 @@
             .collect();
         if !updates.is_empty() {
             self.update_suspects();
-            self.members.broadcast(&ExchangeMessage::Cleared(updates), from);
+            self.members.forward(&ExchangeMessage::Cleared(updates), from);
         }
     }
 
--- a/crates/bluebelld/src/gateway/control/event.rs
+++ b/crates/bluebelld/src/gateway/control/event.rs
@@ -64,5 +64,12 @@
     Leave,
 }
 
+impl Event {
+    /// Whether the event brings rows from the store.
+    pub fn has_rows(&self) -> bool {
+        matches!(self, Self::Changes { rows, .. } | Self::Snapshot { rows, .. } if !rows.is_empty())
+    }
+}
+
 /// Sender of events to the control thread.
 pub type EventSender = mpsc::UnboundedSender<Event>;
--- a/crates/bluebelld/src/gateway/control/feeds.rs
+++ b/crates/bluebelld/src/gateway/control/feeds.rs
@@ -3,7 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bluebell_core::replica::Origin;
+use bluebell_core::{dissemination::read_pause, replica::Origin};
 use bluebell_platform::store::Changes;
 use rand::Rng;
 use tokio::task::spawn_local;
@@ -35,9 +35,14 @@
         match read(&gateway, origin, &mut last_version).await {
             Ok(Some(event)) => {
                 backoff = MIN_BACKOFF;
+                let is_busy = origin == Origin::Upstreams && event.has_rows();
                 if events.send(event).is_err() {
                     return;
                 }
+                if is_busy {
+                    let jitter = rand::rng().random_range(0.5..1.0);
+                    tokio::time::sleep(read_pause(gateway.routing.load().gateways).mul_f64(jitter)).await;
+                }
             }
             Ok(None) => {
                 log::warn!("the store has compacted changes of {origin:?} that were not read yet; reading a snapshot");
--- a/crates/bluebelld/src/gateway/control/links.rs
+++ b/crates/bluebelld/src/gateway/control/links.rs
@@ -1,5 +1,5 @@
 //! Connections between gateways. Each gateway keeps a connection to every other one and sends its updates there. An
-//! update that is not acknowledged in time indicates a dead connection, which is reopened and starts with all rows.
+//! update that is not acknowledged in time indicates a dead connection, which is reopened.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -99,7 +99,7 @@
     outbox: &mut mpsc::Receiver<ExchangeMessage>,
 ) -> Result<(), WireError> {
     let (mut writer, mut reader) = open(gateway, address).await?;
-    // Messages queued before the connection opened are covered by the full set of rows that is sent first.
+    // Messages queued before the connection opened are out of date, or covered by the rows that are sent first.
     while outbox.try_recv().is_ok() {}
     if events.send(Event::ConnectionChanged { peer: peer.clone(), connected: true }).is_err() {
         return Ok(());
--- a/crates/bluebelld/src/gateway/control/members.rs
+++ b/crates/bluebelld/src/gateway/control/members.rs
@@ -4,6 +4,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bluebell_core::{
+    dissemination::forward_targets,
     ids::InstanceId,
     replica::{Origin, Row},
 };
@@ -110,21 +111,40 @@
     }
 
     /// Sends a message to one peer. It is dropped if the peer's queue is full: such a connection is expected to time
-    /// out, and the next one starts with all rows.
+    /// out, and the next one starts with all rows if this gateway forwards to that peer.
     pub(super) fn send(&self, peer: &InstanceId, message: &ExchangeMessage) {
         if let Some(member) = self.known.get(peer) {
             let _ = member.outbox.try_send(message.clone());
         }
     }
 
-    /// Sends a message to all connected peers except one.
-    pub(super) fn broadcast(&self, message: &ExchangeMessage, except: Option<&InstanceId>) {
-        let others = self.known.iter().filter(|(id, member)| member.connected && Some(*id) != except);
-        for (id, _) in others {
+    /// Sends a message to all connected peers.
+    pub(super) fn broadcast(&self, message: &ExchangeMessage) {
+        for id in self.connected() {
             self.send(id, message);
         }
     }
 
+    /// Forwards what this gateway has just learned, from the store or from the given peer, to the peers that have to
+    /// hear of it from this gateway; see [`forward_targets`].
+    pub(super) fn forward(&self, message: &ExchangeMessage, from: Option<&InstanceId>) {
+        let targets = forward_targets(&self.gateway.settings.instance.id, self.connected());
+        for id in targets.into_iter().filter(|id| Some(*id) != from) {
+            self.send(id, message);
+        }
+    }
+
+    /// Whether a peer to which a connection was opened gets all rows from this gateway. A peer that only announced itself
+    /// does: it may know no other gateway.
+    pub(super) fn needs_all_rows(&self, peer: &InstanceId) -> bool {
+        self.known.get(peer).is_some_and(|member| member.row.is_none())
+            || forward_targets(&self.gateway.settings.instance.id, self.connected()).contains(&peer)
+    }
+
+    fn connected(&self) -> impl Iterator<Item = &InstanceId> {
+        self.known.iter().filter(|(_, member)| member.connected).map(|(id, _)| id)
+    }
+
     /// Number of gateways that share common limits, including this one. Gateways that are unreachable from here count
     /// too, as they may still serve callers elsewhere.
     pub(super) fn count(&self) -> usize {
--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -15,7 +15,7 @@
 use crate::records::REPORT_PREFIX;
 
 impl Control {
-    /// Applies changed rows, and forwards them to the peers except for the one that sent them.
+    /// Applies changed rows, and forwards them to peers; see [`super::members::Members::forward`].
     pub(super) fn apply_rows(&mut self, rows: Vec<Row>, from: Option<&InstanceId>) {
         if rows.is_empty() {
             return;
@@ -31,7 +31,7 @@
             }
         }
         self.publish();
-        self.members.broadcast(&ExchangeMessage::Rows(rows), from);
+        self.members.forward(&ExchangeMessage::Rows(rows), from);
     }
 
     fn apply_operator_row(&mut self, row: &Row, source: &str) {
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -178,15 +178,18 @@
 
     fn handle_connection_change(&mut self, peer: &InstanceId, connected: bool) {
         let now = self.gateway.now();
+        if self.members.set_connected(peer, connected, now) {
+            log::info!(peer = peer.as_str(); "connection to peer {}", if connected { "opened" } else { "lost" });
+        }
         if connected {
             // Crash reports go first: a gateway is ready once it has the rows, and must know by then which requests to
             // block.
             self.send_crashes(peer);
-            let rows = self.replica.rows().cloned().collect();
-            self.members.send(peer, &ExchangeMessage::AllRows { rows, snapshots: self.replica.snapshots().collect() });
-        }
-        if self.members.set_connected(peer, connected, now) {
-            log::info!(peer = peer.as_str(); "connection to peer {}", if connected { "opened" } else { "lost" });
+            if self.members.needs_all_rows(peer) {
+                let rows = self.replica.rows().cloned().collect();
+                let snapshots = self.replica.snapshots().collect();
+                self.members.send(peer, &ExchangeMessage::AllRows { rows, snapshots });
+            }
         }
         if !connected {
             self.gateway.traffic().remove_peer(now, peer);
@@ -268,7 +271,7 @@
             rejected: self.rollouts.rejected_orders(),
         };
         drop(traffic);
-        self.members.broadcast(&ExchangeMessage::Status(Box::new(status)), None);
+        self.members.broadcast(&ExchangeMessage::Status(Box::new(status)));
     }
 
     // Publishes that the store has just responded, here or at a peer. At most once per tick, as publishing copies the
