Send changed tallies and own sessions only in the periodic status

Cause: while a release is rolled out each status carried all tallies and all sessions of the canary, those learned from others included, four times a second to each gateway.

Change: a status has the tallies that changed and the sessions whose last request its sender handled since the last status. A new connection, and a message that did not fit into a queue, make the next one full. The receiver keeps a peer's tallies merged and no loads. The code has a file of its own.

Test: canary.rs, gateway_tells_others_only_of_sessions_whose_last_request_it_ handled (SessionPins had no such distinction). 19 canary and 73 gateway tests pass.

--- a/crates/bluebell-core/src/canary/split.rs
+++ b/crates/bluebell-core/src/canary/split.rs
@@ -71,38 +71,63 @@
     }
 }
 
+#[derive(Debug, Clone)]
+struct Pin {
+    release: ReleaseId,
+    // Time of the session's last request.
+    at: Duration,
+    // Whether this gateway handled that request, so that the others have to hear of it from this one.
+    is_own: bool,
+}
+
 /// The release that each session is pinned to.
 #[derive(Debug, Default)]
 pub struct SessionPins {
-    pins: IndexMap<SessionId, (ReleaseId, Duration)>,
+    pins: IndexMap<SessionId, Pin>,
 }
 
 impl SessionPins {
     /// The release that a session is on, unless its last request is `ttl` or longer ago.
     #[must_use]
     pub fn get(&self, now: Duration, session: &SessionId, ttl: Duration) -> Option<&ReleaseId> {
-        let (release, at) = self.pins.get(session)?;
-        (now < *at + ttl).then_some(release)
+        let pin = self.pins.get(session)?;
+        (now < pin.at + ttl).then_some(&pin.release)
     }
 
-    /// Pins a session to the release that one of its requests was sent to or answered by at time `at`. Does nothing if
-    /// a later request is already known.
+    /// Pins a session to the release that this gateway sent one of its requests to, or got the answer from, at time
+    /// `at`. Does nothing if a later request is already known.
     pub fn set(&mut self, at: Duration, session: &SessionId, release: &ReleaseId) {
-        let pin = self.pins.entry(session.clone()).or_insert_with(|| (release.clone(), at));
-        if pin.1 <= at {
-            *pin = (release.clone(), at);
+        self.insert(session, Pin { release: release.clone(), at, is_own: true });
+    }
+
+    /// Pins a session to the release of a request that another gateway handled at time `at`. Does nothing if a later
+    /// request is already known.
+    pub fn learn(&mut self, at: Duration, session: &SessionId, release: &ReleaseId) {
+        self.insert(session, Pin { release: release.clone(), at, is_own: false });
+    }
+
+    fn insert(&mut self, session: &SessionId, pin: Pin) {
+        match self.pins.get_mut(session) {
+            Some(known) if known.at > pin.at => {}
+            Some(known) => *known = pin,
+            None => drop(self.pins.insert(session.clone(), pin)),
         }
     }
 
-    /// Sessions that would go to a canary with the given share, with their releases and last request times.
-    pub fn pins_in_share(&self, share: f64) -> impl Iterator<Item = (&SessionId, &ReleaseId, Duration)> {
-        let is_in_share = move |session: &SessionId| rendezvous::fraction(session.as_str()) < share;
-        let pins = self.pins.iter().filter(move |(session, _)| is_in_share(session));
-        pins.map(|(session, (release, at))| (session, release, *at))
+    /// Sessions that would go to a canary with the given share and whose last request was handled by this gateway at or
+    /// after `since`, with their releases and last request times.
+    pub fn own_in_share(
+        &self,
+        share: f64,
+        since: Duration,
+    ) -> impl Iterator<Item = (&SessionId, &ReleaseId, Duration)> {
+        let own = self.pins.iter().filter(move |(_, pin)| pin.is_own && pin.at >= since);
+        let in_share = own.filter(move |(session, _)| rendezvous::fraction(session.as_str()) < share);
+        in_share.map(|(session, pin)| (session, &pin.release, pin.at))
     }
 
     /// Removes the pins of sessions that are over.
     pub fn expire(&mut self, now: Duration, ttl: Duration) {
-        self.pins.retain(|_, (_, at)| now < *at + ttl);
+        self.pins.retain(|_, pin| now < pin.at + ttl);
     }
 }
--- a/crates/bluebell-core/tests/canary.rs
+++ b/crates/bluebell-core/tests/canary.rs
@@ -318,3 +318,29 @@
     assert_eq!(pins.get(Duration::from_secs(5), &session, ttl), Some(&release("v1")));
     assert_eq!(pins.get(Duration::from_secs(6), &session, ttl), None);
 }
+
+// Sending on the pins learned from others made each status of a large fleet as long as all its sessions.
+#[test]
+fn gateway_tells_others_only_of_sessions_whose_last_request_it_handled() {
+    let session = |number: usize| format!("s-{number}").parse().expect("id");
+    let (old, new) = (release("v1"), release("v2"));
+    let mut pins = SessionPins::default();
+    let at = Duration::from_secs;
+    pins.set(at(1), &session(1), &old);
+    pins.learn(at(1), &session(2), &old);
+    pins.set(at(2), &session(3), &old);
+    // The other gateway has handled a later request, then this one again.
+    pins.learn(at(3), &session(3), &new);
+    pins.learn(at(1), &session(4), &old);
+    pins.set(at(4), &session(4), &new);
+    let told = |pins: &SessionPins, since| -> Vec<(String, ReleaseId)> {
+        pins.own_in_share(1.0, since).map(|(session, release, _)| (session.to_string(), release.clone())).collect()
+    };
+    let (first, fourth) = (("s-1".to_owned(), old.clone()), ("s-4".to_owned(), new.clone()));
+    assert_eq!(told(&pins, Duration::ZERO), [first, fourth.clone()]);
+    assert_eq!(told(&pins, at(2)), [fourth]);
+    assert_eq!(told(&pins, at(5)), []);
+    for (number, wanted) in [(1, &old), (2, &old), (3, &new), (4, &new)] {
+        assert_eq!(pins.get(at(4), &session(number), at(10)), Some(wanted), "session {number}");
+    }
+}
--- a/crates/bluebelld/src/gateway/control/drive.rs
+++ b/crates/bluebelld/src/gateway/control/drive.rs
@@ -33,7 +33,7 @@
         }
         let own_id = self.gateway.settings.instance.id.clone();
         let own = self.gateway.traffic().tallies();
-        let peers = self.peer_statuses.iter().map(|(peer, (_, status))| (peer, status.tallies.as_slice()));
+        let peers = self.peer_statuses.iter().map(|(peer, status)| (peer, status.tallies.as_slice()));
         let all: Vec<(&InstanceId, &[ReleaseTally])> =
             std::iter::once((&own_id, own.as_slice())).chain(peers).collect();
         let mut rejected = false;
@@ -53,7 +53,7 @@
     // The gateway that wrote the last stage stays responsible as long as it can reach the store. Otherwise the gateway
     // with the lowest id among those that can takes over.
     fn is_driver(&self, row: Option<&StageRow>) -> bool {
-        let can_write = |peer: &InstanceId| self.peer_statuses.get(peer).is_some_and(|(_, status)| status.connected);
+        let can_write = |peer: &InstanceId| self.peer_statuses.get(peer).is_some_and(|status| status.has_store);
         match row.map(|row| &row.holder) {
             Some(holder) if *holder == self.gateway.settings.instance.id => true,
             Some(holder) if self.members.is_connected(holder) && can_write(holder) => false,
--- a/crates/bluebelld/src/gateway/control/members.rs
+++ b/crates/bluebelld/src/gateway/control/members.rs
@@ -118,11 +118,10 @@
         }
     }
 
-    /// Sends a message to all connected peers.
-    pub(super) fn broadcast(&self, message: &ExchangeMessage) {
-        for id in self.connected() {
-            self.send(id, message);
-        }
+    /// Sends a message to all connected peers. Returns whether it was queued for each of them.
+    pub(super) fn broadcast(&self, message: &ExchangeMessage) -> bool {
+        let connected = self.known.values().filter(|member| member.connected);
+        connected.fold(true, |queued, member| member.outbox.try_send(message.clone()).is_ok() && queued)
     }
 
     /// Forwards what this gateway has just learned, from the store or from the given peer, to the peers that have to
--- a/crates/bluebelld/src/gateway/control/mod.rs
+++ b/crates/bluebelld/src/gateway/control/mod.rs
@@ -11,6 +11,7 @@
 mod rollouts;
 mod rows;
 mod state;
+mod status;
 
 use std::sync::Arc;
 
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -9,7 +9,7 @@
     replica::{Origin, Replica},
     upstreams::Upstreams,
 };
-use bluebell_wire::messages::{ExchangeMessage, GatewayStatus};
+use bluebell_wire::messages::ExchangeMessage;
 use indexmap::IndexMap;
 use tokio::{sync::mpsc, task::spawn_local, time::MissedTickBehavior};
 
@@ -18,6 +18,7 @@
     feeds,
     members::Members,
     rollouts::Rollouts,
+    status::{PeerStatus, SentStatus},
 };
 use crate::{
     gateway::{routing_state::RoutingState, state::Gateway},
@@ -47,8 +48,8 @@
     pub(super) suspects: Arc<Suspects>,
     pub(super) reports: ReportRows,
     pub(super) startup: Startup,
-    // Latest status of each peer, and when it was received.
-    pub(super) peer_statuses: IndexMap<InstanceId, (Duration, GatewayStatus)>,
+    pub(super) peer_statuses: IndexMap<InstanceId, PeerStatus>,
+    pub(super) sent_status: SentStatus,
     pub(super) store: StoreContact,
     pub(super) ticks: u64,
     // Whether the routing state has changed since it was published.
@@ -91,6 +92,7 @@
             reports: ReportRows::default(),
             startup: Startup::default(),
             peer_statuses: IndexMap::new(),
+            sent_status: SentStatus::default(),
             store: StoreContact::default(),
             ticks: 0,
             unpublished: false,
@@ -158,30 +160,13 @@
         }
     }
 
-    fn handle_status(&mut self, peer: InstanceId, status: GatewayStatus) {
-        let now = self.gateway.now();
-        let mut traffic = self.gateway.traffic();
-        traffic.apply_peer_loads(now, peer.clone(), &status.loads);
-        for pin in &status.sessions {
-            traffic.sessions.set(now.saturating_sub(pin.age), &pin.session, &pin.release);
-        }
-        drop(traffic);
-        if self.rollouts.reject(&peer, &status.rejected) {
-            self.publish();
-        }
-        let connected = status.connected;
-        self.peer_statuses.insert(peer, (now, status));
-        if connected {
-            self.publish_contact(now);
-        }
-    }
-
     fn handle_connection_change(&mut self, peer: &InstanceId, connected: bool) {
         let now = self.gateway.now();
         if self.members.set_connected(peer, connected, now) {
             log::info!(peer = peer.as_str(); "connection to peer {}", if connected { "opened" } else { "lost" });
         }
         if connected {
+            self.sent_status = SentStatus::default();
             // Crash reports go first: a gateway is ready once it has the rows, and must know by then which requests to
             // block.
             self.send_crashes(peer);
@@ -256,27 +241,9 @@
         !self.store.lost && self.store.last_response.is_some_and(|at| now < at + feeds::STORE_TIMEOUT)
     }
 
-    fn broadcast_status(&self, now: Duration) {
-        let is_rolling_out = self.rollouts.any_running();
-        let traffic = self.gateway.traffic();
-        let tallies = if is_rolling_out { traffic.tallies() } else { Vec::new() };
-        let sessions =
-            if is_rolling_out { traffic.session_releases(now, self.gateway.schedule.canary) } else { Vec::new() };
-        let loads = traffic.loads(&self.suspects);
-        let status = GatewayStatus {
-            connected: self.is_store_connected(now),
-            loads,
-            tallies,
-            sessions,
-            rejected: self.rollouts.rejected_orders(),
-        };
-        drop(traffic);
-        self.members.broadcast(&ExchangeMessage::Status(Box::new(status)));
-    }
-
     // Publishes that the store has just responded, here or at a peer. At most once per tick, as publishing copies the
     // whole routing state to change one field.
-    fn publish_contact(&self, now: Duration) {
+    pub(super) fn publish_contact(&self, now: Duration) {
         let routing = self.gateway.routing.load();
         if routing.last_contact + TICK < now {
             self.gateway.routing.store(Arc::new(RoutingState { last_contact: now, ..RoutingState::clone(&routing) }));
@@ -294,7 +261,7 @@
             return;
         }
         let now = self.gateway.now();
-        let peers = self.peer_statuses.values().filter(|(_, status)| status.connected).map(|(at, _)| *at);
+        let peers = self.peer_statuses.values().filter(|status| status.has_store).map(|status| status.received_at);
         let last_contact = peers.chain(self.store.last_response.filter(|_| !self.store.lost)).max();
         let routing = RoutingState {
             declared: self.declared.clone(),
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -172,15 +172,16 @@
         self.tallies.iter().map(row).collect()
     }
 
-    /// Releases of the sessions that fall into a canary of the given share.
+    /// Releases of the sessions that fall into a canary of the given share, for its peers: those whose last request this
+    /// gateway has handled at or after `since`.
     #[must_use]
-    pub fn session_releases(&self, now: Duration, share: f64) -> Vec<SessionRelease> {
+    pub fn session_releases(&self, now: Duration, share: f64, since: Duration) -> Vec<SessionRelease> {
         let row = |(session, release, at): (&SessionId, &ReleaseId, Duration)| SessionRelease {
             session: session.clone(),
             release: release.clone(),
             age: now.saturating_sub(at),
         };
-        self.sessions.pins_in_share(share).map(row).collect()
+        self.sessions.own_in_share(share, since).map(row).collect()
     }
 
     /// Load that this gateway has put on upstreams, for its peers.
