--- a/crates/bluebelld/src/gateway/control/members.rs
+++ b/crates/bluebelld/src/gateway/control/members.rs
@@ -120,8 +120,11 @@
 
     /// Sends a message to all connected peers. Returns whether it was queued for each of them.
     pub(super) fn broadcast(&self, message: &ExchangeMessage) -> bool {
-        let connected = self.known.values().filter(|member| member.connected);
-        connected.fold(true, |queued, member| member.outbox.try_send(message.clone()).is_ok() && queued)
+        let mut queued = true;
+        for member in self.known.values().filter(|member| member.connected) {
+            queued &= member.outbox.try_send(message.clone()).is_ok();
+        }
+        queued
     }
 
     /// Forwards what this gateway has just learned, from the store or from the given peer, to the peers that have to
