--- a/crates/bluebelld/src/gateway/control/mod.rs
+++ b/crates/bluebelld/src/gateway/control/mod.rs
@@ -7,6 +7,7 @@
 mod feeds;
 mod links;
 mod members;
+mod peer_status;
 mod reports;
 mod rollouts;
 mod rows;
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -17,8 +17,8 @@
     event::{Event, EventSender},
     feeds,
     members::Members,
+    peer_status::{PeerStatus, SentStatus},
     rollouts::Rollouts,
-    status::{PeerStatus, SentStatus},
 };
 use crate::{
     gateway::{routing_state::RoutingState, state::Gateway},
