--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -124,6 +124,8 @@
     /// True until the upstream has sent its answer, as far as an injected fault lets it. Stays true if the caller
     /// disconnects or the upstream crashes before that.
     pub unfinished: bool,
+    /// When the answer ended, or when the caller's disconnect was noticed.
+    pub ended: Option<Instant>,
 }
 
 #[derive(Debug, Default)]
@@ -353,12 +355,15 @@
             let run_index = {
                 let mut state = lock(&self.state);
                 let (request, upstream) = (request.clone(), id);
-                state.runs.push(Run { request, upstream, began: Instant::now(), unfinished: true });
+                state.runs.push(Run { request, upstream, began: Instant::now(), unfinished: true, ended: None });
                 state.runs.len() - 1
             };
-            let keep_alive = self.answer(&mut socket, &request, fault).await?;
-            lock(&self.state).runs[run_index].unfinished = false;
-            if !keep_alive {
+            let result = self.answer(&mut socket, &request, fault).await;
+            {
+                let run = &mut lock(&self.state).runs[run_index];
+                (run.unfinished, run.ended) = (result.is_err(), Some(Instant::now()));
+            }
+            if !result? {
                 return Ok(());
             }
         }
@@ -423,7 +428,7 @@
             if let Some(Fault::Stall { after, time }) = fault
                 && number == after + 1
             {
-                tokio::time::sleep(time).await;
+                stall(socket, time).await?;
             }
             let cut = match fault {
                 Some(Fault::Cut(after) | Fault::CutUnframed(after)) => number > after,
@@ -474,6 +479,16 @@
     Ok(())
 }
 
+// Sends nothing for a while. Fails as soon as the caller disconnects.
+async fn stall(socket: &mut TcpStream, time: Duration) -> io::Result<()> {
+    let mut byte = [0];
+    match tokio::time::timeout(time, socket.peek(&mut byte)).await {
+        Ok(Ok(0)) => Err(io::ErrorKind::ConnectionAborted.into()),
+        Ok(Err(error)) => Err(error),
+        Ok(Ok(_)) | Err(_) => Ok(()),
+    }
+}
+
 async fn write_part(socket: &mut TcpStream, bytes: &[u8], chunked: bool) -> io::Result<()> {
     if !chunked {
         return socket.write_all(bytes).await;
--- a/crates/bluebelld/tests/gateway/answers.rs
+++ b/crates/bluebelld/tests/gateway/answers.rs
@@ -8,6 +8,7 @@
 use super::{
     caller::{Ask, Caller},
     site::{Site, TIMEOUT_MS},
+    until,
 };
 
 #[tokio::test]
@@ -138,6 +139,26 @@
     }
 }
 
+#[tokio::test]
+async fn silent_call_is_awaited_when_no_retry_is_left() {
+    let site = Site::start(1).await;
+    site.ledger.iter().for_each(|upstream| upstream.set_default_fault(Some(Fault::Slow(Duration::from_millis(1500)))));
+    let exhaust = async {
+        until("the request to run", || async { site.runs("r-silent").len() == 1 }).await;
+        site.ledger.iter().for_each(|upstream| upstream.set_default_fault(Some(Fault::LoseAnswer)));
+        let asks = (0..40).map(|number| {
+            let ask = Ask::new("/look/1", &format!("lost-{number}")).body(&format!("lost {number}"));
+            let gateway = &site.gateways[0];
+            async move { gateway.ask(&ask).await }
+        });
+        futures_util::future::join_all(asks).await;
+    };
+    let request = Ask::new("/look/1", "r-silent");
+    let (answer, ()) = tokio::join!(site.gateways[0].ask(&request), exhaust);
+    assert_eq!((answer.status, answer.body.as_str()), (200, "POST /look/1 done"));
+    assert_eq!(site.runs("r-silent").len(), 1);
+}
+
 #[tokio::test]
 async fn connections_to_upstreams_are_reused() {
     let site = Site::start(1).await;
--- a/crates/bluebelld/tests/gateway/streams.rs
+++ b/crates/bluebelld/tests/gateway/streams.rs
@@ -215,3 +215,104 @@
         assert_eq!((answer.status, answer.complete, answer.events()), (200, true, all_events()));
     }
 }
+
+/// Number of requests that use up the retry budget of a gateway that has just started, if all their attempts fail.
+const BUDGET_EXHAUSTING_REQUESTS: usize = 40;
+/// Maximum time for which two engines may run the same stream.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+
+/// Sends requests whose answers are all lost, until the gateway has no retry left for engines.
+async fn exhaust_retry_budget(site: &Site) {
+    site.chat.iter().for_each(|upstream| upstream.set_default_fault(Some(Fault::LoseAnswer)));
+    let asks = (0..BUDGET_EXHAUSTING_REQUESTS).map(|number| {
+        let ask = stream_request(&format!("lost-{number}")).body(&format!("lost {number}"));
+        async move { site.gateways[0].ask(&ask).await }
+    });
+    futures_util::future::join_all(asks).await;
+    let sends: usize = (0..BUDGET_EXHAUSTING_REQUESTS).map(|number| site.runs(&format!("lost-{number}")).len()).sum();
+    assert!(sends < 3 * BUDGET_EXHAUSTING_REQUESTS, "retries were left");
+}
+
+#[tokio::test]
+async fn silent_attempt_that_resumes_a_stream_is_awaited_when_no_retry_is_left() {
+    let site = start_site_with_long_timeouts().await;
+    site.put_declarations(3, |config| {
+        for route in config["routes"].as_array_mut().expect("the routes should be a list") {
+            route["timeoutMs"] = json!(LONG_TIMEOUT_MS);
+            route["maxAttempts"] = json!(4);
+        }
+    });
+    until("more attempts to be in force", || async { site.gateways[0].process.log().contains("\"version\":3") }).await;
+    // Both engines cut off one attempt; the third one is silent before its head.
+    for engine in &site.chat {
+        engine.next_faults([Fault::Cut(2)]);
+        engine.set_default_fault(Some(Fault::Slow(STALL)));
+    }
+    let exhaust = async {
+        until("the stream to be resumed", || async { site.runs("r-silent").len() == 3 }).await;
+        exhaust_retry_budget(&site).await;
+    };
+    let request = stream_request("r-silent");
+    let (answer, ()) = tokio::join!(site.gateways[0].ask(&request), exhaust);
+    assert_eq!((answer.status, answer.complete, answer.events()), (200, true, all_events()));
+}
+
+#[tokio::test]
+async fn silent_engine_is_awaited_before_its_head_when_no_retry_is_left() {
+    let site = start_site_with_long_timeouts().await;
+    site.chat.iter().for_each(|upstream| upstream.set_default_fault(Some(Fault::Slow(STALL))));
+    let exhaust = async {
+        until("the request to run", || async { site.runs("r-silent").len() == 1 }).await;
+        exhaust_retry_budget(&site).await;
+    };
+    let request = stream_request("r-silent");
+    let (answer, ()) = tokio::join!(site.gateways[0].ask(&request), exhaust);
+    assert_eq!((answer.status, answer.complete, answer.events()), (200, true, all_events()));
+    assert_eq!(site.runs("r-silent").len(), 1);
+}
+
+#[tokio::test]
+async fn silent_stream_goes_on_when_no_other_engine_takes_it_over() {
+    for failure in [Fault::NotRun, Fault::Fails(500), Fault::LoseAnswer] {
+        let site = start_site_with_long_timeouts().await;
+        site.chat[0].set_default_fault(Some(Fault::Stall { after: 3, time: STALL }));
+        site.chat[1].set_default_fault(Some(failure.clone()));
+        let answer = site.gateways[0].ask(&stream_request("r-silent")).await;
+        assert_eq!((answer.status, answer.complete, answer.events()), (200, true, all_events()), "{failure:?}");
+        assert!(site.runs("r-silent").len() <= 3, "{failure:?}");
+    }
+}
+
+#[tokio::test]
+async fn silent_stream_and_its_replacement_run_together_only_briefly() {
+    let site = start_site_with_long_timeouts().await;
+    let stall = Fault::Stall { after: 3, time: Duration::from_secs(30) };
+    site.chat.iter().for_each(|upstream| upstream.set_default_fault(Some(stall.clone())));
+    let request = stream_request("r-silent");
+    let slow_replacement = async {
+        until("the stream to start", || async { site.runs("r-silent").len() == 1 }).await;
+        let slow = Some(Fault::Slow(Duration::from_secs(1)));
+        site.chat.iter().for_each(|upstream| upstream.set_default_fault(slow.clone()));
+    };
+    let (answer, ()) = tokio::join!(site.gateways[0].ask(&request), slow_replacement);
+    assert_eq!((answer.status, answer.complete, answer.events()), (200, true, all_events()));
+    let runs = site.runs("r-silent");
+    assert_eq!(runs.len(), 2);
+    let ended = runs[0].ended.expect("the silent run should be closed");
+    assert!(ended < runs[1].began + MAX_OVERLAP, "{:?}", ended.saturating_duration_since(runs[1].began));
+}
+
+#[tokio::test]
+async fn stream_that_goes_on_while_its_replacement_starts_is_not_doubled() {
+    let site = start_site_with_long_timeouts().await;
+    let stall = Fault::Stall { after: 3, time: Duration::from_millis(2600) };
+    site.chat.iter().for_each(|upstream| upstream.set_default_fault(Some(stall.clone())));
+    let request = stream_request("r-silent");
+    let slow_replacement = async {
+        until("the stream to start", || async { site.runs("r-silent").len() == 1 }).await;
+        let slow = Some(Fault::Slow(Duration::from_millis(300)));
+        site.chat.iter().for_each(|upstream| upstream.set_default_fault(slow.clone()));
+    };
+    let (answer, ()) = tokio::join!(site.gateways[0].ask(&request), slow_replacement);
+    assert_eq!((answer.status, answer.complete, answer.events()), (200, true, all_events()));
+}
