Give up a silent attempt only while the request may be retried

Callers saw streams cut in the middle, and 502 instead of answers, from upstreams that had been silent for 0.6 to 3.2 s and went on. Cause: the wait for the head of an answer asked only whether the route allows another attempt. Class: a resource is released before it is known that its replacement may exist. Evidence: the reason of the last attempt is 'no answer in time', with fewer sends than the route's attempts. Ruled out: panics (none in any log).

Change: when its time limit passes, an attempt asks Job::may_be_retried (budget, blocked requests) and is awaited while the answer is no; it asks again each 100 ms. Chosen as a tenth of the shortest deadline in use.

--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -49,8 +49,8 @@
     },
 }
 
-/// Time limit for the head of an answer. The request's deadline always applies as well. The names of the variants
-/// appear in error messages.
+/// Time limit for the head of an answer. The request's deadline always applies as well; the limits other than the
+/// deadline apply only while the request may be retried. The names of the variants appear in error messages.
 #[derive(Debug, Clone, Copy)]
 pub enum HeadTimeout {
     /// No limit other than the request's deadline.
@@ -216,7 +216,7 @@
         connection.expect_head();
         let time_left = job.deadline.saturating_sub(gateway.now());
         let sending = connection.sender.try_send_request(build_request(job, plan, time_left));
-        let result = wait_for_head(gateway, plan, started, job.deadline, sending).await;
+        let result = wait_for_head(gateway, job, plan, started, sending).await;
         let Some(result) = result else {
             job.record_overdue(gateway, plan.model.as_ref(), &plan.upstream.release);
             let reason = format!("no answer in time: {:?}", plan.head_timeout);
@@ -278,18 +278,22 @@
     })
 }
 
-// Waits for the head of an answer. None if the time limit for the head or the deadline passes first.
+/// Interval at which an attempt whose time limit has passed checks whether the request may be retried.
+const RETRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+// Waits for the head of an answer. None if the deadline passes first, or the time limit for the head while the request
+// may be retried.
 async fn wait_for_head<T>(
     gateway: &Gateway,
+    job: &Job,
     plan: &AttemptPlan,
     started: Duration,
-    deadline: Duration,
     sending: impl Future<Output = T>,
 ) -> Option<T> {
     let mut sending = std::pin::pin!(sending);
     loop {
         let now = gateway.now();
-        let left = deadline.saturating_sub(now);
+        let left = job.deadline.saturating_sub(now);
         let wait = match plan.head_timeout {
             HeadTimeout::Whole => left,
             HeadTimeout::Fixed(time) => (started + time).saturating_sub(now).min(left),
@@ -297,9 +301,10 @@
                 gateway.traffic().remaining_wait(now, &plan.upstream.id, started, time).min(left)
             }
         };
-        if wait.is_zero() {
+        if wait.is_zero() && (left.is_zero() || job.may_be_retried(gateway)) {
             return None;
         }
+        let wait = if wait.is_zero() { RETRY_CHECK_INTERVAL.min(left) } else { wait };
         if let Ok(result) = timeout(wait, sending.as_mut()).await {
             return Some(result);
         }
--- a/crates/bluebelld/src/gateway/front/choose.rs
+++ b/crates/bluebelld/src/gateway/front/choose.rs
@@ -121,11 +121,7 @@
 
 /// Whether another attempt may follow if the one in progress is given up.
 pub fn may_give_up(gateway: &Gateway, job: &Job, history: &AttemptHistory) -> bool {
-    let routing = gateway.routing.load();
-    let is_blocked = routing.suspects.get(&job.fingerprint).is_some_and(|found| found.is_poison);
-    !is_blocked
-        && history.may_send_after_loss(job)
-        && gateway.traffic().retry_window(&job.service).may_retry(gateway.now(), &gateway.retry_limit, routing.gateways)
+    history.may_send_after_loss(job) && job.may_be_retried(gateway)
 }
 
 // Takes a retry from the budget shared by all gateways. Returns whether there was one.
--- a/crates/bluebelld/src/gateway/job.rs
+++ b/crates/bluebelld/src/gateway/job.rs
@@ -73,6 +73,16 @@
         self.deadline.saturating_sub(gateway.now())
     }
 
+    /// Whether the retry budget has a retry left for the request, and it is not blocked.
+    #[must_use]
+    pub fn may_be_retried(&self, gateway: &Gateway) -> bool {
+        let routing = gateway.routing.load();
+        let is_blocked = routing.suspects.is_poison(&self.fingerprint);
+        let mut traffic = gateway.traffic();
+        let window = traffic.retry_window(&self.service);
+        !is_blocked && window.may_retry(gateway.now(), &gateway.retry_limit, routing.gateways)
+    }
+
     /// Counts an attempt that took too long, for the release that ran it: the gateway stopped waiting for the answer,
     /// or its stream is much slower than usual.
     pub fn record_overdue(&self, gateway: &Gateway, model: Option<&ModelId>, release: &ReleaseId) {
