Keep a silent stream until another upstream has taken it over

Callers' streams were cut in the middle although their upstream was only silent and went on. Cause: Relay::resume closed the connection to the silent upstream first and then looked for another one; if that one refused, failed or was unreachable, or none was known, the caller was cut. Class: break before make. Evidence: 'the upstream fell silent' followed by refusals, and streams cut with ids 1 to 3 of 8; the test's three kinds of failure (refusal, 500, reset).

Change: the silent attempt stays open while another upstream is asked, never the silent one itself. A takeover that fails is tried again after the idle timeout. Retry::Takeover holds the rule; the relay has a file of its own (relay.rs, start.rs). A stream that is cut leaves a line with sends, attempts, budget and time left, which was missing. Ruled out: closing at once on a refused connection probe (a sound silent upstream accepts connections, a dark one times out: no evidence either way).

--- a/crates/bluebell-core/src/retry/mod.rs
+++ b/crates/bluebell-core/src/retry/mod.rs
@@ -1,11 +1,13 @@
 //! Retry decisions for failed attempts, and the budgets that limit retries.
 
+mod takeover;
 mod window;
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+pub use takeover::{MAX_OVERLAP, Takeover};
 pub use window::{RetryLimit, RetryWindow};
 
 /// Retry credit earned by each first attempt.
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode, body::Incoming};
-use tokio::time::timeout;
+use tokio::{sync::watch, time::timeout};
 
 use super::{
     attempt_guard::AttemptGuard, crash_detection, job::Job, pool::PooledConnection, response_buffer::BufferBudget,
@@ -72,6 +72,16 @@
     pub last_event: u64,
     /// Time limit for the head of the answer.
     pub head_timeout: HeadTimeout,
+    /// Set to the time at which the request was sent, and back to `None` when the attempt fails.
+    pub in_flight_since: Option<watch::Sender<Option<Duration>>>,
+}
+
+impl AttemptPlan {
+    fn record_in_flight(&self, since: Option<Duration>) {
+        if let Some(sender) = &self.in_flight_since {
+            sender.send_replace(since);
+        }
+    }
 }
 
 /// An answer whose head has arrived; the body is read from it.
@@ -184,6 +194,9 @@
     let guard = AttemptGuard::start(gateway, job, &plan.upstream, plan.model.as_ref());
     let started = gateway.now();
     let result = exchange(gateway, job, plan, guard, started).await;
+    if result.is_err() {
+        plan.record_in_flight(None);
+    }
     if let Err(Failure::Unknown { loss, .. }) = &result {
         crash_detection::record_lost_answer(gateway, &plan.upstream, *loss);
     }
@@ -213,6 +226,7 @@
     let (response, sent_at) = loop {
         let sent_at = gateway.now();
         guard.mark_sent();
+        plan.record_in_flight(Some(sent_at));
         connection.expect_head();
         let time_left = job.deadline.saturating_sub(gateway.now());
         let sending = connection.sender.try_send_request(build_request(job, plan, time_left));
--- a/crates/bluebelld/src/gateway/front/buffered.rs
+++ b/crates/bluebelld/src/gateway/front/buffered.rs
@@ -31,10 +31,11 @@
     let mut history = AttemptHistory::default();
     let mut failed: Option<(StatusCode, HeaderMap, Bytes)> = None;
     loop {
-        let options = SendOptions { model: None, pinned_release: None, skip_budget: history.sends() == 0 };
+        let skip_budget = history.sends() == 0;
+        let options = SendOptions { model: None, pinned_release: None, skip_budget, excluded: None };
         let Some(upstream) = next_upstream(gateway, &job, &mut history, &options) else { break };
-        let plan =
-            AttemptPlan { upstream, model: None, last_event: 0, head_timeout: head_timeout(gateway, &job, &history) };
+        let head_timeout = head_timeout(gateway, &job, &history);
+        let plan = AttemptPlan { upstream, model: None, last_event: 0, head_timeout, in_flight_since: None };
         match send_and_read(gateway, &job, &plan, &history).await {
             Ok((status, headers, body)) if !status.is_server_error() => {
                 return forward_buffered(status, &headers, body);
--- a/crates/bluebelld/src/gateway/front/choose.rs
+++ b/crates/bluebelld/src/gateway/front/choose.rs
@@ -25,32 +25,29 @@
     /// Whether no retry is taken from the budget, because this is the first attempt or an escalation has already taken
     /// one.
     pub skip_budget: bool,
+    /// Upstream that must not be chosen, because an attempt there is still in progress.
+    pub excluded: Option<&'a UpstreamId>,
 }
 
 // Chooses an upstream for a request, preferring those that were not tried yet. A resumed stream stays on its release if
 // possible.
-fn choose(
-    gateway: &Gateway,
-    job: &Job,
-    model: Option<&ModelId>,
-    tried: &[UpstreamId],
-    pinned_release: Option<&ReleaseId>,
-) -> Option<Arc<Upstream>> {
+fn choose(gateway: &Gateway, job: &Job, tried: &[UpstreamId], options: &SendOptions<'_>) -> Option<Arc<Upstream>> {
     let now = gateway.now();
     let routing = gateway.routing.load();
     let mut traffic = gateway.traffic();
     let session = job.caller.session.as_ref();
-    let is_pinned = |upstream: &&Arc<Upstream>| pinned_release == Some(&upstream.release);
+    let is_pinned = |upstream: &&Arc<Upstream>| options.pinned_release == Some(&upstream.release);
     let mut pool: Vec<Arc<Upstream>> = routing.upstreams(&job.service).iter().filter(is_pinned).cloned().collect();
     if pool.is_empty() {
         pool = eligible_upstreams(gateway, &routing, &traffic, job);
     }
+    pool.retain(|upstream| options.excluded != Some(&upstream.id));
     let untried: Vec<Arc<Upstream>> = pool.iter().filter(|upstream| !tried.contains(&upstream.id)).cloned().collect();
     if !untried.is_empty() {
         pool = untried;
     }
     let candidates: Vec<&Upstream> = pool.iter().map(|upstream| upstream.as_ref()).collect();
-    let model = model.or(job.caller.model.as_ref());
+    let model = options.model.or(job.caller.model.as_ref());
     let weight = job.token_weight(model);
     let suspects = routing.suspects.as_ref();
     let separate_from = suspects.get(&job.fingerprint).map(|_| suspects);
@@ -96,7 +93,7 @@
     if !options.skip_budget && !take_retry(gateway, job) {
         return None;
     }
-    let Some(upstream) = choose(gateway, job, options.model, &history.upstreams, options.pinned_release) else {
+    let Some(upstream) = choose(gateway, job, &history.upstreams, options) else {
         history.reason = "none is known".to_owned();
         return None;
     };
--- a/crates/bluebelld/src/gateway/front/mod.rs
+++ b/crates/bluebelld/src/gateway/front/mod.rs
@@ -8,7 +8,9 @@
 mod choose;
 mod record;
 mod refusal;
+mod relay;
 mod reply;
+mod start;
 mod stream;
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
--- /dev/null
+++ b/crates/bluebelld/src/gateway/front/relay.rs
@@ -0,0 +1,348 @@
+//! Forwards the events of a stream to the caller as they arrive. A stream that an upstream cuts off is resumed at another
+//! upstream, of the same release if possible, within the same response and after the last complete event. If that fails,
+//! the caller's response is cut off as well. A stream whose upstream is silent is kept until another upstream has taken
+//! it over.
+
+use std::{io, sync::Arc, time::Duration};
+
+use bluebell_core::{
+    events::{Batch, EventError, EventSplitter},
+    ids::ModelId,
+    poison::ResponseLoss,
+    retry::Takeover,
+    upstreams::Upstream,
+};
+use bytes::Bytes;
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+use super::{
+    attempts::{AttemptHistory, InFlight},
+    choose::{SendOptions, may_give_up},
+    record::record_answer,
+    start::{prompt_allowance, start_stream},
+};
+use crate::{
+    gateway::{
+        attempt::{BodyChunk, UpstreamResponse},
+        crash_detection,
+        job::Job,
+        state::Gateway,
+        traffic::AnswerPace,
+    },
+    metrics::Outcome,
+};
+
+/// Time without data from an upstream, on any connection, after which another upstream is asked to take a stream over,
+/// if it can be resumed. Before the first event, the time for processing its prompt is added.
+const STREAM_IDLE_TIMEOUT: Duration = Duration::from_millis(2500);
+
+/// Number of events after which the pace of a stream is checked.
+const MIN_PACE_EVENTS: u64 = 3;
+
+/// Forwards the events of a stream to the caller as they arrive, and resumes the stream when an upstream fails.
+pub struct Relay {
+    gateway: Arc<Gateway>,
+    job: Job,
+    response: Option<UpstreamResponse>,
+    splitter: EventSplitter,
+    history: AttemptHistory,
+    // Whether the attempt in progress is already counted in the history, because a takeover of it was tried.
+    is_counted: bool,
+    // Events forwarded to the caller, from all upstreams.
+    events: u64,
+    // Events of the current upstream's response.
+    response_events: u64,
+    // Whether the current response was already counted as slow.
+    counted_slow: bool,
+    // When data last arrived on this stream, or its takeover last failed.
+    idle_since: Duration,
+    upstream: Arc<Upstream>,
+    model: Option<ModelId>,
+    in_flight: InFlight,
+}
+
+impl Relay {
+    /// Starts to forward an answer.
+    pub fn new(
+        gateway: Arc<Gateway>,
+        job: Job,
+        response: UpstreamResponse,
+        history: AttemptHistory,
+        in_flight: InFlight,
+    ) -> Self {
+        let splitter = EventSplitter::after(job.caller.last_event);
+        let (upstream, model) = (Arc::clone(&response.upstream), response.model.clone());
+        let idle_since = gateway.now();
+        let response = Some(response);
+        Self {
+            gateway,
+            job,
+            response,
+            splitter,
+            history,
+            is_counted: false,
+            events: 0,
+            response_events: 0,
+            counted_slow: false,
+            idle_since,
+            upstream,
+            model,
+            in_flight,
+        }
+    }
+
+    /// Next complete events for the caller; an error cuts the caller's response off.
+    pub async fn next_data(&mut self) -> Option<Result<Bytes, io::Error>> {
+        loop {
+            if let Some(error) = self.splitter.fault()
+                && let Err(error) = self.resume(error.to_string(), ResponseLoss::Broken).await
+            {
+                return Some(Err(error));
+            }
+            self.response.as_ref()?;
+            let (reason, loss) = match self.next_chunk().await {
+                Some(BodyChunk::Data(data)) => match self.accept_data(&data) {
+                    Ok(batch) if batch.bytes.is_empty() => continue,
+                    Ok(batch) => return Some(Ok(batch.bytes.into())),
+                    Err(error) => (error.to_string(), ResponseLoss::Broken),
+                },
+                Some(BodyChunk::End) if self.splitter.is_whole() => {
+                    self.finish();
+                    return None;
+                }
+                Some(BodyChunk::End) => ("the stream ended inside an event".to_owned(), ResponseLoss::Broken),
+                Some(BodyChunk::Broken(reason)) => (reason, ResponseLoss::Broken),
+                None => ("the time is over".to_owned(), ResponseLoss::TimedOut),
+            };
+            if let Err(error) = self.resume(reason, loss).await {
+                return Some(Err(error));
+            }
+        }
+    }
+
+    // Waits for the next chunk, from another upstream if the current one is silent and the other one takes the stream
+    // over. None at the deadline.
+    async fn next_chunk(&mut self) -> Option<BodyChunk> {
+        loop {
+            let now = self.gateway.now();
+            let left = self.job.deadline.saturating_sub(now);
+            if left.is_zero() {
+                return None;
+            }
+            let wait = self.idle_wait(now);
+            if wait.is_zero() {
+                if let Some(chunk) = self.replace_silent().await {
+                    return Some(chunk);
+                }
+            } else if let Ok(chunk) = timeout(wait.min(left), read_chunk(&mut self.response)).await {
+                return Some(chunk);
+            }
+        }
+    }
+
+    // Time to wait for data before another upstream is asked to take the stream over. A stream that can't be resumed is
+    // awaited until the deadline, however long its upstream is silent; the retry budget may allow a takeover later.
+    fn idle_wait(&self, now: Duration) -> Duration {
+        let may_follow = if self.is_counted {
+            self.history.may_send(&self.job) && self.job.may_be_retried(&self.gateway)
+        } else {
+            may_give_up(&self.gateway, &self.job, &self.history)
+        };
+        if !may_follow {
+            return STREAM_IDLE_TIMEOUT;
+        }
+        let is_unread = self.response_events == 0;
+        let allowance = if is_unread { prompt_allowance(&self.job, self.model.as_ref()) } else { Duration::ZERO };
+        let timeout = STREAM_IDLE_TIMEOUT + allowance;
+        self.gateway.traffic().remaining_wait(now, &self.upstream.id, self.idle_since, timeout)
+    }
+
+    // Asks other upstreams to take the stream over. Returns a chunk if the silent upstream goes on first, which cancels
+    // the takeover; after a takeover, or if none was possible, there is no chunk yet.
+    async fn replace_silent(&mut self) -> Option<BodyChunk> {
+        self.count_attempt();
+        let silent = Arc::clone(&self.upstream);
+        let options = SendOptions {
+            model: self.model.as_ref(),
+            pinned_release: Some(&silent.release),
+            skip_budget: false,
+            excluded: Some(&silent.id),
+        };
+        let last = self.splitter.last();
+        let result = {
+            let (sender, mut in_flight_since) = watch::channel(None);
+            let mut takeover = Takeover::default();
+            let starting = start_stream(&self.gateway, &self.job, options, last, &mut self.history, Some(&sender));
+            let mut starting = std::pin::pin!(starting);
+            loop {
+                let close_at = takeover.close_at().filter(|_| self.response.is_some());
+                let close_in = close_at.map_or(Duration::ZERO, |at| at.saturating_sub(self.gateway.now()));
+                tokio::select! {
+                    biased;
+                    chunk = read_chunk(&mut self.response), if self.response.is_some() => match chunk {
+                        BodyChunk::Broken(_) => {
+                            self.response = None;
+                            crash_detection::record_lost_answer(&self.gateway, &silent, ResponseLoss::Broken);
+                        }
+                        chunk => break Err(chunk),
+                    },
+                    result = starting.as_mut() => break Ok(result),
+                    // The sender lives as long as this block.
+                    Ok(()) = in_flight_since.changed() => match *in_flight_since.borrow_and_update() {
+                        Some(at) => takeover.record_sent(at),
+                        None => takeover.record_failure(),
+                    },
+                    () = sleep(close_in), if close_at.is_some() => self.response = None,
+                }
+            }
+        };
+        match result {
+            Err(chunk) => {
+                // The cancelled attempt may have run.
+                self.history.maybe_ran += 1;
+                log::info!(
+                    request = self.job.caller.request.as_str(), upstream = silent.id.as_str(), event = last;
+                    "silent stream goes on at its upstream; its takeover is cancelled"
+                );
+                Some(chunk)
+            }
+            Ok(Ok(response)) => {
+                self.response = None;
+                crash_detection::record_lost_answer(&self.gateway, &silent, ResponseLoss::TimedOut);
+                self.splitter.reset();
+                log::info!(
+                    request = self.job.caller.request.as_str(),
+                    fingerprint = self.job.fingerprint.to_string().as_str(),
+                    upstream = silent.id.as_str(), event = last, ran = self.history.maybe_ran;
+                    "silent stream is taken over by upstream {}", response.upstream.id
+                );
+                self.continue_with(response);
+                None
+            }
+            Ok(Err(_)) if self.response.is_some() => {
+                self.idle_since = self.gateway.now();
+                log::info!(
+                    request = self.job.caller.request.as_str(), upstream = silent.id.as_str(), event = last,
+                    ran = self.history.maybe_ran;
+                    "no other upstream took the silent stream over: {}", self.history.reason
+                );
+                None
+            }
+            Ok(Err(_)) => Some(BodyChunk::Broken(self.history.reason.clone())),
+        }
+    }
+
+    fn accept_data(&mut self, data: &[u8]) -> Result<Batch, EventError> {
+        let now = self.gateway.now();
+        self.idle_since = now;
+        self.gateway.traffic().record_activity(now, &self.upstream.id);
+        let batch = self.splitter.push(data)?;
+        if self.events == 0 && batch.count > 0 {
+            let took = now - self.job.arrived;
+            self.gateway.metrics.record_first_event(self.job.organisation.as_ref(), &self.job.route.id, took);
+        }
+        self.events += batch.count;
+        self.response_events += batch.count;
+        self.check_pace();
+        if let Some(response) = self.response.as_mut().filter(|_| batch.count > 0) {
+            response.guard.finish_prefill();
+            self.in_flight.record_progress(&response.upstream.id, self.events);
+        }
+        Ok(batch)
+    }
+
+    // A stream that is several times slower than usual is counted while it is still running, because the caller may
+    // disconnect before its end.
+    fn check_pace(&mut self) {
+        let Some(response) =
+            self.response.as_ref().filter(|_| !self.counted_slow && self.response_events >= MIN_PACE_EVENTS)
+        else {
+            return;
+        };
+        let kind = self.job.work_kind(response.model.as_ref());
+        let is_slow = self.gateway.traffic().is_slow(
+            &self.job.service,
+            &kind,
+            response.pace(self.gateway.now(), self.response_events),
+        );
+        if is_slow {
+            self.job.record_overdue(&self.gateway, response.model.as_ref(), &response.upstream.release);
+            self.counted_slow = true;
+        }
+    }
+
+    fn finish(&mut self) {
+        self.in_flight.end(Outcome::Served);
+        let Some(response) = self.response.take() else { return };
+        let pace = if self.counted_slow {
+            AnswerPace::Unknown
+        } else {
+            AnswerPace::Ratio(response.pace(self.gateway.now(), self.response_events))
+        };
+        record_answer(&self.gateway, &self.job, &response, pace, &self.history);
+        response.finish(&self.gateway);
+    }
+
+    // Resumes the stream at another upstream, after closing the connection to the failed one.
+    async fn resume(&mut self, reason: String, loss: ResponseLoss) -> Result<(), io::Error> {
+        self.response = None;
+        crash_detection::record_lost_answer(&self.gateway, &self.upstream, loss);
+        self.splitter.reset();
+        self.count_attempt();
+        self.history.reason = reason;
+        log::info!(
+            request = self.job.caller.request.as_str(),
+            fingerprint = self.job.fingerprint.to_string().as_str(),
+            upstream = self.upstream.id.as_str(),
+            event = self.splitter.last(),
+            ran = self.history.maybe_ran;
+            "stream broke off: {}", self.history.reason
+        );
+        let last = self.splitter.last();
+        let options = SendOptions {
+            model: self.model.as_ref(),
+            pinned_release: Some(&self.upstream.release),
+            skip_budget: false,
+            excluded: None,
+        };
+        if let Ok(response) = start_stream(&self.gateway, &self.job, options, last, &mut self.history, None).await {
+            self.continue_with(response);
+            return Ok(());
+        }
+        self.in_flight.end(Outcome::Failed);
+        log::info!(
+            request = self.job.caller.request.as_str(),
+            fingerprint = self.job.fingerprint.to_string().as_str(),
+            route = self.job.route.id.as_str(), event = last, sends = self.history.sends(),
+            ran = self.history.maybe_ran, attempts = self.job.route.attempts,
+            may_retry = self.job.may_be_retried(&self.gateway),
+            left_ms = self.job.time_left(&self.gateway).as_millis() as u64;
+            "stream is cut off towards the caller: {}", self.history.reason
+        );
+        Err(io::Error::new(io::ErrorKind::UnexpectedEof, self.history.reason.clone()))
+    }
+
+    fn continue_with(&mut self, response: UpstreamResponse) {
+        self.upstream = Arc::clone(&response.upstream);
+        self.idle_since = self.gateway.now();
+        (self.response_events, self.counted_slow, self.is_counted) = (0, false, false);
+        self.response = Some(response);
+    }
+
+    // Counts the attempt in progress as one that ran.
+    fn count_attempt(&mut self) {
+        if !std::mem::replace(&mut self.is_counted, true) {
+            self.history.maybe_ran += 1;
+        }
+    }
+}
+
+async fn read_chunk(response: &mut Option<UpstreamResponse>) -> BodyChunk {
+    match response {
+        Some(response) => response.next_chunk().await,
+        None => BodyChunk::Broken("the upstream's answer was given up".to_owned()),
+    }
+}
