--- a/crates/bluebelld/tests/gateway/streams.rs
+++ b/crates/bluebelld/tests/gateway/streams.rs
@@ -316,3 +316,37 @@
     let (answer, ()) = tokio::join!(site.gateways[0].ask(&request), slow_replacement);
     assert_eq!((answer.status, answer.complete, answer.events()), (200, true, all_events()));
 }
+
+#[tokio::test]
+async fn streams_of_engines_that_fall_silent_beside_configurations_are_complete() {
+    let site = start_site_with_long_timeouts().await;
+    let silences = [500, 1000, 1500, 2000].map(Duration::from_millis);
+    for (number, engine) in site.chat.iter().enumerate() {
+        let stalls = silences.iter().cycle().take(24).enumerate();
+        engine.next_faults(stalls.map(|(at, time)| Fault::Stall { after: (at + number) as u64 % 4, time: *time }));
+    }
+    let asks = (0..48).map(|number| {
+        let site = &site;
+        async move {
+            tokio::time::sleep(Duration::from_millis(number * 80)).await;
+            let path = if number % 3 == 0 { "/once/1" } else { "/talk/1" };
+            let ask = Ask::new(path, &format!("r-{number}")).body(&format!("{number}"));
+            site.gateways[0].ask(&ask.header("model", "*").header("token-count", "100,50")).await
+        }
+    });
+    let change_routes = async {
+        for version in 3..23 {
+            tokio::time::sleep(Duration::from_millis(250)).await;
+            site.put_declarations(version, |config| {
+                for route in config["routes"].as_array_mut().expect("the routes should be a list") {
+                    route["timeoutMs"] = json!(LONG_TIMEOUT_MS + version);
+                    route["priority"] = json!(version % 3);
+                }
+            });
+        }
+    };
+    let (answers, ()) = tokio::join!(futures_util::future::join_all(asks), change_routes);
+    for (number, answer) in answers.iter().enumerate() {
+        assert_eq!((answer.status, answer.complete, answer.events()), (200, true, all_events()), "r-{number}");
+    }
+}
