Deliver the smaller model's answer when no larger one takes the request

The same class of fault as the cut silent streams, found by looking for it: an answer is given up before its replacement stands. An escalation closed the smaller model's answer and then asked for a larger one; when all upstreams refused that, the caller got 502 although an answer had been ready. Takeover is shared by both (front/takeover.rs).

--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -71,6 +71,8 @@
     },
     /// Sets the model's confidence, in per cent.
     Confidence(u8),
+    /// Is not confident in the answers of this model, and rejects requests for others with 503 and `not-executed`.
+    OnlyModel(String),
     /// Sends an unbounded answer until the caller closes the connection.
     Endless(Endless),
     /// Crashes the upstream after this many events; all its running requests are lost.
@@ -348,7 +350,8 @@
                 let crash = poison.map(|poison| Fault::Crash(poison.events));
                 crash.or_else(|| state.faults.pop_front()).or_else(|| state.default_fault.clone())
             };
-            if fault == Some(Fault::NotRun) {
+            let is_other_model = matches!(&fault, Some(Fault::OnlyModel(model)) if request.header("model") != model);
+            if fault == Some(Fault::NotRun) || is_other_model {
                 http1::write(&mut socket, 503, &[("not-executed", "1")], b"").await?;
                 continue;
             }
@@ -412,7 +415,11 @@
     ) -> io::Result<bool> {
         let chunked = !matches!(fault, Some(Fault::CutUnframed(_)));
         let id = if fault == Some(Fault::WrongId) { "another" } else { request.header("request-id") };
-        let confidence = if let Some(Fault::Confidence(percent)) = fault { percent } else { 100 };
+        let confidence = match fault {
+            Some(Fault::Confidence(percent)) => percent,
+            Some(Fault::OnlyModel(_)) => 0,
+            _ => 100,
+        };
         let mut head = format!(
             "HTTP/1.1 200 x\r\nrequest-id: {id}\r\nresponse-stamp: {RESPONSE_STAMP}\r\nconfidence: {confidence}\r\n\
              content-type: text/event-stream\r\n"
--- a/crates/bluebelld/src/gateway/front/mod.rs
+++ b/crates/bluebelld/src/gateway/front/mod.rs
@@ -12,6 +12,7 @@
 mod reply;
 mod start;
 mod stream;
+mod takeover;
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
--- a/crates/bluebelld/src/gateway/front/relay.rs
+++ b/crates/bluebelld/src/gateway/front/relay.rs
@@ -9,20 +9,17 @@
     events::{Batch, EventError, EventSplitter},
     ids::ModelId,
     poison::ResponseLoss,
-    retry::Takeover,
     upstreams::Upstream,
 };
 use bytes::Bytes;
-use tokio::{
-    sync::watch,
-    time::{sleep, timeout},
-};
+use tokio::{sync::watch, time::timeout};
 
 use super::{
     attempts::{AttemptHistory, InFlight},
     choose::{SendOptions, may_give_up},
     record::record_answer,
     start::{prompt_allowance, start_stream},
+    takeover::{Kept, Replacement, read_chunk, replace},
 };
 use crate::{
     gateway::{
@@ -172,35 +169,10 @@
             excluded: Some(&silent.id),
         };
         let last = self.splitter.last();
-        let result = {
-            let (sender, mut in_flight_since) = watch::channel(None);
-            let mut takeover = Takeover::default();
-            let starting = start_stream(&self.gateway, &self.job, options, last, &mut self.history, Some(&sender));
-            let mut starting = std::pin::pin!(starting);
-            loop {
-                let close_at = takeover.close_at().filter(|_| self.response.is_some());
-                let close_in = close_at.map_or(Duration::ZERO, |at| at.saturating_sub(self.gateway.now()));
-                tokio::select! {
-                    biased;
-                    chunk = read_chunk(&mut self.response), if self.response.is_some() => match chunk {
-                        BodyChunk::Broken(_) => {
-                            self.response = None;
-                            crash_detection::record_lost_answer(&self.gateway, &silent, ResponseLoss::Broken);
-                        }
-                        chunk => break Err(chunk),
-                    },
-                    result = starting.as_mut() => break Ok(result),
-                    // The sender lives as long as this block.
-                    Ok(()) = in_flight_since.changed() => match *in_flight_since.borrow_and_update() {
-                        Some(at) => takeover.record_sent(at),
-                        None => takeover.record_failure(),
-                    },
-                    () = sleep(close_in), if close_at.is_some() => self.response = None,
-                }
-            }
-        };
-        match result {
-            Err(chunk) => {
+        let (sender, in_flight_since) = watch::channel(None);
+        let starting = start_stream(&self.gateway, &self.job, options, last, &mut self.history, Some(&sender));
+        match replace(&self.gateway, &mut self.response, Kept::Read, starting, in_flight_since).await {
+            Replacement::Cancelled(chunk) => {
                 // The cancelled attempt may have run.
                 self.history.maybe_ran += 1;
                 log::info!(
@@ -209,7 +181,7 @@
                 );
                 Some(chunk)
             }
-            Ok(Ok(response)) => {
+            Replacement::Started(response) => {
                 self.response = None;
                 crash_detection::record_lost_answer(&self.gateway, &silent, ResponseLoss::TimedOut);
                 self.splitter.reset();
@@ -219,10 +191,10 @@
                     upstream = silent.id.as_str(), event = last, ran = self.history.maybe_ran;
                     "silent stream is taken over by upstream {}", response.upstream.id
                 );
-                self.continue_with(response);
+                self.continue_with(*response);
                 None
             }
-            Ok(Err(_)) if self.response.is_some() => {
+            Replacement::Failed(_) if self.response.is_some() => {
                 self.idle_since = self.gateway.now();
                 log::info!(
                     request = self.job.caller.request.as_str(), upstream = silent.id.as_str(), event = last,
@@ -231,7 +203,7 @@
                 );
                 None
             }
-            Ok(Err(_)) => Some(BodyChunk::Broken(self.history.reason.clone())),
+            Replacement::Failed(_) => Some(BodyChunk::Broken(self.history.reason.clone())),
         }
     }
 
@@ -339,10 +311,3 @@
         }
     }
 }
-
-async fn read_chunk(response: &mut Option<UpstreamResponse>) -> BodyChunk {
-    match response {
-        Some(response) => response.next_chunk().await,
-        None => BodyChunk::Broken("the upstream's answer was given up".to_owned()),
-    }
-}
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -10,6 +10,7 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
+use tokio::sync::watch;
 
 use super::{
     attempts::{AttemptHistory, InFlight},
@@ -18,45 +19,70 @@
     relay::Relay,
     reply::{final_refusal, forward_response, outcome},
     start::{StartError, start_stream},
+    takeover::{Kept, Replacement, replace},
 };
 use crate::gateway::{attempt::UpstreamResponse, job::Job, state::Gateway};
 
 /// Answers a request with an event stream.
 pub async fn answer(gateway: &Arc<Gateway>, job: Job, mut in_flight: InFlight) -> Response {
     let mut history = AttemptHistory::default();
-    let mut model = first_model(gateway, &job);
-    loop {
-        let options = SendOptions { model: model.as_ref(), pinned_release: None, skip_budget: true, excluded: None };
-        let response = match start_stream(gateway, &job, options, job.caller.last_event, &mut history, None).await {
-            Ok(response) => response,
-            Err(error) => {
-                let response = match error {
-                    StartError::Answered(response) => *response,
-                    StartError::GivenUp => final_refusal(gateway, &job, &history),
-                };
-                in_flight.end(outcome(&response));
-                return response;
-            }
-        };
-        if let Some(larger) = larger_model(gateway, &job, &response, &history) {
+    match start(gateway, &job, &mut history).await {
+        Ok(response) => {
+            let (status, headers) = (response.status, response.headers.clone());
+            let relay = Relay::new(Arc::clone(gateway), job, response, history, in_flight);
+            let frames = stream::unfold(relay, |mut relay| async move {
+                let data = relay.next_data().await?;
+                Some((data.map(Frame::data), relay))
+            });
+            forward_response(status, &headers, StreamBody::new(frames).boxed_unsync())
+        }
+        Err(error) => {
+            let response = match error {
+                StartError::Answered(response) => *response,
+                StartError::GivenUp => final_refusal(gateway, &job, &history),
+            };
+            in_flight.end(outcome(&response));
+            response
+        }
+    }
+}
+
+// Starts the answer of the first model, and of a larger one if that should answer instead.
+async fn start(
+    gateway: &Arc<Gateway>,
+    job: &Job,
+    history: &mut AttemptHistory,
+) -> Result<UpstreamResponse, StartError> {
+    let model = first_model(gateway, job);
+    let options = SendOptions { model: model.as_ref(), pinned_release: None, skip_budget: true, excluded: None };
+    let response = start_stream(gateway, job, options, job.caller.last_event, history, None).await?;
+    let Some(larger) = larger_model(gateway, job, &response, history) else { return Ok(response) };
+    log::info!(
+        request = job.caller.request.as_str(),
+        confidence = response.decoded.confidence.unwrap_or_default(),
+        model = larger.as_str();
+        "escalated to a larger model"
+    );
+    gateway.metrics.record_escalation();
+    history.maybe_ran += 1;
+    let options = SendOptions { model: Some(&larger), ..options };
+    let (sender, in_flight_since) = watch::channel(None);
+    let mut kept = Some(response);
+    let starting = start_stream(gateway, job, options, job.caller.last_event, history, Some(&sender));
+    match replace(gateway, &mut kept, Kept::Unread, starting, in_flight_since).await {
+        Replacement::Started(response) => Ok(*response),
+        Replacement::Failed(error) => {
+            let response = kept.ok_or(error)?;
+            // The kept attempt is counted again when it ends.
+            history.maybe_ran -= 1;
             log::info!(
-                request = job.caller.request.as_str(),
-                confidence = response.decoded.confidence.unwrap_or_default(),
-                model = larger.as_str();
-                "escalated to a larger model"
+                request = job.caller.request.as_str(), upstream = response.upstream.id.as_str();
+                "no larger model answers, the smaller one's answer is used: {}", history.reason
             );
-            gateway.metrics.record_escalation();
-            history.maybe_ran += 1;
-            model = Some(larger);
-            continue;
+            Ok(response)
         }
-        let (status, headers) = (response.status, response.headers.clone());
-        let relay = Relay::new(Arc::clone(gateway), job, response, history, in_flight);
-        let frames = stream::unfold(relay, |mut relay| async move {
-            let data = relay.next_data().await?;
-            Some((data.map(Frame::data), relay))
-        });
-        return forward_response(status, &headers, StreamBody::new(frames).boxed_unsync());
+        // Can't happen, as the kept answer is not read.
+        Replacement::Cancelled(_) => Err(StartError::GivenUp),
     }
 }
 
--- a/crates/bluebelld/tests/gateway/streams.rs
+++ b/crates/bluebelld/tests/gateway/streams.rs
@@ -90,6 +90,17 @@
     until("the first run to be cancelled", || async { site.runs("r-1")[0].unfinished }).await;
 }
 
+#[tokio::test]
+async fn answer_with_low_confidence_is_delivered_when_no_larger_model_answers() {
+    let site = Site::start(1).await;
+    let only_small = Some(Fault::OnlyModel("small".to_owned()));
+    site.chat.iter().for_each(|upstream| upstream.set_default_fault(only_small.clone()));
+    let answer = site.gateways[0].ask(&stream_request("r-1")).await;
+    assert_eq!((answer.status, answer.complete, answer.events()), (200, true, all_events()));
+    assert!(answer.body.contains("small"), "{}", answer.body);
+    assert_eq!(site.runs("r-1").len(), 1);
+}
+
 #[tokio::test]
 async fn model_that_the_caller_names_is_kept() {
     let site = Site::start(1).await;
