Take a retry from the budget only when there is an upstream for it

Callers' streams were cut for want of retries that silent streams had used up without a send: next_upstream took the retry first and found afterwards that no other upstream is registered. Now the budget is asked first, the upstream chosen, and the retry taken last.

--- a/crates/bluebelld/src/gateway/front/choose.rs
+++ b/crates/bluebelld/src/gateway/front/choose.rs
@@ -90,13 +90,16 @@
         history.block(crashes);
         return None;
     }
-    if !options.skip_budget && !take_retry(gateway, job) {
+    if !options.skip_budget && !job.may_be_retried(gateway) {
         return None;
     }
     let Some(upstream) = choose(gateway, job, &history.upstreams, options) else {
         history.reason = "none is known".to_owned();
         return None;
     };
+    if !options.skip_budget && !take_retry(gateway, job) {
+        return None;
+    }
     if let Some(suspicion) = suspicion {
         log::info!(
             request = job.caller.request.as_str(), fingerprint = job.fingerprint.to_string().as_str(),
