Answer the requests that a stopping gateway gives up

A call that was accepted late in a drain and had no answer at the end of the drain time saw its connection closed without one (LOST around a SIGTERM): the process ended with the request in flight. A stream that has begun is cut as before.

--- a/crates/bluebelld/src/gateway/front/answer.rs
+++ b/crates/bluebelld/src/gateway/front/answer.rs
@@ -51,12 +51,13 @@
             }
             gateway.traffic().retry_window(&job.service).request(arrived);
             in_flight.set_labels(&job);
-            if job.route.repeat.is_stream() {
-                stream::answer(gateway, job, in_flight).await
-            } else {
-                let response = buffered::answer(gateway, job).await;
-                in_flight.end(outcome(&response));
-                response
+            tokio::select! {
+                biased;
+                response = answer_job(gateway, job, in_flight) => response,
+                () = gateway.aborted() => {
+                    log::info!(request = id.as_str(), status = 502u16; "given up: {}", Refusal::Aborted);
+                    Refusal::Aborted.response(Some(&id), None)
+                }
             }
         }
         Err(refusal) => {
@@ -74,6 +75,15 @@
     if gateway.is_leaving() { with_connection_close(response) } else { response }
 }
 
+async fn answer_job(gateway: &Arc<Gateway>, job: Job, mut in_flight: InFlight) -> Response {
+    if job.route.repeat.is_stream() {
+        return stream::answer(gateway, job, in_flight).await;
+    }
+    let response = buffered::answer(gateway, job).await;
+    in_flight.end(outcome(&response));
+    response
+}
+
 // Whether the process stops before the answer is likely to be complete. A stopping process accepts requests as long as
 // possible, because the load balancer may have no other gateway in its zone.
 fn stops_before_answer(gateway: &Gateway, job: &Job) -> bool {
--- a/crates/bluebelld/src/gateway/front/attempts.rs
+++ b/crates/bluebelld/src/gateway/front/attempts.rs
@@ -9,6 +9,8 @@
     metrics::Outcome,
 };
 
+const CALLER_LEFT: &str = "caller left before its answer was whole";
+
 /// Additional sends allowed beyond the route's maximum attempts, for sends that certainly did not run.
 const EXTRA_SENDS: u32 = 2;
 
@@ -89,7 +91,7 @@
                 events = self.progress.events,
                 silent_ms = silent.as_millis() as u64,
                 waited_ms = (now - self.arrived).as_millis() as u64;
-                "caller left before its answer was whole"
+                "{}", if *self.gateway.aborted.borrow() { "given up before its answer was whole" } else { CALLER_LEFT }
             );
         }
     }
--- a/crates/bluebelld/src/gateway/front/refusal.rs
+++ b/crates/bluebelld/src/gateway/front/refusal.rs
@@ -70,6 +70,9 @@
         /// How the last attempt failed.
         reason: String,
     },
+    /// The drain time of the process is over; the request may have run.
+    #[snafu(display("the gateway ends before the answer, the request may have run"))]
+    Aborted,
     /// The deadline passed; the request may have run.
     #[snafu(display("the time is over, the request may have run"))]
     TimedOut,
@@ -96,7 +99,7 @@
             | Self::ShuttingDown
             | Self::Expired
             | Self::Poison { .. } => StatusCode::SERVICE_UNAVAILABLE,
-            Self::UpstreamFailed { .. } => StatusCode::BAD_GATEWAY,
+            Self::UpstreamFailed { .. } | Self::Aborted => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
--- a/crates/bluebelld/src/gateway/state.rs
+++ b/crates/bluebelld/src/gateway/state.rs
@@ -55,6 +55,8 @@
     pub give_up_at: OnceLock<Duration>,
     /// Whether no more requests are accepted.
     pub closed: AtomicBool,
+    /// Becomes true when the requests in flight are given up, because the drain time is over.
+    pub aborted: watch::Sender<bool>,
     /// Wakes the control thread to check for crashed upstreams.
     pub crash_check: Notify,
     /// Number of requests in flight.
@@ -82,6 +84,7 @@
             leaving: watch::Sender::new(false),
             give_up_at: OnceLock::new(),
             closed: AtomicBool::new(false),
+            aborted: watch::Sender::new(false),
             crash_check: Notify::new(),
             in_flight: watch::Sender::new(0),
             traffic: Mutex::default(),
@@ -119,6 +122,12 @@
         self.closed.load(Ordering::Relaxed) || self.give_up_at.get().is_some_and(|at| self.now() + time >= *at)
     }
 
+    /// Waits until the requests in flight are given up.
+    pub async fn aborted(&self) {
+        // Fails only without the sender, which lives as long as the gateway.
+        let _ = self.aborted.subscribe().wait_for(|aborted| *aborted).await;
+    }
+
     /// Whether the load balancer should send new connections here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/bluebelld/src/gateway/stop.rs
+++ b/crates/bluebelld/src/gateway/stop.rs
@@ -40,6 +40,7 @@
     if tokio::time::timeout(left, idle).await.is_err() {
         gateway.closed.store(true, Ordering::Relaxed);
         log::warn!(in_flight = *gateway.in_flight.borrow(); "drain time is over; aborting the requests in flight");
+        gateway.aborted.send_replace(true);
         tokio::time::sleep(CLOSE_TIME).await;
     }
 }
