Keep a silent attempt without an answer until another one has begun

The cause of the cut streams acted before the head as well, and in calls: an attempt was given up for another one which was then refused, and the caller got 502, or a cut stream if it was being resumed, though the first upstream went on.

Change: the time limit for silence no longer ends an attempt. Another attempt is started beside it, under the rule that streams have (Takeover): whichever answers first is used, and the silent one is closed when the other one answers or has been in flight for 250 ms without a refusal. The detection of silence is in front/silence.rs, the kept attempt is a trait in front/takeover.rs.

--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -49,18 +49,6 @@
     },
 }
 
-/// Time limit for the head of an answer. The request's deadline always applies as well; the limits other than the
-/// deadline apply only while the request may be retried. The names of the variants appear in error messages.
-#[derive(Debug, Clone, Copy)]
-pub enum HeadTimeout {
-    /// No limit other than the request's deadline.
-    Whole,
-    /// Fixed limit, from the start of the attempt.
-    Fixed(Duration),
-    /// Maximum time without any data from the upstream, on any connection.
-    Alive(Duration),
-}
-
 /// Parameters of an attempt.
 #[derive(Debug, Clone)]
 pub struct AttemptPlan {
@@ -70,8 +58,6 @@
     pub model: Option<ModelId>,
     /// Number of the last event that the caller has received; the upstream resumes after it.
     pub last_event: u64,
-    /// Time limit for the head of the answer.
-    pub head_timeout: HeadTimeout,
     /// Set to the time at which the request was sent, and back to `None` when the attempt fails.
     pub in_flight_since: Option<watch::Sender<Option<Duration>>>,
 }
@@ -192,8 +178,7 @@
 /// When there is no valid answer to this request; the failure tells whether the request may have run.
 pub async fn send(gateway: &Arc<Gateway>, job: &Job, plan: &AttemptPlan) -> Result<UpstreamResponse, Failure> {
     let guard = AttemptGuard::start(gateway, job, &plan.upstream, plan.model.as_ref());
-    let started = gateway.now();
-    let result = exchange(gateway, job, plan, guard, started).await;
+    let result = exchange(gateway, job, plan, guard).await;
     if result.is_err() {
         plan.record_in_flight(None);
     }
@@ -220,7 +205,6 @@
     job: &Job,
     plan: &AttemptPlan,
     mut guard: AttemptGuard,
-    started: Duration,
 ) -> Result<UpstreamResponse, Failure> {
     let mut connection = connect(gateway, plan).await?;
     let (response, sent_at) = loop {
@@ -230,10 +214,9 @@
         connection.expect_head();
         let time_left = job.deadline.saturating_sub(gateway.now());
         let sending = connection.sender.try_send_request(build_request(job, plan, time_left));
-        let result = wait_for_head(gateway, job, plan, started, sending).await;
-        let Some(result) = result else {
+        let Ok(result) = timeout(time_left, sending).await else {
             job.record_overdue(gateway, plan.model.as_ref(), &plan.upstream.release);
-            let reason = format!("no answer in time: {:?}", plan.head_timeout);
+            let reason = "no answer before the deadline".to_owned();
             return Err(Failure::Unknown { reason, loss: ResponseLoss::TimedOut });
         };
         match result {
@@ -292,39 +275,6 @@
     })
 }
 
-/// Interval at which an attempt whose time limit has passed checks whether the request may be retried.
-const RETRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
-// Waits for the head of an answer. None if the deadline passes first, or the time limit for the head while the request
-// may be retried.
-async fn wait_for_head<T>(
-    gateway: &Gateway,
-    job: &Job,
-    plan: &AttemptPlan,
-    started: Duration,
-    sending: impl Future<Output = T>,
-) -> Option<T> {
-    let mut sending = std::pin::pin!(sending);
-    loop {
-        let now = gateway.now();
-        let left = job.deadline.saturating_sub(now);
-        let wait = match plan.head_timeout {
-            HeadTimeout::Whole => left,
-            HeadTimeout::Fixed(time) => (started + time).saturating_sub(now).min(left),
-            HeadTimeout::Alive(time) => {
-                gateway.traffic().remaining_wait(now, &plan.upstream.id, started, time).min(left)
-            }
-        };
-        if wait.is_zero() && (left.is_zero() || job.may_be_retried(gateway)) {
-            return None;
-        }
-        let wait = if wait.is_zero() { RETRY_CHECK_INTERVAL.min(left) } else { wait };
-        if let Ok(result) = timeout(wait, sending.as_mut()).await {
-            return Some(result);
-        }
-    }
-}
-
 async fn connect(gateway: &Arc<Gateway>, plan: &AttemptPlan) -> Result<PooledConnection, Failure> {
     let connection = gateway.pools.get(plan.upstream.address, gateway.now()).await;
     connection.map_err(|error| {
--- a/crates/bluebelld/src/gateway/front/mod.rs
+++ b/crates/bluebelld/src/gateway/front/mod.rs
@@ -10,6 +10,7 @@
 mod refusal;
 mod relay;
 mod reply;
+mod silence;
 mod start;
 mod stream;
 mod takeover;
--- a/crates/bluebelld/src/gateway/front/record.rs
+++ b/crates/bluebelld/src/gateway/front/record.rs
@@ -5,7 +5,6 @@
     placing::HealthEvent,
 };
 
-use super::attempts::AttemptHistory;
 use crate::gateway::{
     attempt::UpstreamResponse,
     job::Job,
@@ -23,13 +22,7 @@
 }
 
 /// Records an answer for its release, its session and its upstream's health, and logs it.
-pub fn record_answer(
-    gateway: &Gateway,
-    job: &Job,
-    response: &UpstreamResponse,
-    pace: AnswerPace,
-    history: &AttemptHistory,
-) {
+pub fn record_answer(gateway: &Gateway, job: &Job, response: &UpstreamResponse, pace: AnswerPace, sends: u32) {
     let failed = response.status.is_server_error();
     let model = response.model.as_ref().map_or("", ModelId::as_str);
     let kind = job.work_kind(response.model.as_ref());
@@ -55,7 +48,7 @@
         release = response.upstream.release.as_str(),
         model = model,
         confidence = response.decoded.confidence.map_or(-1, i16::from),
-        sends = history.sends() + 1,
+        sends = sends + 1,
         took_ms = (now - job.arrived).as_millis() as u64,
         status = response.status.as_u16();
         "answered"
--- a/crates/bluebelld/src/gateway/front/relay.rs
+++ b/crates/bluebelld/src/gateway/front/relay.rs
@@ -18,8 +18,8 @@
     attempts::{AttemptHistory, InFlight},
     choose::{SendOptions, may_give_up},
     record::record_answer,
-    start::{prompt_allowance, start_stream},
-    takeover::{Kept, Replacement, read_chunk, replace},
+    start::{StreamStart, prompt_allowance},
+    takeover::{Replacement, replace},
 };
 use crate::{
     gateway::{
@@ -134,7 +134,7 @@
                 if let Some(chunk) = self.replace_silent().await {
                     return Some(chunk);
                 }
-            } else if let Ok(chunk) = timeout(wait.min(left), read_chunk(&mut self.response)).await {
+            } else if let Ok(chunk) = timeout(wait.min(left), self.response.as_mut()?.next_chunk()).await {
                 return Some(chunk);
             }
         }
@@ -170,8 +170,9 @@
         };
         let last = self.splitter.last();
         let (sender, in_flight_since) = watch::channel(None);
-        let starting = start_stream(&self.gateway, &self.job, options, last, &mut self.history, Some(&sender));
-        match replace(&self.gateway, &mut self.response, Kept::Read, starting, in_flight_since).await {
+        let stream = StreamStart { gateway: &self.gateway, job: &self.job, last_event: last };
+        let starting = stream.run(options, &mut self.history, Some(&sender));
+        match replace(&self.gateway, &mut self.response, starting, in_flight_since).await {
             Replacement::Cancelled(chunk) => {
                 // The cancelled attempt may have run.
                 self.history.maybe_ran += 1;
@@ -181,7 +182,7 @@
                 );
                 Some(chunk)
             }
-            Replacement::Started(response) => {
+            Replacement::Ended(Ok(response)) => {
                 self.response = None;
                 crash_detection::record_lost_answer(&self.gateway, &silent, ResponseLoss::TimedOut);
                 self.splitter.reset();
@@ -191,10 +192,10 @@
                     upstream = silent.id.as_str(), event = last, ran = self.history.maybe_ran;
                     "silent stream is taken over by upstream {}", response.upstream.id
                 );
-                self.continue_with(*response);
+                self.continue_with(response);
                 None
             }
-            Replacement::Failed(_) if self.response.is_some() => {
+            Replacement::Ended(Err(_)) if self.response.is_some() => {
                 self.idle_since = self.gateway.now();
                 log::info!(
                     request = self.job.caller.request.as_str(), upstream = silent.id.as_str(), event = last,
@@ -203,7 +204,7 @@
                 );
                 None
             }
-            Replacement::Failed(_) => Some(BodyChunk::Broken(self.history.reason.clone())),
+            Replacement::Ended(Err(_)) => Some(BodyChunk::Broken(self.history.reason.clone())),
         }
     }
 
@@ -254,7 +255,7 @@
         } else {
             AnswerPace::Ratio(response.pace(self.gateway.now(), self.response_events))
         };
-        record_answer(&self.gateway, &self.job, &response, pace, &self.history);
+        record_answer(&self.gateway, &self.job, &response, pace, self.history.sends());
         response.finish(&self.gateway);
     }
 
@@ -280,7 +281,8 @@
             skip_budget: false,
             excluded: None,
         };
-        if let Ok(response) = start_stream(&self.gateway, &self.job, options, last, &mut self.history, None).await {
+        let stream = StreamStart { gateway: &self.gateway, job: &self.job, last_event: last };
+        if let Ok(response) = stream.run(options, &mut self.history, None).await {
             self.continue_with(response);
             return Ok(());
         }
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -18,8 +18,8 @@
     choose::{SendOptions, prefill_backlog},
     relay::Relay,
     reply::{final_refusal, forward_response, outcome},
-    start::{StartError, start_stream},
-    takeover::{Kept, Replacement, replace},
+    start::{StartError, StartResult, StreamStart},
+    takeover::{Replacement, UnreadAnswer, replace},
 };
 use crate::gateway::{attempt::UpstreamResponse, job::Job, state::Gateway};
 
@@ -48,14 +48,11 @@
 }
 
 // Starts the answer of the first model, and of a larger one if that should answer instead.
-async fn start(
-    gateway: &Arc<Gateway>,
-    job: &Job,
-    history: &mut AttemptHistory,
-) -> Result<UpstreamResponse, StartError> {
+async fn start(gateway: &Arc<Gateway>, job: &Job, history: &mut AttemptHistory) -> StartResult {
     let model = first_model(gateway, job);
     let options = SendOptions { model: model.as_ref(), pinned_release: None, skip_budget: true, excluded: None };
-    let response = start_stream(gateway, job, options, job.caller.last_event, history, None).await?;
+    let stream = StreamStart { gateway, job, last_event: job.caller.last_event };
+    let response = stream.run(options, history, None).await?;
     let Some(larger) = larger_model(gateway, job, &response, history) else { return Ok(response) };
     log::info!(
         request = job.caller.request.as_str(),
@@ -67,23 +64,21 @@
     history.maybe_ran += 1;
     let options = SendOptions { model: Some(&larger), ..options };
     let (sender, in_flight_since) = watch::channel(None);
-    let mut kept = Some(response);
-    let starting = start_stream(gateway, job, options, job.caller.last_event, history, Some(&sender));
-    match replace(gateway, &mut kept, Kept::Unread, starting, in_flight_since).await {
-        Replacement::Started(response) => Ok(*response),
-        Replacement::Failed(error) => {
-            let response = kept.ok_or(error)?;
-            // The kept attempt is counted again when it ends.
-            history.maybe_ran -= 1;
-            log::info!(
-                request = job.caller.request.as_str(), upstream = response.upstream.id.as_str();
-                "no larger model answers, the smaller one's answer is used: {}", history.reason
-            );
-            Ok(response)
-        }
-        // Can't happen, as the kept answer is not read.
-        Replacement::Cancelled(_) => Err(StartError::GivenUp),
-    }
+    let mut kept = Some(UnreadAnswer(response));
+    let starting = stream.run(options, history, Some(&sender));
+    let error = match replace(gateway, &mut kept, starting, in_flight_since).await {
+        Replacement::Cancelled(never) => match never {},
+        Replacement::Ended(Ok(response)) => return Ok(response),
+        Replacement::Ended(Err(error)) => error,
+    };
+    let UnreadAnswer(response) = kept.ok_or(error)?;
+    // An attempt that answers is counted when its answer ends.
+    history.maybe_ran -= 1;
+    log::info!(
+        request = job.caller.request.as_str(), upstream = response.upstream.id.as_str();
+        "no larger model answers, the smaller one's answer is used: {}", history.reason
+    );
+    Ok(response)
 }
 
 // Model that answers first; none if the caller named one or the route lists no models.
--- a/crates/bluebelld/src/gateway/front/takeover.rs
+++ b/crates/bluebelld/src/gateway/front/takeover.rs
@@ -1,46 +1,81 @@
-//! Replacement of an answer by one of another attempt. The answer is kept until the other attempt can no longer be
-//! refused at once; see [`Takeover`].
+//! Replacement of an attempt by another one. The attempt is kept until the other one can no longer be refused at once;
+//! see [`Takeover`].
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::Pin, sync::Arc, time::Duration};
 
 use bluebell_core::{poison::ResponseLoss, retry::Takeover};
 use tokio::{sync::watch, time::sleep};
 
-use super::start::StartError;
 use crate::gateway::{
-    attempt::{BodyChunk, UpstreamResponse},
+    attempt::{BodyChunk, Failure, UpstreamResponse},
     crash_detection,
     state::Gateway,
 };
 
-/// What happens to the kept answer while another attempt starts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Kept {
-    /// It is read, and its next data cancels the other attempt.
-    Read,
-    /// It is not read; it is used only if the other attempt fails.
-    Unread,
+/// An attempt that is kept while another one starts. Dropping it closes its connection.
+pub trait KeptAttempt: Send {
+    /// What it delivers.
+    type Output: Send;
+
+    /// Waits until it delivers something; `None` if it fails. May be cancelled and called again.
+    fn progress(&mut self, gateway: &Arc<Gateway>) -> impl Future<Output = Option<Self::Output>> + Send;
+}
+
+/// A stream that has begun, and is read while another attempt starts.
+impl KeptAttempt for UpstreamResponse {
+    type Output = BodyChunk;
+
+    async fn progress(&mut self, gateway: &Arc<Gateway>) -> Option<BodyChunk> {
+        match self.next_chunk().await {
+            BodyChunk::Broken(_) => {
+                crash_detection::record_lost_answer(gateway, &self.upstream, ResponseLoss::Broken);
+                None
+            }
+            chunk => Some(chunk),
+        }
+    }
+}
+
+/// An answer that is not read. It is used only if the other attempt fails.
+pub struct UnreadAnswer(pub UpstreamResponse);
+
+impl KeptAttempt for UnreadAnswer {
+    type Output = std::convert::Infallible;
+
+    async fn progress(&mut self, _gateway: &Arc<Gateway>) -> Option<Self::Output> {
+        std::future::pending().await
+    }
+}
+
+/// An attempt whose answer has not arrived yet.
+pub type PendingAttempt<'a, T> = Pin<Box<dyn Future<Output = Result<T, Failure>> + Send + 'a>>;
+
+impl<T: Send> KeptAttempt for PendingAttempt<'_, T> {
+    type Output = T;
+
+    async fn progress(&mut self, _gateway: &Arc<Gateway>) -> Option<T> {
+        self.as_mut().await.ok()
+    }
 }
 
 /// Result of a replacement.
-pub enum Replacement {
-    /// The kept answer goes on with this chunk. The other attempt was cancelled, but may have run.
-    Cancelled(BodyChunk),
-    /// The other attempt answers.
-    Started(Box<UpstreamResponse>),
-    /// The other attempt failed; the kept answer is used if it is still there.
-    Failed(StartError),
+pub enum Replacement<T, K> {
+    /// The kept attempt has delivered first. The other one was cancelled, but may have run.
+    Cancelled(K),
+    /// The other attempt has ended; the kept one is still there unless it failed or was closed.
+    Ended(T),
 }
 
-/// Runs the start of another attempt beside a kept answer, which is closed once the other attempt has been in flight
-/// for long enough. `in_flight_since` tells when the other attempt was sent.
-pub async fn replace(
+/// When the attempt in progress was sent, or `None` between attempts.
+pub type InFlightSince = watch::Sender<Option<Duration>>;
+
+/// Runs another attempt beside a kept one, which is closed once the other one has been in flight for long enough.
+pub async fn replace<T, K: KeptAttempt>(
     gateway: &Arc<Gateway>,
-    kept: &mut Option<UpstreamResponse>,
-    mode: Kept,
-    starting: impl Future<Output = Result<UpstreamResponse, StartError>>,
+    kept: &mut Option<K>,
+    starting: impl Future<Output = T>,
     mut in_flight_since: watch::Receiver<Option<Duration>>,
-) -> Replacement {
+) -> Replacement<T, K::Output> {
     let mut takeover = Takeover::default();
     let mut starting = std::pin::pin!(starting);
     loop {
@@ -48,15 +83,12 @@
         let close_in = close_at.map_or(Duration::ZERO, |at| at.saturating_sub(gateway.now()));
         tokio::select! {
             biased;
-            chunk = read_chunk(kept), if mode == Kept::Read && kept.is_some() => match chunk {
-                BodyChunk::Broken(_) => drop_broken(gateway, kept),
-                chunk => return Replacement::Cancelled(chunk),
+            progress = progress(gateway, kept), if kept.is_some() => match progress {
+                Some(output) => return Replacement::Cancelled(output),
+                None => *kept = None,
             },
-            result = starting.as_mut() => return match result {
-                Ok(response) => Replacement::Started(Box::new(response)),
-                Err(error) => Replacement::Failed(error),
-            },
-            // Fails only without a sender, and then the kept answer stays until the other attempt ends.
+            result = starting.as_mut() => return Replacement::Ended(result),
+            // Fails only without a sender, and then the kept attempt stays until the other one ends.
             Ok(()) = in_flight_since.changed() => match *in_flight_since.borrow_and_update() {
                 Some(at) => takeover.record_sent(at),
                 None => takeover.record_failure(),
@@ -66,18 +98,6 @@
     }
 }
 
-fn drop_broken(gateway: &Arc<Gateway>, kept: &mut Option<UpstreamResponse>) {
-    if let Some(response) = kept.take() {
-        let upstream = Arc::clone(&response.upstream);
-        drop(response);
-        crash_detection::record_lost_answer(gateway, &upstream, ResponseLoss::Broken);
-    }
-}
-
-/// Reads the next chunk of an answer, if it is still there.
-pub async fn read_chunk(response: &mut Option<UpstreamResponse>) -> BodyChunk {
-    match response {
-        Some(response) => response.next_chunk().await,
-        None => BodyChunk::Broken("the upstream's answer was given up".to_owned()),
-    }
+async fn progress<K: KeptAttempt>(gateway: &Arc<Gateway>, kept: &mut Option<K>) -> Option<K::Output> {
+    kept.as_mut()?.progress(gateway).await
 }
--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod endless;
 mod explain;
+mod kept_answers;
 mod members;
 mod poison;
 mod rollouts;
