--- a/crates/bluebelld/src/gateway/front/choose.rs
+++ b/crates/bluebelld/src/gateway/front/choose.rs
@@ -36,12 +36,14 @@
     let routing = gateway.routing.load();
     let mut traffic = gateway.traffic();
     let session = job.caller.session.as_ref();
+    let is_allowed = |upstream: &Arc<Upstream>| options.excluded != Some(&upstream.id);
     let is_pinned = |upstream: &&Arc<Upstream>| options.pinned_release == Some(&upstream.release);
-    let mut pool: Vec<Arc<Upstream>> = routing.upstreams(&job.service).iter().filter(is_pinned).cloned().collect();
+    let pinned = routing.upstreams(&job.service).iter().filter(is_pinned);
+    let mut pool: Vec<Arc<Upstream>> = pinned.filter(|upstream| is_allowed(upstream)).cloned().collect();
     if pool.is_empty() {
         pool = eligible_upstreams(gateway, &routing, &traffic, job);
+        pool.retain(is_allowed);
     }
-    pool.retain(|upstream| options.excluded != Some(&upstream.id));
     let untried: Vec<Arc<Upstream>> = pool.iter().filter(|upstream| !tried.contains(&upstream.id)).cloned().collect();
     if !untried.is_empty() {
         pool = untried;
