Close a caller's connection for unread data after 15 s instead of 2.5 s

A live caller that read nothing for four seconds lost its answer after 24 KB: TCP_USER_TIMEOUT counts the time for which a closed window is probed, and callers' connections had the value for upstreams. Keep-alive probes remain for the rest: a caller that is gone is noticed by its close, as before.

--- a/crates/bluebelld/src/gateway/front/mod.rs
+++ b/crates/bluebelld/src/gateway/front/mod.rs
@@ -24,7 +24,11 @@
     sync::watch,
 };
 
-use super::{pool::configure_socket, state::Gateway, stop};
+use super::{
+    pool::{CALLER_USER_TIMEOUT, configure_socket},
+    state::Gateway,
+    stop,
+};
 use crate::{error::DaemonError, listen::listen};
 
 /// Delay after the operating system failed to accept a connection.
@@ -62,7 +66,7 @@
 }
 
 async fn serve_connection(gateway: Arc<Gateway>, socket: TcpStream, mut shutdown: watch::Receiver<bool>) {
-    if let Err(error) = configure_socket(&socket) {
+    if let Err(error) = configure_socket(&socket, CALLER_USER_TIMEOUT) {
         log::debug!("can't set TCP options on a caller's connection: {error}");
     }
     let service = service_fn(|request: Request<Incoming>| {
--- a/crates/bluebelld/src/gateway/pool.rs
+++ b/crates/bluebelld/src/gateway/pool.rs
@@ -24,8 +24,10 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keep-alive probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
-/// Time after which unacknowledged data closes a connection (`TCP_USER_TIMEOUT`).
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time after which unacknowledged data closes a connection to an upstream (`TCP_USER_TIMEOUT`).
+const UPSTREAM_USER_TIMEOUT: Duration = Duration::from_millis(2500);
+/// The same for a caller. It also bounds the time for which a caller may read nothing while data waits for it.
+pub const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(15);
 /// Idle timeout of connections whose upstream doesn't announce one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time before the upstream's idle timeout at which a connection is no longer reused.
@@ -171,7 +173,7 @@
     let socket = socket
         .ok()
         .map_or_else(|| TimeoutSnafu { address }.fail(), |socket| socket.context(ConnectSnafu { address }))?;
-    configure_socket(&socket).context(ConnectSnafu { address })?;
+    configure_socket(&socket, UPSTREAM_USER_TIMEOUT).context(ConnectSnafu { address })?;
     let (socket, read_limit) = ReadLimitedSocket::new(socket, MAX_HEAD_BYTES);
     let mut builder = Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES);
@@ -184,11 +186,12 @@
     Ok(PooledConnection { sender, reused: false, address, read_limit, task: task.abort_handle() })
 }
 
-/// Sets TCP options so that the operating system detects an unresponsive peer.
+/// Sets TCP options so that the operating system detects an unresponsive peer. Data that the peer has not acknowledged
+/// for `user_timeout` closes the connection.
 ///
 /// # Errors
 /// When an option can't be set.
-pub fn configure_socket(socket: &TcpStream) -> std::io::Result<()> {
+pub fn configure_socket(socket: &TcpStream, user_timeout: Duration) -> std::io::Result<()> {
     socket.set_nodelay(true)?;
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
@@ -196,5 +199,5 @@
         .with_retries(KEEPALIVE_PROBES);
     let socket = SockRef::from(socket);
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(user_timeout))
 }
