Count and record a silent attempt once

An upstream that broke off during a takeover was recorded as lost twice, which is enough to eject it, and our own close of a silent attempt as a broken connection. The result of a replacement now says how the kept attempt ended, and a cancelled attempt counts only if it was in flight.

--- a/crates/bluebelld/src/gateway/front/attempts.rs
+++ b/crates/bluebelld/src/gateway/front/attempts.rs
@@ -4,6 +4,7 @@
 
 use bluebell_core::ids::{OrgId, RequestId, RouteId, UpstreamId};
 
+use super::takeover::InFlightSince;
 use crate::{
     gateway::{attempt::Failure, job::Job, state::Gateway},
     metrics::Outcome,
@@ -132,6 +133,11 @@
         }
     }
 
+    /// Counts an attempt that was cancelled. It may have run if it was in flight.
+    pub fn count_cancelled(&mut self, in_flight_since: &InFlightSince) {
+        self.maybe_ran += u32::from(in_flight_since.borrow().is_some());
+    }
+
     /// Marks the request as blocked because upstreams crashed while they ran it or its repeats.
     pub fn block(&mut self, crashes: u32) {
         self.reason = format!("{crashes} upstreams ended under it, it is held back");
--- a/crates/bluebelld/src/gateway/front/buffered.rs
+++ b/crates/bluebelld/src/gateway/front/buffered.rs
@@ -14,7 +14,7 @@
     record::record_answer,
     reply::{final_refusal, forward_buffered},
     silence::{SilenceLimit, silence},
-    takeover::{InFlightSince, PendingAttempt, Replacement, replace},
+    takeover::{InFlightSince, KeptState, PendingAttempt, Replacement, replace},
 };
 use crate::gateway::{
     attempt::{self, AttemptPlan, Failure, UpstreamResponse},
@@ -129,16 +129,17 @@
             let starting = self.run(beside, history, Some(&sender));
             match replace(self.gateway, &mut pending, starting, in_flight_since).await {
                 Replacement::Cancelled(answer) => {
-                    // The cancelled attempt may have run.
-                    history.maybe_ran += 1;
+                    history.count_cancelled(&sender);
                     return Some(answer);
                 }
-                Replacement::Ended(answer) => {
+                Replacement::Ended(answer, state) => {
                     let is_good = answer.as_ref().is_some_and(|answer| !answer.0.is_server_error());
                     if is_good || pending.is_none() {
                         drop(pending);
-                        self.job.record_overdue(self.gateway, None, &plan.upstream.release);
-                        crash_detection::record_lost_answer(self.gateway, &plan.upstream, ResponseLoss::TimedOut);
+                        if state != KeptState::Failed {
+                            self.job.record_overdue(self.gateway, None, &plan.upstream.release);
+                            crash_detection::record_lost_answer(self.gateway, &plan.upstream, ResponseLoss::TimedOut);
+                        }
                         return answer;
                     }
                     since = self.gateway.now();
--- a/crates/bluebelld/src/gateway/front/relay.rs
+++ b/crates/bluebelld/src/gateway/front/relay.rs
@@ -19,7 +19,7 @@
     choose::{SendOptions, may_give_up},
     record::record_answer,
     start::{StreamStart, prompt_allowance},
-    takeover::{Replacement, replace},
+    takeover::{KeptState, Replacement, replace},
 };
 use crate::{
     gateway::{
@@ -39,6 +39,20 @@
 /// Number of events after which the pace of a stream is checked.
 const MIN_PACE_EVENTS: u64 = 3;
 
+// What happens next to a stream.
+enum StreamEvent {
+    Chunk(BodyChunk),
+    // The attempt was lost, for this reason.
+    Lost(String, ResponseLoss),
+}
+
+fn loss_of(state: KeptState) -> ResponseLoss {
+    match state {
+        KeptState::Failed => ResponseLoss::Broken,
+        KeptState::Open | KeptState::Closed => ResponseLoss::TimedOut,
+    }
+}
+
 /// Forwards the events of a stream to the caller as they arrive, and resumes the stream when an upstream fails.
 pub struct Relay {
     gateway: Arc<Gateway>,
@@ -100,19 +114,21 @@
                 return Some(Err(error));
             }
             self.response.as_ref()?;
-            let (reason, loss) = match self.next_chunk().await {
-                Some(BodyChunk::Data(data)) => match self.accept_data(&data) {
+            let (reason, loss) = match self.next_event().await {
+                StreamEvent::Chunk(BodyChunk::Data(data)) => match self.accept_data(&data) {
                     Ok(batch) if batch.bytes.is_empty() => continue,
                     Ok(batch) => return Some(Ok(batch.bytes.into())),
                     Err(error) => (error.to_string(), ResponseLoss::Broken),
                 },
-                Some(BodyChunk::End) if self.splitter.is_whole() => {
+                StreamEvent::Chunk(BodyChunk::End) if self.splitter.is_whole() => {
                     self.finish();
                     return None;
                 }
-                Some(BodyChunk::End) => ("the stream ended inside an event".to_owned(), ResponseLoss::Broken),
-                Some(BodyChunk::Broken(reason)) => (reason, ResponseLoss::Broken),
-                None => ("the time is over".to_owned(), ResponseLoss::TimedOut),
+                StreamEvent::Chunk(BodyChunk::End) => {
+                    ("the stream ended inside an event".to_owned(), ResponseLoss::Broken)
+                }
+                StreamEvent::Chunk(BodyChunk::Broken(reason)) => (reason, ResponseLoss::Broken),
+                StreamEvent::Lost(reason, loss) => (reason, loss),
             };
             if let Err(error) = self.resume(reason, loss).await {
                 return Some(Err(error));
@@ -121,21 +137,23 @@
     }
 
     // Waits for the next chunk, from another upstream if the current one is silent and the other one takes the stream
-    // over. None at the deadline.
-    async fn next_chunk(&mut self) -> Option<BodyChunk> {
+    // over.
+    async fn next_event(&mut self) -> StreamEvent {
         loop {
             let now = self.gateway.now();
             let left = self.job.deadline.saturating_sub(now);
             if left.is_zero() {
-                return None;
+                return StreamEvent::Lost("the time is over".to_owned(), ResponseLoss::TimedOut);
             }
             let wait = self.idle_wait(now);
             if wait.is_zero() {
-                if let Some(chunk) = self.replace_silent().await {
-                    return Some(chunk);
+                if let Some(event) = self.replace_silent().await {
+                    return event;
                 }
-            } else if let Ok(chunk) = timeout(wait.min(left), self.response.as_mut()?.next_chunk()).await {
-                return Some(chunk);
+            } else if let Some(response) = self.response.as_mut()
+                && let Ok(chunk) = timeout(wait.min(left), response.next_chunk()).await
+            {
+                return StreamEvent::Chunk(chunk);
             }
         }
     }
@@ -158,8 +176,8 @@
     }
 
     // Asks other upstreams to take the stream over. Returns a chunk if the silent upstream goes on first, which cancels
-    // the takeover; after a takeover, or if none was possible, there is no chunk yet.
-    async fn replace_silent(&mut self) -> Option<BodyChunk> {
+    // the takeover; after a takeover, or if the silent upstream is awaited further, there is no event yet.
+    async fn replace_silent(&mut self) -> Option<StreamEvent> {
         self.count_attempt();
         let silent = Arc::clone(&self.upstream);
         let options = SendOptions {
@@ -174,17 +192,16 @@
         let starting = stream.run(options, &mut self.history, Some(&sender));
         match replace(&self.gateway, &mut self.response, starting, in_flight_since).await {
             Replacement::Cancelled(chunk) => {
-                // The cancelled attempt may have run.
-                self.history.maybe_ran += 1;
+                self.history.count_cancelled(&sender);
                 log::info!(
                     request = self.job.caller.request.as_str(), upstream = silent.id.as_str(), event = last;
                     "silent stream goes on at its upstream; its takeover is cancelled"
                 );
-                Some(chunk)
+                Some(StreamEvent::Chunk(chunk))
             }
-            Replacement::Ended(Ok(response)) => {
+            Replacement::Ended(Ok(response), state) => {
                 self.response = None;
-                crash_detection::record_lost_answer(&self.gateway, &silent, ResponseLoss::TimedOut);
+                crash_detection::record_lost_answer(&self.gateway, &silent, loss_of(state));
                 self.splitter.reset();
                 log::info!(
                     request = self.job.caller.request.as_str(),
@@ -195,7 +212,7 @@
                 self.continue_with(response);
                 None
             }
-            Replacement::Ended(Err(_)) if self.response.is_some() => {
+            Replacement::Ended(Err(_), KeptState::Open) => {
                 self.idle_since = self.gateway.now();
                 log::info!(
                     request = self.job.caller.request.as_str(), upstream = silent.id.as_str(), event = last,
@@ -204,7 +221,7 @@
                 );
                 None
             }
-            Replacement::Ended(Err(_)) => Some(BodyChunk::Broken(self.history.reason.clone())),
+            Replacement::Ended(Err(_), state) => Some(StreamEvent::Lost(self.history.reason.clone(), loss_of(state))),
         }
     }
 
--- a/crates/bluebelld/src/gateway/front/start.rs
+++ b/crates/bluebelld/src/gateway/front/start.rs
@@ -15,7 +15,7 @@
     record::{record_answer, record_head},
     reply::forward_buffered,
     silence::{SilenceLimit, silence},
-    takeover::{InFlightSince, PendingAttempt, Replacement, replace},
+    takeover::{InFlightSince, KeptState, PendingAttempt, Replacement, replace},
 };
 use crate::gateway::{
     attempt::{self, AttemptPlan, Failure, UpstreamResponse},
@@ -117,16 +117,17 @@
             let starting = self.run(beside, history, Some(&sender));
             match replace(self.gateway, &mut pending, starting, in_flight_since).await {
                 Replacement::Cancelled(response) => {
-                    // The cancelled attempt may have run.
-                    history.maybe_ran += 1;
+                    history.count_cancelled(&sender);
                     return self.handle(Ok(response), history, true).await;
                 }
-                Replacement::Ended(result) if result.is_ok() || pending.is_none() => {
+                Replacement::Ended(result, state) if result.is_ok() || pending.is_none() => {
                     drop(pending);
-                    self.record_given_up(plan);
+                    if state != KeptState::Failed {
+                        self.record_given_up(plan);
+                    }
                     return Some(result);
                 }
-                Replacement::Ended(_) => {
+                Replacement::Ended(..) => {
                     since = self.gateway.now();
                     log::info!(
                         request = self.job.caller.request.as_str(), upstream = plan.upstream.id.as_str(),
--- a/crates/bluebelld/src/gateway/front/stream.rs
+++ b/crates/bluebelld/src/gateway/front/stream.rs
@@ -68,8 +68,8 @@
     let starting = stream.run(options, history, Some(&sender));
     let error = match replace(gateway, &mut kept, starting, in_flight_since).await {
         Replacement::Cancelled(never) => match never {},
-        Replacement::Ended(Ok(response)) => return Ok(response),
-        Replacement::Ended(Err(error)) => error,
+        Replacement::Ended(Ok(response), _) => return Ok(response),
+        Replacement::Ended(Err(error), _) => error,
     };
     let UnreadAnswer(response) = kept.ok_or(error)?;
     // An attempt that answers is counted when its answer ends.
--- a/crates/bluebelld/src/gateway/front/takeover.rs
+++ b/crates/bluebelld/src/gateway/front/takeover.rs
@@ -3,12 +3,11 @@
 
 use std::{pin::Pin, sync::Arc, time::Duration};
 
-use bluebell_core::{poison::ResponseLoss, retry::Takeover};
+use bluebell_core::retry::Takeover;
 use tokio::{sync::watch, time::sleep};
 
 use crate::gateway::{
     attempt::{BodyChunk, Failure, UpstreamResponse},
-    crash_detection,
     state::Gateway,
 };
 
@@ -18,21 +17,16 @@
     type Output: Send;
 
     /// Waits until it delivers something; `None` if it fails. May be cancelled and called again.
-    fn progress(&mut self, gateway: &Arc<Gateway>) -> impl Future<Output = Option<Self::Output>> + Send;
+    fn progress(&mut self) -> impl Future<Output = Option<Self::Output>> + Send;
 }
 
 /// A stream that has begun, and is read while another attempt starts.
 impl KeptAttempt for UpstreamResponse {
     type Output = BodyChunk;
 
-    async fn progress(&mut self, gateway: &Arc<Gateway>) -> Option<BodyChunk> {
-        match self.next_chunk().await {
-            BodyChunk::Broken(_) => {
-                crash_detection::record_lost_answer(gateway, &self.upstream, ResponseLoss::Broken);
-                None
-            }
-            chunk => Some(chunk),
-        }
+    async fn progress(&mut self) -> Option<BodyChunk> {
+        let chunk = self.next_chunk().await;
+        (!matches!(chunk, BodyChunk::Broken(_))).then_some(chunk)
     }
 }
 
@@ -42,7 +36,7 @@
 impl KeptAttempt for UnreadAnswer {
     type Output = std::convert::Infallible;
 
-    async fn progress(&mut self, _gateway: &Arc<Gateway>) -> Option<Self::Output> {
+    async fn progress(&mut self) -> Option<Self::Output> {
         std::future::pending().await
     }
 }
@@ -53,17 +47,28 @@
 impl<T: Send> KeptAttempt for PendingAttempt<'_, T> {
     type Output = T;
 
-    async fn progress(&mut self, _gateway: &Arc<Gateway>) -> Option<T> {
+    async fn progress(&mut self) -> Option<T> {
         self.as_mut().await.ok()
     }
 }
 
 /// Result of a replacement.
 pub enum Replacement<T, K> {
-    /// The kept attempt has delivered first. The other one was cancelled, but may have run.
+    /// The kept attempt has delivered first, and the other one was cancelled.
     Cancelled(K),
-    /// The other attempt has ended; the kept one is still there unless it failed or was closed.
-    Ended(T),
+    /// The other attempt has ended.
+    Ended(T, KeptState),
+}
+
+/// State of a kept attempt when the other one has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeptState {
+    /// It goes on.
+    Open,
+    /// It has failed.
+    Failed,
+    /// It was closed, because the other attempt was in flight for long enough.
+    Closed,
 }
 
 /// When the attempt in progress was sent, or `None` between attempts.
@@ -77,27 +82,28 @@
     mut in_flight_since: watch::Receiver<Option<Duration>>,
 ) -> Replacement<T, K::Output> {
     let mut takeover = Takeover::default();
+    let mut state = KeptState::Open;
     let mut starting = std::pin::pin!(starting);
     loop {
         let close_at = takeover.close_at().filter(|_| kept.is_some());
         let close_in = close_at.map_or(Duration::ZERO, |at| at.saturating_sub(gateway.now()));
         tokio::select! {
             biased;
-            progress = progress(gateway, kept), if kept.is_some() => match progress {
+            progress = progress(kept), if kept.is_some() => match progress {
                 Some(output) => return Replacement::Cancelled(output),
-                None => *kept = None,
+                None => (*kept, state) = (None, KeptState::Failed),
             },
-            result = starting.as_mut() => return Replacement::Ended(result),
+            result = starting.as_mut() => return Replacement::Ended(result, state),
             // Fails only without a sender, and then the kept attempt stays until the other one ends.
             Ok(()) = in_flight_since.changed() => match *in_flight_since.borrow_and_update() {
                 Some(at) => takeover.record_sent(at),
                 None => takeover.record_failure(),
             },
-            () = sleep(close_in), if close_at.is_some() => *kept = None,
+            () = sleep(close_in), if close_at.is_some() => (*kept, state) = (None, KeptState::Closed),
         }
     }
 }
 
-async fn progress<K: KeptAttempt>(gateway: &Arc<Gateway>, kept: &mut Option<K>) -> Option<K::Output> {
-    kept.as_mut()?.progress(gateway).await
+async fn progress<K: KeptAttempt>(kept: &mut Option<K>) -> Option<K::Output> {
+    kept.as_mut()?.progress().await
 }
