--- a/crates/bluebell-standins/src/site/http1.rs
+++ b/crates/bluebell-standins/src/site/http1.rs
@@ -100,8 +100,8 @@
 ///
 /// # Errors
 /// If the connection breaks.
-pub async fn write_json(socket: &mut TcpStream, status: u16, body: &serde_json::Value) -> io::Result<()> {
-    write(socket, status, &[("content-type", "application/json")], body.to_string().as_bytes()).await
+pub async fn write_json(socket: &mut TcpStream, status: u16, body: &str) -> io::Result<()> {
+    write(socket, status, &[("content-type", "application/json")], body.as_bytes()).await
 }
 
 /// Writes a complete response with a `content-length` header.
--- a/crates/bluebell-standins/src/site/store.rs
+++ b/crates/bluebell-standins/src/site/store.rs
@@ -25,6 +25,8 @@
 
 /// Maximum number of rows in one answer.
 const PAGE_ROWS: usize = 500;
+/// Body of an answer without content.
+const EMPTY: &str = "{}";
 /// Table in which the product keeps its records.
 const RECORDS: &str = "bluebell-records";
 
@@ -67,6 +69,14 @@
     // Base64; `None` for a deleted row, which stays as a tombstone so that the feed can report it.
     value: Option<String>,
     version: u64,
+    // JSON text that answers contain in place of the row.
+    wire: Option<String>,
+}
+
+impl Versioned {
+    fn new(value: Option<String>, version: u64) -> Self {
+        Self { value, version, wire: None }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -135,17 +145,28 @@
 
     /// Writes a JSON row, as the platform or an operator would; returns the store version of the write.
     pub fn put(&self, table: &str, key: &str, value: &Value) -> u64 {
-        self.write(table, key, Some(STANDARD.encode(value.to_string())))
+        self.put_raw(table, key, value.to_string().as_bytes())
     }
 
     /// Writes a row of arbitrary bytes; returns the store version of the write.
     pub fn put_raw(&self, table: &str, key: &str, value: &[u8]) -> u64 {
-        self.write(table, key, Some(STANDARD.encode(value)))
+        self.write(RowKey::new(table, "", key), Some(STANDARD.encode(value)), None)
+    }
+
+    /// Writes a JSON row to a named partition; returns the store version of the write.
+    pub fn put_in_part(&self, table: &str, partition: &str, key: &str, value: &Value) -> u64 {
+        self.write(RowKey::new(table, partition, key), Some(STANDARD.encode(value.to_string())), None)
+    }
+
+    /// Makes answers contain the given JSON text, which may be malformed as a row, in place of the row with this key;
+    /// returns the store version of the write.
+    pub fn put_wire(&self, table: &str, key: &str, row: &str) -> u64 {
+        self.write(RowKey::new(table, "", key), Some(String::new()), Some(row.to_owned()))
     }
 
     /// Deletes a row; returns the store version of the deletion.
     pub fn delete(&self, table: &str, key: &str) -> u64 {
-        self.write(table, key, None)
+        self.write(RowKey::new(table, "", key), None, None)
     }
 
     /// The JSON content of a row in the partition with the empty name; `None` if it is absent or not JSON.
@@ -200,11 +221,11 @@
         self.lock().calls
     }
 
-    fn write(&self, table: &str, key: &str, value: Option<String>) -> u64 {
+    fn write(&self, at: RowKey, value: Option<String>, wire: Option<String>) -> u64 {
         let mut state = self.lock();
         state.version += 1;
         let version = state.version;
-        state.rows.insert(RowKey::new(table, "", key), Versioned { value, version });
+        state.rows.insert(at, Versioned { value, version, wire });
         drop(state);
         self.changed.send_replace(version);
         version
@@ -214,7 +235,7 @@
         let mut buffer = Vec::new();
         while let Some(request) = http1::read(&mut socket, &mut buffer).await? {
             if let Some((status, body)) = control::handle(self, mode, &request) {
-                write_json(&mut socket, status, &body).await?;
+                write_json(&mut socket, status, &body.to_string()).await?;
                 continue;
             }
             self.lock().calls += 1;
@@ -245,12 +266,12 @@
         Ok(())
     }
 
-    async fn handle_rows(&self, request: &Request, mode: &watch::Receiver<StoreMode>) -> (u16, Value) {
+    async fn handle_rows(&self, request: &Request, mode: &watch::Receiver<StoreMode>) -> (u16, String) {
         match request.path() {
             "/api/rows-get" => (200, self.get_rows(request)),
             "/api/rows-feed" => self.feed(request, mode.clone()).await,
             "/api/rows-tx" => self.transact(request),
-            _ => (404, json!({})),
+            _ => (404, EMPTY.to_owned()),
         }
     }
 
@@ -269,11 +290,12 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    fn reply_body(&self, state: &State, rows: Vec<Value>) -> Value {
-        json!({ "rows": rows, "truncated": false, "ver": state.version, "nowMs": self.uptime_ms() })
+    fn reply_body(&self, state: &State, rows: &[String], truncated: bool) -> String {
+        let (rows, version, now) = (rows.join(","), state.version, self.uptime_ms());
+        format!(r#"{{"rows":[{rows}],"truncated":{truncated},"ver":{version},"nowMs":{now}}}"#)
     }
 
-    fn get_rows(&self, request: &Request) -> Value {
+    fn get_rows(&self, request: &Request) -> String {
         let from = RowKey::new(&request.param("table"), &request.param("part"), &request.param("from"));
         let to = request.param("to");
         let limit = request.param("limit").parse().unwrap_or(PAGE_ROWS).min(PAGE_ROWS);
@@ -283,16 +305,14 @@
         };
         let mut range = state.rows.range(from.clone()..).take_while(|(row_key, _)| in_range(row_key));
         let mut live = range.by_ref().filter(|(_, stored)| stored.value.is_some());
-        let rows = live.by_ref().take(limit).map(|(row_key, stored)| row_json(row_key, stored)).collect();
+        let rows: Vec<String> = live.by_ref().take(limit).map(|(row_key, stored)| row_text(row_key, stored)).collect();
         let truncated = live.next().is_some();
-        let mut reply = self.reply_body(&state, rows);
-        reply["truncated"] = json!(truncated);
-        reply
+        self.reply_body(&state, &rows, truncated)
     }
 
     // Long-polls for changes. A change of the listener's `StoreMode` ends the wait with 503, so that a fault also
     // affects calls that are already waiting.
-    async fn feed(&self, request: &Request, mut mode: watch::Receiver<StoreMode>) -> (u16, Value) {
+    async fn feed(&self, request: &Request, mut mode: watch::Receiver<StoreMode>) -> (u16, String) {
         let table = request.param("table");
         let after: u64 = request.param("after").parse().unwrap_or(0);
         let wait = Duration::from_millis(request.param("waitMs").parse().unwrap_or(0));
@@ -309,28 +329,28 @@
                 woken = timeout(remaining, changed.changed()) => {
                     if woken.is_err() {
                         let state = self.lock();
-                        return (200, self.reply_body(&state, Vec::new()));
+                        return (200, self.reply_body(&state, &[], false));
                     }
                 }
-                _ = mode.changed() => return (503, json!({})),
+                _ = mode.changed() => return (503, EMPTY.to_owned()),
             }
         }
     }
 
     // Changes of the table after a version, or 410 if its history was compacted; `None` if there are no changes.
-    fn changes_after(&self, table: &str, after: u64) -> Option<(u16, Value)> {
+    fn changes_after(&self, table: &str, after: u64) -> Option<(u16, String)> {
         let state = self.lock();
         if after < state.compacted_version {
-            return Some((410, json!({})));
+            return Some((410, EMPTY.to_owned()));
         }
         let mut changes: Vec<_> =
             state.rows.iter().filter(|(row_key, stored)| row_key.table == table && stored.version > after).collect();
         changes.sort_by_key(|(_, stored)| stored.version);
-        let rows: Vec<Value> = changes.into_iter().map(|(row_key, stored)| row_json(row_key, stored)).collect();
-        (!rows.is_empty()).then(|| (200, self.reply_body(&state, rows)))
+        let rows: Vec<String> = changes.into_iter().map(|(row_key, stored)| row_text(row_key, stored)).collect();
+        (!rows.is_empty()).then(|| (200, self.reply_body(&state, &rows, false)))
     }
 
-    fn transact(&self, request: &Request) -> (u16, Value) {
+    fn transact(&self, request: &Request) -> (u16, String) {
         let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
         let list = |name: &str| body[name].as_array().cloned().unwrap_or_default();
         let row_key = |entry: &Value| -> RowKey {
@@ -341,19 +361,19 @@
         for entry in list("expected") {
             let stored = state.rows.get(&row_key(&entry)).filter(|stored| stored.value.is_some());
             if stored.map_or(0, |stored| stored.version) != entry["ver"].as_u64().unwrap_or(0) {
-                return (412, self.reply_body(&state, Vec::new()));
+                return (412, self.reply_body(&state, &[], false));
             }
         }
         state.version += 1;
         let version = state.version;
         for entry in list("put") {
             let value = entry["value"].as_str().map(str::to_owned);
-            state.rows.insert(row_key(&entry), Versioned { value, version });
+            state.rows.insert(row_key(&entry), Versioned::new(value, version));
         }
         for entry in list("delete") {
-            state.rows.insert(row_key(&entry), Versioned { value: None, version });
+            state.rows.insert(row_key(&entry), Versioned::new(None, version));
         }
-        let reply = self.reply_body(&state, Vec::new());
+        let reply = self.reply_body(&state, &[], false);
         drop(state);
         self.changed.send_replace(version);
         (200, reply)
@@ -365,12 +385,15 @@
     request.method != "GET" || request.path().starts_with("/api/blob") || request.param("table") == RECORDS
 }
 
-fn row_json(row_key: &RowKey, stored: &Versioned) -> Value {
+fn row_text(row_key: &RowKey, stored: &Versioned) -> String {
+    if let Some(text) = &stored.wire {
+        return text.clone();
+    }
     let mut row =
         json!({ "table": row_key.table, "part": row_key.partition, "key": row_key.key, "ver": stored.version });
     match &stored.value {
         Some(value) => row["value"] = json!(value),
         None => row["deleted"] = json!(true),
     }
-    row
+    row.to_string()
 }
--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod explain;
 mod kept_answers;
 mod members;
+mod odd_rows;
 mod poison;
 mod rollouts;
 mod site;
