--- a/crates/bluebelld/tests/gateway/odd_rows.rs
+++ b/crates/bluebelld/tests/gateway/odd_rows.rs
@@ -105,6 +105,7 @@
         (r#""value":"e30=""#, r#""value":"%%%""#),
         (r#""value":"e30=""#, r#""value":{}"#),
         (r#""value":"e30=""#, r#""value":"e30=","value":"e30=""#),
+        (r#""part":"""#, r#""part":7"#),
     ];
     let mut all: Vec<Odd> = parts.iter().map(|(part, odd)| Odd::Wire(row.replace(part, odd))).collect();
     all.extend(["7", "null", "[]", "{}", "\"row\""].map(|row| Odd::Wire(row.to_owned())));
@@ -294,3 +295,19 @@
         expect_registrations(&mut site).await;
     }
 }
+
+#[tokio::test]
+async fn row_of_another_partition_is_not_taken_for_the_entry_with_its_key() {
+    let mut site = Site::start(2).await;
+    let mut entry = server_entry(site.ledger[0].address, "ledger", "z1", "v1", "draining");
+    site.store.put_in_part("servers", "odd", "ledger-1", &entry);
+    entry["state"] = json!("ready");
+    site.store.put_in_part("op", "odd", "config", &json!({ "version": 9, "tenants": [] }));
+    expect_changes(&mut site, 10, "part").await;
+    let runs = site.ledger[0].runs().len();
+    until("the upstream to be used", || async {
+        expect_answers(&site, "part").await;
+        site.ledger[0].runs().len() > runs
+    })
+    .await;
+}
