Limit what a log line quotes of a row that can't be read

Operators saw: a registry entry, configuration, order, member, stage or crash row with a text of a megabyte where a number belongs gave a log line of 1,048,899 bytes at each gateway.

Cause: the error of the JSON parser quotes the whole text.

Change: `describe_json` cuts the text of such an error at 400 bytes; used where rows, records and answers of the store are decoded. Ruled out: a limit on all log lines, as the line about billing rows that could not be stored must name all of them.

Tests: gateway odd_rows now contains rows of a megabyte and a check of the length of all lines (4,096 bytes). odd_rows_of_operators_..., odd_rows_of_the_ gateways_own_table_... and unusable_registry_entries_... failed before with it ("gateway-0 wrote a log line of 1048898 bytes", 1048851, 1048899), pass after.

--- a/crates/bluebelld/src/gateway/control/rollouts.rs
+++ b/crates/bluebelld/src/gateway/control/rollouts.rs
@@ -7,6 +7,7 @@
     ids::{InstanceId, ServiceId},
     replica::Row,
 };
+use bluebell_platform::describe_json;
 use bluebell_wire::messages::ReleaseTally;
 use indexmap::IndexMap;
 
@@ -71,7 +72,7 @@
                 self.stages.insert(row.key.clone(), (stage, row.version));
             }
             Some(Err(error)) => {
-                log::error!(key = row.key.as_str(), row = row.version; "failed to decode roll-out stage: {error}");
+                log::error!(key = row.key.as_str(), row = row.version; "failed to decode roll-out stage: {}", describe_json(&error));
             }
         }
     }
--- a/crates/bluebelld/src/records/reports.rs
+++ b/crates/bluebelld/src/records/reports.rs
@@ -10,7 +10,10 @@
     poison::CrashReport,
     replica::{Origin, Row},
 };
-use bluebell_platform::store::{Changes, Put, RowKey, Snapshot, Transaction, TransactionOutcome};
+use bluebell_platform::{
+    describe_json,
+    store::{Changes, Put, RowKey, Snapshot, Transaction, TransactionOutcome},
+};
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
@@ -56,7 +59,7 @@
                 Some(found)
             }
             Err(error) => {
-                log::error!(key = row.key.as_str(), row = row.version; "crash report can't be parsed: {error}");
+                log::error!(key = row.key.as_str(), row = row.version; "crash report can't be parsed: {}", describe_json(&error));
                 None
             }
         }
--- a/crates/bluebelld/src/records/table.rs
+++ b/crates/bluebelld/src/records/table.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::replica::{Origin, Row};
 use bluebell_platform::{
-    PlatformError,
+    PlatformError, describe_json,
     store::{Put, RowKey, Store, Transaction, TransactionOutcome},
 };
 use serde::{Serialize, de::DeserializeOwned};
@@ -24,7 +24,7 @@
         source: PlatformError,
     },
     /// A record can't be parsed or serialized as JSON.
-    #[snafu(display("record {key}: {source}"))]
+    #[snafu(display("record {key}: {}", describe_json(source)))]
     Json {
         /// Key of the record.
         key: String,
--- a/crates/bluebelld/tests/gateway/odd_rows.rs
+++ b/crates/bluebelld/tests/gateway/odd_rows.rs
@@ -1,5 +1,5 @@
 //! One odd row among sound ones, as another writer of the store may leave it. It stays a fault of that row: no gateway
-//! ends or stops following the store, no request is lost, and the row is logged once.
+//! ends or stops following the store, no request is lost, and the row is logged once, in a line of limited length.
 
 use std::time::Duration;
 
@@ -14,8 +14,12 @@
 
 /// Time for which requests are sent after each odd row.
 const OBSERVATION_TIME: Duration = Duration::from_millis(120);
+/// Maximum length of a log line in bytes.
+const MAX_LINE_BYTES: usize = 4096;
 /// Level of nesting of the nested rows.
 const DEPTH: usize = 50_000;
+/// Size of the large rows in bytes.
+const LARGE: usize = 1 << 20;
 /// A registry entry; the odd ones are made from it by replacing parts.
 const ENTRY: &str = r#"{"service":"ledger","address":"127.0.0.1:1","zone":"z1","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,"sequence":1,"born":1}"#;
 
@@ -37,6 +41,7 @@
 
 /// Contents that no reader of JSON can use.
 fn unreadable() -> Vec<Odd> {
+    let large_text = format!("\"{}\"", "x".repeat(LARGE));
     vec![
         text(""),
         text("NaN"),
@@ -51,6 +56,7 @@
         text(nested("[", "]")),
         text(nested("{\"a\":", "}")),
         text("[".repeat(DEPTH)),
+        text(large_text),
     ]
 }
 
@@ -84,6 +90,10 @@
         (r#""service":"ledger""#, r#""service":"a\u0000b\r\nc""#),
     ];
     let mut all: Vec<Odd> = parts.iter().map(|(part, odd)| text(ENTRY.replace(part, odd))).collect();
+    let large = "x".repeat(LARGE);
+    all.push(text(ENTRY.replace(r#""slots":8"#, &format!(r#""slots":"{large}""#))));
+    all.push(text(ENTRY.replace(r#""state":"ready""#, &format!(r#""state":"{large}""#))));
+    all.push(text(ENTRY.replace(r#""service":"ledger""#, &format!(r#""service":"{large}""#))));
     all.push(text(ENTRY.replace(r#""slots":8"#, &format!(r#""slots":{}"#, nested("[", "]")))));
     all
 }
@@ -167,10 +177,12 @@
     assert_eq!(site.ledger[2].runs().len(), runs, "requests sent to a draining upstream");
 }
 
-/// No gateway panicked, and no row is complained about twice.
+/// Each log line is short, and no row is complained about twice.
 fn expect_bounded_logs(site: &Site, versions: &[u64]) {
     for gateway in &site.gateways {
         let log = gateway.process.log();
+        let longest = log.lines().map(str::len).max().unwrap_or_default();
+        assert!(longest <= MAX_LINE_BYTES, "{} wrote a log line of {longest} bytes", gateway.name);
         assert!(!log.contains("panicked"), "{} panicked", gateway.name);
         for version in versions {
             let complaint = |line: &&str| line.contains(&format!("\"row\":{version},")) && !line.contains("\"INFO\"");
