Set registrations for undeclared services aside

Callers saw: an entry that names a service of no configuration and the address of a runner made gateways answer 503 for that runner's service, until the runner's own entry changed again.

Cause: the latest registration of an address replaces any other one there, and marks that one's requests as lost by a restart, whatever service it names. PROTOCOL.md: an entry with a service that isn't named names no runner to use; the others hold.

Change: an entry whose service is in neither the services nor the targets of the routes of the declarations in force is set aside, with one warning, and used as soon as a version declares its service. Until the first declarations are read, all entries are set aside; a gateway is not ready then anyway.

Not changed: an entry of a declared service with another runner's address still replaces it, as after `reuseAfterS`; Expect-Instance keeps requests from a wrong runner.

Tests: gateway odd_rows::entry_of_an_undeclared_service_takes_no_address_from_ an_upstream failed before ("undeclared-0-look-gateway-0: status 503"), passes after. odd_rows::upstream_registered_before_its_service_is_declared_is_used_ afterwards passes before and after.

--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -4,9 +4,10 @@
 use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
-    ids::{InstanceId, UpstreamId},
+    ids::{InstanceId, ServiceId, UpstreamId},
+    ingress::Declared,
     replica::{Origin, Row},
-    upstreams::Phase,
+    upstreams::{Phase, Upstream},
 };
 use bluebell_platform::{operator, upstream};
 use bluebell_wire::messages::ExchangeMessage;
@@ -52,6 +53,7 @@
                     );
                     self.gateway.metrics.set_declared(declared.version);
                     self.declared = Some(Arc::new(declared));
+                    self.use_declared();
                 }
                 Err(error) => {
                     log::error!(row = row.version, source = source; "keeping the previous declarations: {error}");
@@ -83,6 +85,7 @@
         };
         let Some(content) = &row.value else {
             log::info!(upstream = id.as_str(), row = row.version, source = source; "upstream's registry entry is gone");
+            self.undeclared.shift_remove(&id);
             self.remove_upstream(now, &id);
             return;
         };
@@ -93,18 +96,61 @@
                     leaving = upstream.phase == Phase::Leaving, row = row.version, source = source;
                     "upstream's registry entry was added or changed"
                 );
-                let addresses = |id: &UpstreamId| self.upstreams.get(id).map(|one| one.address);
-                self.gateway.traffic().in_flight.registration_updated(now, &upstream, addresses);
-                self.retract(&upstream.incarnation());
-                self.upstreams.put(now, upstream);
+                self.undeclared.shift_remove(&id);
+                if self.is_declared(&upstream.service) {
+                    self.put_upstream(now, upstream);
+                } else {
+                    self.set_aside(now, upstream, row.version);
+                }
             }
             Err(error) => {
                 log::warn!(upstream = id.as_str(), row = row.version; "failed to decode registry entry: {error}");
+                self.undeclared.shift_remove(&id);
                 self.remove_upstream(now, &id);
             }
         }
     }
 
+    fn is_declared(&self, service: &ServiceId) -> bool {
+        let is_target = |declared: &Declared| {
+            declared.routes().any(|route| route.targets.iter().any(|target| target.service == *service))
+        };
+        let declared = self.declared.as_deref();
+        declared.is_some_and(|declared| declared.services.contains_key(service) || is_target(declared))
+    }
+
+    fn put_upstream(&mut self, now: Duration, upstream: Upstream) {
+        let addresses = |id: &UpstreamId| self.upstreams.get(id).map(|one| one.address);
+        self.gateway.traffic().in_flight.registration_updated(now, &upstream, addresses);
+        self.retract(&upstream.incarnation());
+        self.upstreams.put(now, upstream);
+    }
+
+    // Keeps a registration for a service that is not declared apart from the upstreams in use, one of which may have
+    // the same address.
+    fn set_aside(&mut self, now: Duration, upstream: Upstream, row: u64) {
+        if self.declared.is_some() {
+            log::warn!(
+                upstream = upstream.id.as_str(), service = upstream.service.as_str(), row = row;
+                "upstream of a service that is not declared is not used"
+            );
+        }
+        self.remove_upstream(now, &upstream.id);
+        self.undeclared.insert(upstream.id.clone(), upstream);
+    }
+
+    // Uses the registrations whose services are declared by now.
+    fn use_declared(&mut self) {
+        let now = self.gateway.now();
+        for (id, upstream) in std::mem::take(&mut self.undeclared) {
+            if self.is_declared(&upstream.service) {
+                self.put_upstream(now, upstream);
+            } else {
+                self.undeclared.insert(id, upstream);
+            }
+        }
+    }
+
     fn remove_upstream(&mut self, now: Duration, id: &UpstreamId) {
         if let Some(known) = self.upstreams.get(id) {
             self.gateway.traffic().in_flight.registration_removed(now, &known.incarnation());
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -3,11 +3,11 @@
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use bluebell_core::{
-    ids::InstanceId,
+    ids::{InstanceId, UpstreamId},
     ingress::Declared,
     poison::{Crashes, Suspects},
     replica::{Origin, Replica},
-    upstreams::Upstreams,
+    upstreams::{Upstream, Upstreams},
 };
 use bluebell_wire::messages::ExchangeMessage;
 use indexmap::IndexMap;
@@ -42,6 +42,8 @@
     pub(super) replica: Replica,
     pub(super) declared: Option<Arc<Declared>>,
     pub(super) upstreams: Upstreams,
+    // Registrations for services that are not declared; they are not used.
+    pub(super) undeclared: IndexMap<UpstreamId, Upstream>,
     pub(super) members: Members,
     pub(super) rollouts: Rollouts,
     pub(super) crashes: Crashes,
@@ -85,6 +87,7 @@
             replica: Replica::default(),
             declared: None,
             upstreams: Upstreams::default(),
+            undeclared: IndexMap::new(),
             members,
             rollouts: Rollouts::default(),
             crashes: Crashes::default(),
--- a/crates/bluebelld/tests/gateway/odd_rows.rs
+++ b/crates/bluebelld/tests/gateway/odd_rows.rs
@@ -323,3 +323,32 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn entry_of_an_undeclared_service_takes_no_address_from_an_upstream() {
+    let mut site = Site::start(2).await;
+    for upstream in &site.ledger {
+        let entry = server_entry(upstream.address, "nowhere", "z1", "v1", "ready");
+        site.store.put("servers", &format!("odd-{}", upstream.id), &entry);
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    expect_answers(&site, "undeclared").await;
+    expect_changes(&mut site, 10, "undeclared").await;
+}
+
+#[tokio::test]
+async fn upstream_registered_before_its_service_is_declared_is_used_afterwards() {
+    let mut site = Site::start(2).await;
+    site.add_ledger("late-1").await;
+    site.put_entry(&site.ledger[2], "late", "v1", "ready");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.put_declarations(2, |config| {
+        config["services"][1]["name"] = json!("late");
+        config["routes"][3]["service"] = json!("late");
+    });
+    let used = until("the upstream to be used", || async {
+        expect_answers(&site, "late").await;
+        !site.ledger[2].runs().is_empty()
+    });
+    assert!(used.await < PROPAGATION_LIMIT);
+}
