--- a/crates/bluebelld/tests/gateway/odd_rows.rs
+++ b/crates/bluebelld/tests/gateway/odd_rows.rs
@@ -352,3 +352,16 @@
     });
     assert!(used.await < PROPAGATION_LIMIT);
 }
+
+#[tokio::test]
+async fn price_below_zero_costs_no_request() {
+    let site = Site::start(2).await;
+    site.put_declarations(2, |config| config["services"][0]["engine"]["models"][2]["cost"] = json!(-0.05));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for (position, gateway) in site.gateways.iter().enumerate() {
+        let ask = Ask::new("/talk/1", &format!("price-{position}")).header("model", "*");
+        let answer = gateway.ask(&ask.header("token-count", "10,5")).await;
+        assert!(answer.status == 200 && answer.complete, "status {}", answer.status);
+    }
+    expect_bounded_logs(&site, &[]);
+}
