Write a stage row with unreadable content again

Callers saw: with odd bytes in `stage/SERVICE`, the roll-out of that service did not start or stood still, and its status was not written.

Cause: the row was ignored, and each write of a stage expected the version before it, which is a conflict for ever. A gateway that started after a finished roll-out knew no stage and would have started it again.

Change: the last readable content is kept together with the version of the odd row. The driver writes the next stage over that version, or the same stage again if there is no next one, also after the end of the roll-out.

Tests: gateway rollouts::odd_content_of_the_stage_row_neither_stops_a_roll_out_ nor_repeats_it (odd bytes before the order, in the canary stage, and after the end, then a restart of all gateways) failed before ("the roll-out is still in state """), passes after; all rollouts:: tests pass.

Not covered: if all gateways are restarted while the row of a finished roll-out is odd, none knows its stage, and the order starts anew.

--- a/crates/bluebelld/src/gateway/control/drive.rs
+++ b/crates/bluebelld/src/gateway/control/drive.rs
@@ -39,7 +39,10 @@
         let mut rejected = false;
         let stages = &self.rollouts.stages;
         for rollout in self.rollouts.by_order_key.values_mut() {
-            let stage = stages.get(&stage_key(&rollout.order.service)).map(|(row, _)| row.stage);
+            let stage = stages
+                .get(&stage_key(&rollout.order.service))
+                .and_then(|stored| stored.row.as_ref())
+                .map(|row| row.stage);
             rejected |= rollout.evaluate(&all, stage < Some(Stage::Full));
         }
         if rejected {
@@ -67,7 +70,7 @@
         let mut writes = Vec::new();
         for rollout in self.rollouts.by_order_key.values() {
             let row = self.rollouts.current_stage(&rollout.order);
-            let version = self.rollouts.stage_row(&rollout.order).map_or(0, |(_, version)| *version);
+            let version = self.rollouts.stored_stage(&rollout.order).map_or(0, |stored| stored.version);
             if rollout.last_write.is_some_and(|(at, expected)| now < at + WRITE_TIMEOUT && expected == version) {
                 continue;
             }
@@ -77,7 +80,8 @@
             }
             let next = match row {
                 None => (now >= rollout.ordered_at + SETTLE_TIME).then_some(Stage::Canary),
-                Some(row) => canary::next_stage(&rollout.order, row, clock, &self.gateway.schedule, rollout.verdict),
+                Some(row) => canary::next_stage(&rollout.order, row, clock, &self.gateway.schedule, rollout.verdict)
+                    .or_else(|| self.rollouts.is_damaged(&rollout.order).then_some(row.stage)),
             };
             let Some(stage) = next else { continue };
             let began = row.map_or(clock.saturating_sub(now.saturating_sub(rollout.ordered_at)), |row| row.began);
--- a/crates/bluebelld/src/gateway/control/rollouts.rs
+++ b/crates/bluebelld/src/gateway/control/rollouts.rs
@@ -28,12 +28,22 @@
     pub(super) last_write: Option<(Duration, u64)>,
 }
 
+/// A stage row in the store.
+#[derive(Debug)]
+pub(super) struct StoredStage {
+    // The last content that could be read.
+    pub(super) row: Option<StageRow>,
+    pub(super) version: u64,
+    // Whether the row has unreadable content now, and has to be written again.
+    pub(super) is_damaged: bool,
+}
+
 /// All ordered roll-outs, and the stage rows in the store.
 #[derive(Debug, Default)]
 pub struct Rollouts {
     pub(super) by_order_key: IndexMap<String, Rollout>,
-    // Stage rows and their versions, by the key of the row.
-    pub(super) stages: IndexMap<String, (StageRow, u64)>,
+    // Stage rows by their keys.
+    pub(super) stages: IndexMap<String, StoredStage>,
 }
 
 /// Key of the stage row of a service.
@@ -69,27 +79,38 @@
                     row = row.version, source = source;
                     "roll-out is at stage {:?}", stage.stage
                 );
-                self.stages.insert(row.key.clone(), (stage, row.version));
+                let stored = StoredStage { row: Some(stage), version: row.version, is_damaged: false };
+                self.stages.insert(row.key.clone(), stored);
             }
             Some(Err(error)) => {
-                log::error!(key = row.key.as_str(), row = row.version; "failed to decode roll-out stage: {}", describe_json(&error));
+                let reason = describe_json(&error);
+                log::error!(key = row.key.as_str(), row = row.version; "failed to decode roll-out stage: {reason}");
+                let known = self.stages.shift_remove(&row.key).and_then(|stored| stored.row);
+                let stored = StoredStage { row: known, version: row.version, is_damaged: true };
+                self.stages.insert(row.key.clone(), stored);
             }
         }
     }
 
-    /// Stage row of the order's service and its version. The row may belong to an earlier order.
-    pub(super) fn stage_row(&self, order: &Order) -> Option<&(StageRow, u64)> {
+    /// Stage row of the order's service. The row may belong to an earlier order.
+    pub(super) fn stored_stage(&self, order: &Order) -> Option<&StoredStage> {
         self.stages.get(&stage_key(&order.service))
     }
 
     /// Stage row of this very order.
     pub(super) fn current_stage(&self, order: &Order) -> Option<&StageRow> {
-        self.stage_row(order).map(|(row, _)| row).filter(|row| row.order == order.version)
+        self.stored_stage(order)?.row.as_ref().filter(|row| row.order == order.version)
+    }
+
+    /// Whether the stage row of an order has unreadable content.
+    pub(super) fn is_damaged(&self, order: &Order) -> bool {
+        self.stored_stage(order).is_some_and(|stored| stored.is_damaged)
     }
 
-    /// Whether any roll-out is in progress.
+    /// Whether any roll-out is in progress, or has to be written to the store again.
     pub(super) fn any_running(&self) -> bool {
-        let is_finished = |order: &Order| self.current_stage(order).is_some_and(|row| row.stage.is_final());
+        let is_final = |order: &Order| self.current_stage(order).is_some_and(|row| row.stage.is_final());
+        let is_finished = |order: &Order| is_final(order) && !self.is_damaged(order);
         self.by_order_key.values().any(|rollout| !is_finished(&rollout.order))
     }
 
--- a/crates/bluebelld/tests/gateway/rollouts.rs
+++ b/crates/bluebelld/tests/gateway/rollouts.rs
@@ -145,3 +145,22 @@
         "requests sent to a release that was reverted before the restart"
     );
 }
+
+#[tokio::test]
+async fn odd_content_of_the_stage_row_neither_stops_a_roll_out_nor_repeats_it() {
+    let mut site = Site::start(2).await;
+    site.wait_for_peer_connections().await;
+    site.store.put_raw("bluebell", "stage/chat", b"[");
+    order_rollout(&mut site).await;
+    send_requests_until(&site, &[0, 1], "running").await;
+    site.store.put_raw("bluebell", "stage/chat", b"{\"order\":-1}");
+    send_requests_until(&site, &[0, 1], "completed").await;
+    site.store.put_raw("bluebell", "stage/chat", b"\xff");
+    until("the stage to be written again", || async { site.store.get("bluebell", "stage/chat").is_some() }).await;
+    for gateway in &mut site.gateways {
+        gateway.process.restart();
+        until("the gateway to be ready", || gateway.is_ready()).await;
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(rollout_state(&site), "completed");
+}
