Write crash reports over rows with unreadable content

Callers would see: after odd bytes got into the row of a crash report, the reports that the same gateway or entry wrote with it were in conflict for ever, so processes that started later did not know the requests to hold back.

Cause: the row was ignored, and the write of its report expected the version before it. All reports of a batch are one transaction.

Change: the version of such a row is kept, and the report is written over it. A row with odd bytes under a key of no report stays as it is; nobody writes it.

Tests: crates/bluebelld/tests/records.rs::report_whose_row_was_overwritten_ with_odd_content_is_written_again_over_it failed before ("the report should be written"), passes after. The blocked batch itself was read from the code, not shown with processes.

--- a/crates/bluebelld/src/records/reports.rs
+++ b/crates/bluebelld/src/records/reports.rs
@@ -47,6 +47,8 @@
 pub struct ReportRows {
     stored: IndexMap<String, (StoredReport, u64)>,
     last_written: IndexMap<String, Duration>,
+    // Versions of the rows whose content can't be parsed.
+    damaged: IndexMap<String, u64>,
 }
 
 impl ReportRows {
@@ -56,10 +58,14 @@
         match serde_json::from_slice::<StoredReport>(content) {
             Ok(found) => {
                 self.stored.insert(row.key.clone(), (found.clone(), row.version));
+                self.damaged.shift_remove(&row.key);
                 Some(found)
             }
             Err(error) => {
-                log::error!(key = row.key.as_str(), row = row.version; "crash report can't be parsed: {}", describe_json(&error));
+                let reason = describe_json(&error);
+                log::error!(key = row.key.as_str(), row = row.version; "crash report can't be parsed: {reason}");
+                self.stored.shift_remove(&row.key);
+                self.damaged.insert(row.key.clone(), row.version);
                 None
             }
         }
@@ -67,6 +73,7 @@
 
     /// Removes a row that was deleted from the store and returns its report.
     pub fn remove(&mut self, row: &Row) -> Option<StoredReport> {
+        self.damaged.shift_remove(&row.key);
         self.stored.shift_remove(&row.key).map(|(report, _)| report)
     }
 
@@ -74,7 +81,8 @@
     #[must_use]
     pub fn missing_from(&self, snapshot: &Snapshot) -> Vec<Row> {
         let present: IndexSet<&str> = snapshot.rows.iter().map(|row| row.key.as_str()).collect();
-        let missing = self.stored.keys().filter(|key| !present.contains(key.as_str())).cloned();
+        let known = self.stored.keys().chain(self.damaged.keys());
+        let missing = known.filter(|key| !present.contains(key.as_str())).cloned();
         missing.map(|key| Row { origin: Origin::Fleet, key, value: None, version: snapshot.version }).collect()
     }
 
@@ -123,7 +131,8 @@
         self.last_written.retain(|_, at| now < *at + REWRITE_PAUSE);
         let keys = transaction.puts.iter().map(|put| &put.at).chain(&transaction.deletes);
         for at in keys.cloned().collect::<Vec<_>>() {
-            let version = self.stored.get(&at.key).map_or(0, |(_, version)| *version);
+            let stored = self.stored.get(&at.key).map(|(_, version)| version);
+            let version = stored.or(self.damaged.get(&at.key)).copied().unwrap_or_default();
             self.last_written.insert(at.key.clone(), now);
             transaction.expected.push((at, version));
         }
--- a/crates/bluebelld/tests/records.rs
+++ b/crates/bluebelld/tests/records.rs
@@ -8,7 +8,7 @@
     upstreams::UpstreamIncarnation,
 };
 use bluebell_platform::store::Snapshot;
-use bluebelld::records::{ReportRows, StoredReport};
+use bluebelld::records::{REPORT_PREFIX, ReportRows, StoredReport};
 
 fn row(key: &str, body: &[u8]) -> Row {
     let report = CrashReport {
@@ -31,3 +31,21 @@
     let gone = Row { origin: Origin::Fleet, key: "crash/a".to_owned(), value: None, version: 9 };
     assert_eq!(rows.missing_from(&all), vec![gone]);
 }
+
+// A write that expects another version is in conflict, together with all reports that it writes at the same time.
+#[test]
+fn report_whose_row_was_overwritten_with_odd_content_is_written_again_over_it() {
+    let mut rows = ReportRows::default();
+    let sound = row("", b"a");
+    let stored: StoredReport = serde_json::from_slice(sound.value.as_deref().unwrap_or_default()).expect("JSON");
+    let key = format!("{REPORT_PREFIX}{}", stored.report.key());
+    assert!(rows.insert(&Row { key: key.clone(), ..sound }).is_some());
+    assert!(
+        rows.insert(&Row { origin: Origin::Fleet, key: key.clone(), value: Some(b"{".to_vec()), version: 8 }).is_none()
+    );
+    let transaction = rows.next_transaction(Duration::from_secs(20), std::iter::once(stored), |_| true);
+    let transaction = transaction.expect("the report should be written");
+    let expected: Vec<(String, u64)> =
+        transaction.expected.into_iter().map(|(at, version)| (at.key, version)).collect();
+    assert_eq!((expected, transaction.puts.len()), (vec![(key, 8)], 1));
+}
