Keep number ids at their highest value instead of overflowing

Callers would see: an expired lease row whose fencing token is 2^64-1 made the task that takes leases panic in a development build, and start again at 0 in a release build.

Cause: `next` of number ids added without a check.

Change: `next` stays at the highest value. Safety of leases rests on writes conditional on the row's version, not on the token alone.

--- a/crates/bluebell-core/src/ids.rs
+++ b/crates/bluebell-core/src/ids.rs
@@ -102,10 +102,10 @@
         pub struct $name(pub u64);
 
         impl $name {
-            /// The next number.
+            /// The next number, or the same one if it is the highest.
             #[must_use]
             pub fn next(self) -> Self {
-                Self(self.0 + 1)
+                Self(self.0.saturating_add(1))
             }
         }
 
