--- a/crates/bluebell-standins/src/site/mod.rs
+++ b/crates/bluebell-standins/src/site/mod.rs
@@ -5,12 +5,14 @@
 
 mod control;
 mod declarations;
+mod endless;
 mod http1;
 mod store;
 mod upstream;
 
 pub use control::serve;
 pub use declarations::{TIMEOUT_MS, declarations, server_entry};
+pub use endless::Endless;
 pub use http1::Request;
 pub use store::{SiteStore, StoreMode, StoredRow};
-pub use upstream::{Endless, Fault, Poison, Run, SiteUpstream, UpstreamKind};
+pub use upstream::{Fault, Poison, Run, SiteUpstream, UpstreamKind};
--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -18,6 +18,7 @@
 };
 
 use super::{
+    endless::{self, Endless},
     http1::{self, Request},
     store::SiteStore,
 };
@@ -79,23 +80,6 @@
     Crash(u64),
 }
 
-/// The part of an HTTP answer that is unbounded.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Endless {
-    /// The status line, without a line end.
-    Head,
-    /// The headers, after a valid status line.
-    Headers,
-    /// A sequence of interim answers (status 103).
-    Interim,
-    /// A body without a length, delimited by the end of the connection.
-    Body,
-    /// A chunked body.
-    Chunks,
-    /// Empty lines in place of events.
-    Lines,
-}
-
 /// Marks requests that crash each upstream which runs them.
 #[derive(Debug, Clone)]
 pub struct Poison {
@@ -265,16 +249,10 @@
 
 /// Default time between two events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(10);
-/// Size of one write of an unbounded answer.
-const UNBOUNDED_BLOCK: usize = 16 << 10;
-/// Pause between these writes, so that unbounded answers leave CPU time for the other processes.
-const UNBOUNDED_PAUSE: Duration = Duration::from_millis(1);
-/// Size at which an "unbounded" answer ends after all, so that a test whose caller reads on terminates.
-const MAX_UNBOUNDED: usize = 1 << 30;
 /// Time from a crash to the removal of the upstream's registry entry.
 const ENTRY_TTL: Duration = Duration::from_secs(1);
 /// Signature of all answers, sent as `response-stamp`; its content is opaque.
-const RESPONSE_STAMP: &str = "stand-in.1";
+pub const RESPONSE_STAMP: &str = "stand-in.1";
 
 impl Server {
     // Serves on one address; each crash closes all connections and is followed by a restart.
@@ -384,7 +362,7 @@
             Some(Fault::Silent) => {
                 std::future::pending::<()>().await;
             }
-            Some(Fault::Endless(part)) => return write_unbounded(socket, request, part).await.map(|()| false),
+            Some(Fault::Endless(part)) => return endless::write(socket, request, part).await.map(|()| false),
             Some(Fault::Slow(time)) => tokio::time::sleep(time).await,
             Some(Fault::Fails(status)) => {
                 let headers = [("request-id", request.header("request-id")), ("response-stamp", RESPONSE_STAMP)];
@@ -463,29 +441,6 @@
     }
 }
 
-// Returns when the caller closes the connection, or after more bytes than any caller should accept.
-async fn write_unbounded(socket: &mut TcpStream, request: &Request, part: Endless) -> io::Result<()> {
-    let id = request.header("request-id");
-    let valid_head = format!("HTTP/1.1 200 x\r\nrequest-id: {id}\r\nresponse-stamp: {RESPONSE_STAMP}\r\n");
-    let (head, block) = match part {
-        Endless::Head => ("HTTP/1.1 200 ".to_owned(), "x".repeat(UNBOUNDED_BLOCK)),
-        Endless::Headers => (valid_head, "x-more: and more\r\n".repeat(UNBOUNDED_BLOCK / 18)),
-        Endless::Interim => (String::new(), "HTTP/1.1 103 x\r\n\r\n".repeat(UNBOUNDED_BLOCK / 18)),
-        Endless::Body => (valid_head + "connection: close\r\n\r\n", "x".repeat(UNBOUNDED_BLOCK)),
-        Endless::Chunks => {
-            let chunk = format!("{UNBOUNDED_BLOCK:x}\r\n{}\r\n", "x".repeat(UNBOUNDED_BLOCK));
-            (valid_head + "transfer-encoding: chunked\r\n\r\n", chunk)
-        }
-        Endless::Lines => (valid_head + "connection: close\r\n\r\n", "\n".repeat(UNBOUNDED_BLOCK)),
-    };
-    socket.write_all(head.as_bytes()).await?;
-    for _ in 0..MAX_UNBOUNDED / UNBOUNDED_BLOCK {
-        socket.write_all(block.as_bytes()).await?;
-        tokio::time::sleep(UNBOUNDED_PAUSE).await;
-    }
-    Ok(())
-}
-
 // Sends nothing for a while. Fails as soon as the caller disconnects.
 async fn stall(socket: &mut TcpStream, time: Duration) -> io::Result<()> {
     let mut byte = [0];
