Send a request again only on connections that have not carried it yet

A non-idempotent call ran twice (TWICE), or a request was answered 503 "not run" although an upstream was running it (REFUSED). Cause: the connection of a refusal goes back to the pool and is the first to be reused. If the same request, with the same id, goes to the same upstream again (one upstream left, or all of them refused), it goes out on that connection. An upstream that writes its refusal once more then has the copy believed, as its id is ours, while it runs the request. Change: a request remembers the connections on which it was sent (Job::used, at most the sends of a request), and the pool gives it none of these; the connection stays in the pool for other requests. Closing each refused connection instead would open one for each refusal, which is priced and limited just when upstreams are full. The stand-in's refusals now echo the request's id, as PROTOCOL.md says of all responses.

--- a/crates/bluebell-standins/src/site/mod.rs
+++ b/crates/bluebell-standins/src/site/mod.rs
@@ -7,6 +7,7 @@
 mod declarations;
 mod endless;
 mod http1;
+mod refusals;
 mod store;
 mod upstream;
 
@@ -14,5 +15,6 @@
 pub use declarations::{TIMEOUT_MS, declarations, server_entry};
 pub use endless::Endless;
 pub use http1::Request;
+pub use refusals::CopyTime;
 pub use store::{SiteStore, StoreMode, StoredRow};
 pub use upstream::{Fault, Poison, Run, SiteUpstream, UpstreamKind};
--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -20,6 +20,7 @@
 use super::{
     endless::{self, Endless},
     http1::{self, Request},
+    refusals::{CopyTime, RefusalCopy},
     store::SiteStore,
 };
 
@@ -40,6 +41,10 @@
 pub enum Fault {
     /// Rejects the request with 503 and `not-executed`.
     NotRun,
+    /// Rejects the request likewise, and writes the same refusal once more.
+    NotRunTwice(CopyTime),
+    /// Rejects the request likewise and writes the same refusal once more, both without the request's id.
+    NotRunTwiceWithoutId(CopyTime),
     /// Runs the request, then resets the connection without an answer.
     LoseAnswer,
     /// Closes the connection in the middle of an event, after this many complete ones; a plain service closes it in
@@ -315,11 +320,13 @@
 
     async fn serve_connection(&self, mut socket: TcpStream) -> io::Result<()> {
         let mut buffer = Vec::new();
-        while let Some(request) = http1::read(&mut socket, &mut buffer).await? {
+        let mut copy = RefusalCopy::default();
+        while let Some(request) = copy.read(&mut socket, &mut buffer).await? {
             let expected = request.header("expect-instance");
             let id = lock(&self.state).id.clone();
             if !expected.is_empty() && expected != id {
-                http1::write(&mut socket, 421, &[("instance-id", &id)], b"").await?;
+                let headers = [("instance-id", id.as_str()), ("request-id", request.header("request-id"))];
+                http1::write(&mut socket, 421, &headers, b"").await?;
                 continue;
             }
             let fault = {
@@ -328,9 +335,17 @@
                 let crash = poison.map(|poison| Fault::Crash(poison.events));
                 crash.or_else(|| state.faults.pop_front()).or_else(|| state.default_fault.clone())
             };
+            let refused_id = request.header("request-id");
             let is_other_model = matches!(&fault, Some(Fault::OnlyModel(model)) if request.header("model") != model);
-            if fault == Some(Fault::NotRun) || is_other_model {
-                http1::write(&mut socket, 503, &[("not-executed", "1")], b"").await?;
+            let refusal = match fault {
+                Some(Fault::NotRun) => Some((refused_id, None)),
+                Some(Fault::OnlyModel(_)) if is_other_model => Some((refused_id, None)),
+                Some(Fault::NotRunTwice(time)) => Some((refused_id, Some(time))),
+                Some(Fault::NotRunTwiceWithoutId(time)) => Some(("", Some(time))),
+                _ => None,
+            };
+            if let Some((id, time)) = refusal {
+                copy.refuse(&mut socket, id, time).await?;
                 continue;
             }
             let run_index = {
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -206,7 +206,7 @@
     plan: &AttemptPlan,
     mut guard: AttemptGuard,
 ) -> Result<UpstreamResponse, Failure> {
-    let mut connection = connect(gateway, plan).await?;
+    let mut connection = connect(gateway, job, plan).await?;
     let (response, sent_at) = loop {
         let sent_at = gateway.now();
         guard.mark_sent();
@@ -232,7 +232,7 @@
                 if !connection.reused {
                     return Err(Failure::NotRun { reason, retry_after: None, delivered: false });
                 }
-                connection = connect(gateway, plan).await?;
+                connection = connect(gateway, job, plan).await?;
             }
         }
     };
@@ -275,14 +275,16 @@
     })
 }
 
-async fn connect(gateway: &Arc<Gateway>, plan: &AttemptPlan) -> Result<PooledConnection, Failure> {
-    let connection = gateway.pools.get(plan.upstream.address, gateway.now()).await;
-    connection.map_err(|error| {
+async fn connect(gateway: &Arc<Gateway>, job: &Job, plan: &AttemptPlan) -> Result<PooledConnection, Failure> {
+    let connection = gateway.pools.get(plan.upstream.address, gateway.now(), &job.used).await;
+    let connection = connection.map_err(|error| {
         if error.is_refused() {
             crash_detection::record_refused(gateway, &plan.upstream);
         }
         Failure::NotRun { reason: error.to_string(), retry_after: None, delivered: false }
-    })
+    })?;
+    job.used.add(&connection);
+    Ok(connection)
 }
 
 /// Maximum body of a refusal that is read so that its connection can be reused.
--- a/crates/bluebelld/src/gateway/front/admit.rs
+++ b/crates/bluebelld/src/gateway/front/admit.rs
@@ -11,7 +11,7 @@
 use hyper::{Request, Uri, body::Incoming, header};
 
 use super::refusal::Refusal;
-use crate::gateway::{job::Job, state::Gateway};
+use crate::gateway::{job::Job, pool::UsedConnections, state::Gateway};
 
 /// Time limit of a request whose caller sets no deadline; the route's time limit applies as well.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
@@ -60,6 +60,7 @@
         body,
         fingerprint,
         deadline: arrived + time_limit,
+        used: UsedConnections::default(),
         arrived,
         caller,
     })
--- a/crates/bluebelld/src/gateway/job.rs
+++ b/crates/bluebelld/src/gateway/job.rs
@@ -13,6 +13,7 @@
 use hyper::{HeaderMap, Method, Uri};
 
 use super::{
+    pool::UsedConnections,
     state::Gateway,
     traffic::{AnswerPace, CountedAnswer},
 };
@@ -46,6 +47,8 @@
     pub arrived: Duration,
     /// Time by which the request must be answered.
     pub deadline: Duration,
+    /// Connections on which it was sent; none of them carries it again.
+    pub used: UsedConnections,
 }
 
 impl Job {
--- a/crates/bluebelld/src/gateway/pool.rs
+++ b/crates/bluebelld/src/gateway/pool.rs
@@ -14,7 +14,11 @@
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
+use tokio::{
+    net::TcpStream,
+    task::{self, AbortHandle},
+    time::timeout,
+};
 
 use super::read_limit::{ReadLimit, ReadLimitedSocket};
 
@@ -66,6 +70,26 @@
     },
 }
 
+/// Identifies a connection for as long as it is open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionId(task::Id);
+
+/// Connections on which a request was sent so far. An upstream may repeat an earlier answer on a connection, and the id
+/// of the request doesn't tell such a copy from the answer to another attempt at it.
+#[derive(Debug, Default)]
+pub struct UsedConnections(Mutex<Vec<ConnectionId>>);
+
+impl UsedConnections {
+    fn lock(&self) -> MutexGuard<'_, Vec<ConnectionId>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds a connection.
+    pub fn add(&self, connection: &PooledConnection) {
+        self.lock().push(connection.id());
+    }
+}
+
 /// A connection taken from the pool; closed when dropped.
 pub struct PooledConnection {
     /// Sends requests on the connection.
@@ -78,6 +102,10 @@
 }
 
 impl PooledConnection {
+    fn id(&self) -> ConnectionId {
+        ConnectionId(self.task.id())
+    }
+
     /// Limits the bytes received until the head of the next answer is complete.
     pub fn expect_head(&self) {
         self.read_limit.set(MAX_HEAD_BYTES);
@@ -119,19 +147,26 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn take_idle(&self, address: SocketAddr, now: Duration) -> Option<PooledConnection> {
+    fn take_idle(&self, address: SocketAddr, now: Duration, used: &UsedConnections) -> Option<PooledConnection> {
         let mut idle = self.lock();
         let kept = idle.get_mut(&address)?;
         kept.retain(|entry| now < entry.expires && !entry.connection.sender.is_closed());
-        kept.pop().map(|entry| entry.connection)
+        let used = used.lock();
+        let index = kept.iter().rposition(|entry| !used.contains(&entry.connection.id()))?;
+        Some(kept.remove(index).connection)
     }
 
-    /// Returns an idle connection to an upstream, or opens a new one.
+    /// Returns an idle connection to an upstream that is not one of those used, or opens a new one.
     ///
     /// # Errors
     /// When the upstream can't be reached.
-    pub async fn get(&self, address: SocketAddr, now: Duration) -> Result<PooledConnection, PoolError> {
-        while let Some(mut connection) = self.take_idle(address, now) {
+    pub async fn get(
+        &self,
+        address: SocketAddr,
+        now: Duration,
+        used: &UsedConnections,
+    ) -> Result<PooledConnection, PoolError> {
+        while let Some(mut connection) = self.take_idle(address, now, used) {
             if matches!(timeout(READY_TIMEOUT, connection.sender.ready()).await, Ok(Ok(()))) {
                 return Ok(connection);
             }
--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod members;
 mod odd_rows;
 mod poison;
+mod refusals;
 mod rollouts;
 mod site;
 mod stops;
