Believe a refusal only if it names the request

A call that may run once ran twice, as a refusal written again passed for the answer to a later request on the connection. Cause: an answer with Not-Executed, or status 421, was believed if its Request-Id was missing. A refusal without an id that an upstream writes once more thus passes for the answer to any request that follows on the connection. Ruled out: that upstreams refuse without the id by right: we always pass an id on, and PROTOCOL.md has runners echo it in their responses; only its "400 without an id" has none. Change: an answer that doesn't name this request counts as unknown (502, or another attempt if the request may be repeated), whatever its status, and its connection is closed.

--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -243,8 +243,10 @@
     if let Some(report) = decoded.load {
         gateway.traffic().apply_report(gateway.now(), &plan.upstream.id, report);
     }
-    if decoded.request.as_deref().is_some_and(|id| id != job.caller.request.as_str()) {
-        let reason = "the answer belongs to another request".to_owned();
+    // Without the id of this request, a refusal may be an earlier one that the upstream wrote once more.
+    if decoded.request.as_deref() != Some(job.caller.request.as_str()) {
+        let named = decoded.request.as_deref().unwrap_or("no request");
+        let reason = format!("status {} that names {named}", head.status);
         return Err(Failure::Unknown { reason, loss: ResponseLoss::Broken });
     }
     let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
@@ -255,7 +257,7 @@
         drain_refusal(gateway, body, connection, &decoded).await;
         return Err(Failure::NotRun { reason, retry_after, delivered: true });
     }
-    if decoded.request.is_none() || !decoded.stamped {
+    if !decoded.stamped {
         let reason = format!("status {} without the upstream's signature", head.status);
         return Err(Failure::Unknown { reason, loss: ResponseLoss::Broken });
     }
--- a/crates/bluebelld/tests/gateway/refusals.rs
+++ b/crates/bluebelld/tests/gateway/refusals.rs
@@ -102,6 +102,21 @@
     check("/once", Fault::NotRunTwice).await;
 }
 
+#[tokio::test]
+async fn refusal_without_an_id_does_not_pass_for_the_answer_to_a_non_idempotent_call() {
+    check("/book", Fault::NotRunTwiceWithoutId).await;
+}
+
+#[tokio::test]
+async fn refusal_without_an_id_does_not_pass_for_the_answer_to_an_idempotent_call() {
+    check("/look", Fault::NotRunTwiceWithoutId).await;
+}
+
+#[tokio::test]
+async fn refusal_without_an_id_does_not_pass_for_the_answer_to_a_stream_that_runs_once() {
+    check("/once", Fault::NotRunTwiceWithoutId).await;
+}
+
 #[tokio::test]
 async fn refused_requests_do_not_each_open_a_connection() {
     let site = start_with_one_upstream_each().await;
