Send each request to a sidecar's runner on a connection of its own

A call was answered 503, with the copy of an earlier refusal, though the service ran it; the wrong reply was stored under the call's idempotency key as well. Cause: the sidecar's HTTP client kept idle connections to its runner, and a runner's answers carry no id by which the copy of an earlier answer could be told from the next one. Change: the client keeps no idle connections.

--- a/crates/bluebelld/src/sidecar/mod.rs
+++ b/crates/bluebelld/src/sidecar/mod.rs
@@ -63,7 +63,9 @@
     let (closing, closed) = watch::channel(false);
     let server = PeerServer::new(Arc::clone(&shared.identity), streams, closed);
     tokio::spawn(server.run(listener));
-    let client = reqwest::Client::builder().tcp_nodelay(true).pool_max_idle_per_host(runner.slots).build()?;
+    // A runner's answers don't name their requests: on a kept connection, a copy of an earlier one would pass for the
+    // answer to the next.
+    let client = reqwest::Client::builder().tcp_nodelay(true).pool_max_idle_per_host(0).build()?;
     let sidecar = Arc::new(Sidecar {
         shared: Arc::clone(&shared),
         control,
--- a/crates/bluebelld/tests/integration/main.rs
+++ b/crates/bluebelld/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod at_most_once;
 mod billing;
 mod callers;
+mod copied_answers;
 mod end_to_end;
 mod leaving;
 mod operators;
--- a/crates/bluebelld/tests/integration/util/mod.rs
+++ b/crates/bluebelld/tests/integration/util/mod.rs
@@ -9,4 +9,4 @@
 use bluebell_standins::process;
 pub use bluebell_standins::wait::until;
 pub use caller::{ATLAS_DESK, ATLAS_VAN, Caller, ChatRequest, KOVACS_BENCH, KOVACS_COUNTER, Response};
-pub use fleet::{Fleet, FleetBuilder};
+pub use fleet::{Fleet, FleetBuilder, Runner};
