--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -278,7 +278,11 @@
 }
 
 async fn connect(gateway: &Arc<Gateway>, job: &Job, plan: &AttemptPlan) -> Result<PooledConnection, Failure> {
-    let connection = gateway.pools.get(plan.upstream.address, gateway.now(), &job.used).await;
+    let connecting = gateway.pools.get(plan.upstream.address, gateway.now(), &job.used);
+    let Ok(connection) = timeout(job.time_left(gateway), connecting).await else {
+        let reason = "no connection before the deadline".to_owned();
+        return Err(Failure::NotRun { reason, retry_after: None, delivered: false });
+    };
     let connection = connection.map_err(|error| {
         if error.is_refused() {
             crash_detection::record_refused(gateway, &plan.upstream);
