An HTTP head inside an event no longer reaches the caller

What callers saw: the head of an error in the middle of a stream, as part of an event, if an upstream (or a proxy before it) stopped inside an event and wrote an error to the same connection. The empty line after the head ended the event, which had its id already, so the splitter let it through. Ruled out: bytes of two upstreams are not joined (resumed_stream_does_not_join_the_text_of_two_upstreams and error_text_between_events_is_not_let_through passed before the change as well). Change: an event is rejected if a line of it begins with an HTTP status line, or if one stands within a line and a line with a name other than those of events follows. Text about HTTP in the data of an event passes (texts_about_http_are_let_through_within_events). Error text without a head that follows a torn event in the same connection can't be told from the event's own text and still passes if an empty line ends it.

--- a/crates/bluebell-core/src/events.rs
+++ b/crates/bluebell-core/src/events.rs
@@ -9,6 +9,12 @@
 const MAX_IDLE_BYTES: usize = 64 << 10;
 /// Name of the field with the event id.
 const ID_FIELD: &[u8] = b"id:";
+/// Fields of server-sent events.
+const EVENT_FIELDS: [&[u8]; 4] = [b"data", b"event", b"id", b"retry"];
+/// Start of an HTTP status line, up to the minor version.
+const STATUS_START: &[u8] = b"HTTP/1.";
+/// Length of a status line up to the end of its status, as in `HTTP/1.1 500`.
+const STATUS_LEN: usize = 12;
 
 /// Reason why a stream cannot be forwarded any further.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
@@ -27,6 +33,12 @@
         /// Id of the event.
         found: u64,
     },
+    /// An event is mixed with the head of an HTTP message.
+    #[snafu(display("event after {last} contains an HTTP head"))]
+    Head {
+        /// Id of the last valid event.
+        last: u64,
+    },
     /// Too many bytes arrived without an event.
     #[snafu(display("more than {MAX_IDLE_BYTES} bytes without an event after {last}"))]
     NoEvent {
@@ -154,7 +166,34 @@
     if last.checked_add(1) != Some(found) {
         return GapSnafu { last, found }.fail();
     }
-    Ok(found)
+    if has_head(event) { HeadSnafu { last }.fail() } else { Ok(found) }
+}
+
+// Whether an event contains an HTTP head. An event may contain text about HTTP as well: within a line, a status line
+// counts only if a header follows.
+fn has_head(event: &[u8]) -> bool {
+    let mut lines = lines(event).peekable();
+    while let Some(line) = lines.next() {
+        let has_header = lines.peek().is_some_and(|next| is_header(next));
+        match line.windows(STATUS_LEN).position(is_status) {
+            Some(0) => return true,
+            Some(_) if has_header => return true,
+            _ => {}
+        }
+    }
+    false
+}
+
+fn is_status(bytes: &[u8]) -> bool {
+    bytes.strip_prefix(STATUS_START).is_some_and(|rest| {
+        matches!(rest, [minor, b' ', status @ ..] if minor.is_ascii_digit() && status.iter().all(u8::is_ascii_digit))
+    })
+}
+
+// Whether a line has a name that is not the one of an event's field.
+fn is_header(line: &[u8]) -> bool {
+    let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+    !name.is_empty() && name.len() < line.len() && !EVENT_FIELDS.contains(&name)
 }
 
 fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
