An answer without any event no longer completes a stream that broke off

Causes: the relay took every end between two events for the end of the stream, also that of a resumed answer with an empty body, a 204, or a connection that closed after its head; and a first answer without framing that closed after its head. Ruled out: status, text and head of an error answer that arrives as an answer of its own (500, 502, 503, 503 not run, 400, 404, 413, 421, broken off, without signature, no HTTP at all), JSON, wrong or repeated ids, a missing signature, a length that is too short or too long, an interim head: none of their bytes reached a caller before the change. Change: stream_end.rs in bluebell-core decides. Without events, a first answer is complete if its end is framed, or if the caller itself resumes after an event. A resumed answer without events is complete only if it is framed, an event was delivered before, and an earlier answer that resumed the same stream ended in the same way. Cost: if only the end of a stream was lost, it takes two further attempts, not one; without them the response is cut off after its last event. An upstream whose resumed answer is not yet confirmed is recorded as having lost an answer.

--- a/crates/bluebell-core/src/lib.rs
+++ b/crates/bluebell-core/src/lib.rs
@@ -28,5 +28,6 @@
 pub mod routing;
 pub mod session;
 pub mod settings;
+pub mod stream_end;
 pub mod units;
 pub mod upstreams;
--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -20,6 +20,7 @@
 use super::{
     endless::{self, Endless},
     http1::{self, Request},
+    raw::{RawAnswer, SharedFaults},
     refusals::{CopyTime, RefusalCopy},
     store::SiteStore,
 };
@@ -83,6 +84,8 @@
     Endless(Endless),
     /// Crashes the upstream after this many events; all its running requests are lost.
     Crash(u64),
+    /// Sends these bytes as the answer.
+    Raw(RawAnswer),
 }
 
 /// Marks requests that crash each upstream which runs them.
@@ -122,6 +125,7 @@
 #[derive(Debug, Default)]
 struct State {
     faults: VecDeque<Fault>,
+    shared_faults: SharedFaults,
     default_fault: Option<Fault>,
     runs: Vec<Run>,
     connections: u64,
@@ -167,6 +171,11 @@
         lock(&self.state).faults.extend(faults);
     }
 
+    /// Sets a queue of faults that it shares with others; its own queue comes first.
+    pub fn share_faults(&self, faults: &SharedFaults) {
+        lock(&self.state).shared_faults = Arc::clone(faults);
+    }
+
     /// Sets the fault of all requests for which none is queued.
     pub fn set_default_fault(&self, fault: Option<Fault>) {
         lock(&self.state).default_fault = fault;
@@ -333,7 +342,10 @@
                 let mut state = lock(&self.state);
                 let poison = state.poison.as_ref().filter(|poison| request.contains(&poison.marker));
                 let crash = poison.map(|poison| Fault::Crash(poison.events));
-                crash.or_else(|| state.faults.pop_front()).or_else(|| state.default_fault.clone())
+                let shared = Arc::clone(&state.shared_faults);
+                let next_shared = || shared.lock().unwrap_or_else(PoisonError::into_inner).pop_front();
+                let queued = crash.or_else(|| state.faults.pop_front()).or_else(next_shared);
+                queued.or_else(|| state.default_fault.clone())
             };
             let refused_id = request.header("request-id");
             let is_other_model = matches!(&fault, Some(Fault::OnlyModel(model)) if request.header("model") != model);
@@ -378,6 +390,7 @@
                 std::future::pending::<()>().await;
             }
             Some(Fault::Endless(part)) => return endless::write(socket, request, part).await.map(|()| false),
+            Some(Fault::Raw(raw)) => return raw.send(socket, request).await,
             Some(Fault::Slow(time)) => tokio::time::sleep(time).await,
             Some(Fault::Fails(status)) => {
                 let headers = [("request-id", request.header("request-id")), ("response-stamp", RESPONSE_STAMP)];
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -11,7 +11,11 @@
 use bluebell_platform::headers::{self, Forward, ResponseHeaders};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Request, StatusCode, body::Incoming};
+use hyper::{
+    Request, StatusCode,
+    body::{Body, Incoming},
+    header,
+};
 use tokio::{sync::watch, time::timeout};
 
 use super::{
@@ -111,6 +115,12 @@
         (now - self.sent_at).as_secs_f64() / expected
     }
 
+    /// Whether a length or chunks mark the end of the body, rather than only the end of the connection.
+    #[must_use]
+    pub fn is_framed(&self) -> bool {
+        self.body.size_hint().exact().is_some() || self.headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Reads the next chunk of the body.
     pub async fn next_chunk(&mut self) -> BodyChunk {
         loop {
--- a/crates/bluebelld/src/gateway/front/relay.rs
+++ b/crates/bluebelld/src/gateway/front/relay.rs
@@ -9,6 +9,7 @@
     events::{Batch, EventError, EventSplitter},
     ids::ModelId,
     poison::ResponseLoss,
+    stream_end::{EarlyEnd, EndCheck, EndedAnswer},
     upstreams::Upstream,
 };
 use bytes::Bytes;
@@ -59,6 +60,7 @@
     job: Job,
     response: Option<UpstreamResponse>,
     splitter: EventSplitter,
+    end_check: EndCheck,
     history: AttemptHistory,
     // Whether the attempt in progress is already counted in the history, because a takeover of it was tried.
     is_counted: bool,
@@ -93,6 +95,7 @@
             job,
             response,
             splitter,
+            end_check: EndCheck::default(),
             history,
             is_counted: false,
             events: 0,
@@ -120,10 +123,13 @@
                     Ok(batch) => return Some(Ok(batch.bytes.into())),
                     Err(error) => (error.to_string(), ResponseLoss::Broken),
                 },
-                StreamEvent::Chunk(BodyChunk::End) if self.splitter.is_whole() => {
-                    self.finish();
-                    return None;
-                }
+                StreamEvent::Chunk(BodyChunk::End) if self.splitter.is_whole() => match self.check_end() {
+                    Ok(()) => {
+                        self.finish();
+                        return None;
+                    }
+                    Err(error) => (error.to_string(), ResponseLoss::Broken),
+                },
                 StreamEvent::Chunk(BodyChunk::End) => {
                     ("the stream ended inside an event".to_owned(), ResponseLoss::Broken)
                 }
@@ -316,7 +322,14 @@
         Err(io::Error::new(io::ErrorKind::UnexpectedEof, self.history.reason.clone()))
     }
 
+    // Checks that an answer that ended between two events completes the stream.
+    fn check_end(&mut self) -> Result<(), EarlyEnd> {
+        let is_framed = self.response.as_ref().is_some_and(UpstreamResponse::is_framed);
+        self.end_check.check(EndedAnswer { events: self.response_events, last: self.splitter.last(), is_framed })
+    }
+
     fn continue_with(&mut self, response: UpstreamResponse) {
+        self.end_check.record_break();
         self.upstream = Arc::clone(&response.upstream);
         self.idle_since = self.gateway.now();
         (self.response_events, self.counted_slow, self.is_counted) = (0, false, false);
--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod odd_rows;
 mod poison;
 mod refusals;
+mod resumed_streams;
 mod rollouts;
 mod site;
 mod stops;
