A stream that is broken off resets the connection of an HTTP/1.0 caller

Change: the connection is reset if its last request was below HTTP/1.1 and it failed. Bytes that the caller hasn't read by then may be lost.

--- a/crates/bluebelld/src/gateway/front/mod.rs
+++ b/crates/bluebelld/src/gateway/front/mod.rs
@@ -15,9 +15,17 @@
 mod stream;
 mod takeover;
 
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
-use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{Request, Version, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -69,24 +77,37 @@
     if let Err(error) = configure_socket(&socket, CALLER_USER_TIMEOUT) {
         log::debug!("can't set TCP options on a caller's connection: {error}");
     }
+    // Callers that speak HTTP/1.0 know no chunks: the end of the connection is the end of the answer.
+    let ends_unframed = AtomicBool::new(false);
     let service = service_fn(|request: Request<Incoming>| {
+        ends_unframed.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
         let gateway = Arc::clone(&gateway);
         async move { Ok::<_, Infallible>(answer::answer(&gateway, request).await) }
     });
-    let mut connection = std::pin::pin!(http1::Builder::new().serve_connection(TokioIo::new(socket), service));
+    let mut connection = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
     let result = tokio::select! {
-        result = connection.as_mut() => Some(result),
+        result = &mut connection => Some(result),
         () = shutdown_started(&mut shutdown) => None,
     };
     let result = match result {
         Some(result) => result,
         None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
     if let Err(error) = result {
         log::debug!("a caller's connection failed: {error}");
+        if ends_unframed.load(Ordering::Relaxed) {
+            reset(&connection.into_parts().io.into_inner());
+        }
+    }
+}
+
+// Makes a connection end with a reset when it is dropped, so that an answer that is broken off doesn't look complete.
+fn reset(socket: &TcpStream) {
+    if let Err(error) = socket.set_zero_linger() {
+        log::warn!("a caller's connection can't be reset: {error}");
     }
 }
 
--- a/crates/bluebelld/tests/gateway/resumed_streams.rs
+++ b/crates/bluebelld/tests/gateway/resumed_streams.rs
@@ -5,6 +5,10 @@
 
 use bluebell_standins::site::{Fault, REQUEST_ID, RawAnswer, RawEnd, SharedFaults};
 use futures_util::future::join_all;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 use super::{
     caller::{Answer, Ask, Caller},
@@ -255,3 +259,27 @@
     assert_eq!((answer.status, answer.complete, answer.body.as_str()), (200, true, ""));
     assert_eq!(site.runs("r-1").len(), 1);
 }
+
+// A body for such a caller has no framing: only a reset tells it from a complete one.
+#[tokio::test]
+async fn broken_stream_does_not_look_complete_to_an_http_1_0_caller() {
+    let (site, faults) = start_site().await;
+    for after in BREAKS {
+        let refusal = RawAnswer { text: error_answer(400, ""), end: RawEnd::Open };
+        set_faults(&faults, [broken_answer(Break::ChunkedInEvent, after), refusal]);
+        let mut socket = TcpStream::connect(site.gateways[0].caller_address).await.expect("a connection");
+        let request = format!(
+            "POST /talk/1 HTTP/1.0\r\nhost: site.example\r\nrequest-id: r-{after}\r\ndeadline-ms: 8000\r\n\
+             authorization: Bearer key-1\r\nmodel: middle\r\ntoken-count: 10,5\r\ncontent-length: 3\r\n\r\nask"
+        );
+        socket.write_all(request.as_bytes()).await.expect("the request should be accepted");
+        let mut answer = Vec::new();
+        let end = socket.read_to_end(&mut answer).await;
+        let answer = String::from_utf8(answer).expect("the answer should be text");
+        let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+        let is_framed = answer.to_lowercase().contains("transfer-encoding: chunked");
+        assert!(!body.contains(ERROR_TEXT), "{answer:?}");
+        let looks_whole = end.is_ok() && !answer.is_empty() && (!is_framed || body.ends_with("0\r\n\r\n"));
+        assert!(!looks_whole, "after {after} events: {answer:?}");
+    }
+}
