A runner's error in the middle of its stream no longer completes the answer

What callers saw (chat completions, the other door): an answer that ends after some tokens with finish reason "stop", [DONE] and a billing row, although its runner had failed. Cause: engines that fail in the middle of a stream send an event with an `error` and then the usual end marker; the sidecar read the error as a chunk without text, and the end marker as the end. Change: an event with an error breaks the stream off, and another runner goes on after the tokens sent. Each stream that breaks off is now logged with its request. Ruled out: text that is no JSON and a stream without end marker broke the answer off before already (by reading).

--- a/crates/bluebell-standins/src/engine/mod.rs
+++ b/crates/bluebell-standins/src/engine/mod.rs
@@ -40,6 +40,12 @@
 pub const ENDLESS: &str = "endless-answer";
 /// A prompt with this text crashes the engine.
 pub const POISON: &str = "crash-engine";
+/// A stream for a prompt with this text ends with an error after some tokens, unless it is resumed.
+pub const ERROR_EVENT: &str = "error-in-stream";
+/// Number of tokens before that error.
+const TOKENS_BEFORE_ERROR: u64 = 5;
+/// Time between those tokens and the error, in which they are forwarded.
+const ERROR_DELAY: Duration = Duration::from_millis(200);
 /// Time to process one prompt block that is not cached.
 const BLOCK_TIME: Duration = Duration::from_micros(50);
 /// Time between two refreshes of the load report.
@@ -192,6 +198,10 @@
     }
     let bad = lock(&engine.bad_versions).contains(&chat.version);
     let answer = Answer::new(&chat.version, &prompt, chat.max_tokens, bad);
+    if chat.stream && chat.resume_tokens == 0 && prompt.contains(ERROR_EVENT) {
+        let events = events_with_error(slot, answer);
+        return Response::builder().content_type("text/event-stream").body(Body::from_bytes_stream(events));
+    }
     if chat.stream {
         let events = answer_events(Arc::clone(&engine), slot, answer, chat.resume_tokens);
         return Response::builder().content_type("text/event-stream").body(Body::from_bytes_stream(events));
@@ -234,6 +244,16 @@
     tokens.boxed()
 }
 
+fn events_with_error(slot: Slot, answer: Answer) -> impl Stream<Item = Result<Bytes, std::io::Error>> {
+    let tokens: String = (0..TOKENS_BEFORE_ERROR).map(|at| text::delta_event(&answer.token(at))).collect();
+    let error = async move {
+        tokio::time::sleep(ERROR_DELAY).await;
+        drop(slot);
+        Ok(Bytes::from(text::error_events()))
+    };
+    stream::once(async { Ok(Bytes::from(tokens)) }).chain(stream::once(error)).boxed()
+}
+
 #[handler]
 fn load_report(engine: Data<&Arc<Engine>>) -> Response {
     let report = *lock(&engine.report);
--- a/crates/bluebell-standins/src/engine/text.rs
+++ b/crates/bluebell-standins/src/engine/text.rs
@@ -79,3 +79,10 @@
     let event = serde_json::json!({"choices": [{"index": 0, "delta": {"content": token}}]});
     format!("data: {event}\n\n")
 }
+
+/// The last events of a stream that failed: an error, then `[DONE]`.
+#[must_use]
+pub fn error_events() -> String {
+    let error = serde_json::json!({"error": {"message": "out of memory", "type": "server_error", "code": 500}});
+    format!("data: {error}\n\ndata: [DONE]\n\n")
+}
--- a/crates/bluebelld/src/sidecar/engine.rs
+++ b/crates/bluebelld/src/sidecar/engine.rs
@@ -24,7 +24,7 @@
 use bytes::Bytes;
 use eventsource_stream::{Event, Eventsource};
 use futures_util::{Stream, StreamExt};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::IgnoredAny};
 use serde_json::value::{RawValue, to_raw_value};
 use snafu::{ResultExt, Snafu, ensure};
 use tokio::time::Instant;
@@ -56,6 +56,7 @@
     #[serde(default)]
     choices: Vec<Choice>,
     usage: Option<EngineUsage>,
+    error: Option<IgnoredAny>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -190,6 +191,10 @@
             Step::Text(delta) => buffer.add(delta, progress.done),
             Step::End => buffer.take(),
             Step::Broken => {
+                log::warn!(
+                    request = attempt.request.as_str(), tokens = progress.output;
+                    "the engine's stream broke off or contained an error"
+                );
                 attempt.runner_failed();
                 return attempt.send_failed().await;
             }
@@ -246,6 +251,10 @@
                 break;
             }
             let Ok(chunk) = serde_json::from_str::<Chunk>(&event.data) else { return Step::Broken };
+            // An engine that fails in the middle of a stream may still send the end marker after its error.
+            if chunk.error.is_some() {
+                return Step::Broken;
+            }
             tokens += self.read_chunk(chunk, &mut text);
         }
         self.output += tokens;
--- a/crates/bluebelld/tests/integration/responses.rs
+++ b/crates/bluebelld/tests/integration/responses.rs
@@ -231,6 +231,16 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_runners_error_in_the_middle_of_its_stream_does_not_complete_the_response() {
+    let fleet = FleetBuilder::default().engines(vec![vec!["atlas-small@1"]; 2]).entries(1).start().await;
+    let request = ChatRequest { prompt: engine::ERROR_EVENT, tokens: 40, stream: true, ..ChatRequest::default() };
+    let response = fleet.caller(0, ATLAS_VAN).chat(&request).await;
+    assert!(response.complete, "{response:?}");
+    assert_eq!(response.text, expected_text(&response.version, &request));
+    assert_eq!(fleet.engine_runs().len(), 2);
+}
+
 /// Further crashes that users of the router tolerate when a request that has crashed three runners is sent again.
 const MAX_CRASHES_BY_REPEATS: usize = 3;
 
