Log the fingerprints of a request's shared prompt parts

Change: Fingerprint::of_part, a digest of service and part id that starts with a marker; a part's id stays out of logs. 'attempt failed', 'stream broke off', 'answered' and 'given up' list the parts that the request may share (all but the last, 16 at most). The stand-in of an upstream crashes on a part on demand.

--- a/crates/bluebell-core/tests/poison.rs
+++ b/crates/bluebell-core/tests/poison.rs
@@ -298,6 +298,17 @@
     }
 }
 
+#[test]
+fn part_fingerprint_depends_on_service_and_part_and_is_told_from_a_requests() {
+    let part = |service: &str, part: &str| {
+        Fingerprint::of_part(&service.parse().expect("an id"), &part.parse().expect("an id"))
+    };
+    let one = part("s", "ab");
+    assert_eq!(one.to_string().parse(), Ok(one));
+    assert!(one.is_part() && !request("ab").is_part());
+    assert!(part("s", "abc") != one && part("sa", "b") != one && part("t", "ab") != one);
+}
+
 #[test]
 fn peer_that_missed_an_answer_learns_of_it_by_the_cleared_crashes() {
     let suspects_by_crash: [&[&str]; 4] =
--- a/crates/bluebell-soak/src/fleet.rs
+++ b/crates/bluebell-soak/src/fleet.rs
@@ -11,7 +11,7 @@
 use bluebell_standins::{
     process::Process,
     proxy::Proxy,
-    site::{Fault, Poison, SiteStore, SiteUpstream, StoreMode, UpstreamKind, declarations, server_entry},
+    site::{Fault, Poison, PoisonMarker, SiteStore, SiteUpstream, StoreMode, UpstreamKind, declarations, server_entry},
 };
 use serde_json::{Value, json};
 use tokio::sync::watch;
@@ -262,7 +262,7 @@
     // would hide the crash.
     let proxy = if plan.poison {
         server.set_poison(Some(Poison {
-            marker: POISON_MARKER.to_owned(),
+            marker: PoisonMarker::Body(POISON_MARKER.to_owned()),
             events: plan.poison_events,
             down: UPSTREAM_DOWNTIME,
         }));
--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -20,6 +20,7 @@
 use super::{
     endless::{self, Endless},
     http1::{self, Request},
+    poison::Poison,
     raw::{RawAnswer, SharedFaults},
     refusals::{CopyTime, RefusalCopy},
     store::SiteStore,
@@ -88,17 +89,6 @@
     Raw(RawAnswer),
 }
 
-/// Marks requests that crash each upstream which runs them.
-#[derive(Debug, Clone)]
-pub struct Poison {
-    /// Text that the bodies of such requests contain.
-    pub marker: String,
-    /// Number of events sent before the crash.
-    pub events: u64,
-    /// Time from the crash to the restart.
-    pub down: Duration,
-}
-
 /// An upstream's registry entry and the store that holds it.
 #[derive(Debug, Clone)]
 struct Registration {
@@ -238,13 +228,6 @@
     }
 }
 
-impl Poison {
-    // A marker that occurs in no request body.
-    fn none() -> Self {
-        Self { marker: "\0".to_owned(), events: 0, down: Duration::ZERO }
-    }
-}
-
 impl Registration {
     fn put(&self, id: &str, starts: u64) {
         let mut entry = self.entry.clone();
@@ -340,7 +323,7 @@
             }
             let fault = {
                 let mut state = lock(&self.state);
-                let poison = state.poison.as_ref().filter(|poison| request.contains(&poison.marker));
+                let poison = state.poison.as_ref().filter(|poison| poison.marker.matches(&request));
                 let crash = poison.map(|poison| Fault::Crash(poison.events));
                 let shared = Arc::clone(&state.shared_faults);
                 let next_shared = || shared.lock().unwrap_or_else(PoisonError::into_inner).pop_front();
--- a/crates/bluebelld/src/gateway/front/admit.rs
+++ b/crates/bluebelld/src/gateway/front/admit.rs
@@ -11,7 +11,11 @@
 use hyper::{Request, Uri, body::Incoming, header};
 
 use super::refusal::Refusal;
-use crate::gateway::{job::Job, pool::UsedConnections, state::Gateway};
+use crate::gateway::{
+    job::{Job, shared_parts},
+    pool::UsedConnections,
+    state::Gateway,
+};
 
 /// Time limit of a request whose caller sets no deadline; the route's time limit applies as well.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
@@ -47,6 +51,7 @@
     };
     let path = head.uri.path_and_query().map_or_else(|| head.uri.path(), |path| path.as_str());
     let fingerprint = Fingerprint::of(path, organisation.as_ref().map(|org| &org.id), &body);
+    let parts = shared_parts(&service, &caller.parts);
     let engine = declared.services.get(&service).and_then(|service| service.engine.clone());
     Ok(Job {
         rank: organisation.as_ref().and_then(|org| org.rank).unwrap_or(route.rank),
@@ -59,6 +64,7 @@
         headers: head.headers,
         body,
         fingerprint,
+        parts,
         deadline: arrived + time_limit,
         used: UsedConnections::default(),
         arrived,
--- a/crates/bluebelld/src/gateway/front/buffered.rs
+++ b/crates/bluebelld/src/gateway/front/buffered.rs
@@ -77,6 +77,7 @@
                 log::info!(
                     request = self.job.caller.request.as_str(),
                     fingerprint = self.job.fingerprint.to_string().as_str(),
+                    parts = self.job.parts_text().as_str(),
                     upstream = plan.upstream.id.as_str(), ran = history.maybe_ran;
                     "attempt failed: {}", history.reason
                 );
--- a/crates/bluebelld/src/gateway/front/record.rs
+++ b/crates/bluebelld/src/gateway/front/record.rs
@@ -42,6 +42,7 @@
     log::info!(
         request = job.caller.request.as_str(),
         fingerprint = job.fingerprint.to_string().as_str(),
+        parts = job.parts_text().as_str(),
         route = job.route.id.as_str(),
         session = job.caller.session.as_ref().map_or("", SessionId::as_str),
         upstream = response.upstream.id.as_str(),
--- a/crates/bluebelld/src/gateway/front/relay.rs
+++ b/crates/bluebelld/src/gateway/front/relay.rs
@@ -292,6 +292,7 @@
         log::info!(
             request = self.job.caller.request.as_str(),
             fingerprint = self.job.fingerprint.to_string().as_str(),
+            parts = self.job.parts_text().as_str(),
             upstream = self.upstream.id.as_str(),
             event = self.splitter.last(),
             ran = self.history.maybe_ran;
--- a/crates/bluebelld/src/gateway/front/reply.rs
+++ b/crates/bluebelld/src/gateway/front/reply.rs
@@ -55,6 +55,7 @@
     log::info!(
         request = job.caller.request.as_str(),
         fingerprint = job.fingerprint.to_string().as_str(),
+        parts = job.parts_text().as_str(),
         route = job.route.id.as_str(),
         service = job.service.as_str(),
         sends = history.sends(),
--- a/crates/bluebelld/src/gateway/front/start.rs
+++ b/crates/bluebelld/src/gateway/front/start.rs
@@ -82,6 +82,7 @@
                 log::info!(
                     request = self.job.caller.request.as_str(),
                     fingerprint = self.job.fingerprint.to_string().as_str(),
+                    parts = self.job.parts_text().as_str(),
                     upstream = upstream.id.as_str(), ran = history.maybe_ran;
                     "attempt failed: {}", history.reason
                 );
--- a/crates/bluebelld/src/gateway/job.rs
+++ b/crates/bluebelld/src/gateway/job.rs
@@ -5,6 +5,7 @@
 use bluebell_core::{
     ids::{ModelId, OrgId, ReleaseId, ServiceId},
     ingress::{Engine, Route},
+    placing::Part,
     poison::Fingerprint,
     units::Tokens,
 };
@@ -41,6 +42,8 @@
     pub body: Bytes,
     /// Fingerprint shared by the request and its repeats.
     pub fingerprint: Fingerprint,
+    /// Fingerprints of the prompt parts that it may share with other requests.
+    pub parts: Vec<Fingerprint>,
     /// Engine behind the service, if the service runs models.
     pub engine: Option<Engine>,
     /// Arrival time.
@@ -51,7 +54,23 @@
     pub used: UsedConnections,
 }
 
+/// Maximum number of shared prompt parts of a request that are tracked.
+const MAX_SHARED_PARTS: usize = 16;
+
+/// Fingerprints of the prompt parts that a request may share with other requests: all but the last.
+#[must_use]
+pub fn shared_parts(service: &ServiceId, parts: &[Part]) -> Vec<Fingerprint> {
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    shared.iter().take(MAX_SHARED_PARTS).map(|part| Fingerprint::of_part(service, &part.id)).collect()
+}
+
 impl Job {
+    /// Fingerprints of the shared prompt parts, for a log line.
+    #[must_use]
+    pub fn parts_text(&self) -> String {
+        self.parts.iter().map(Fingerprint::to_string).collect::<Vec<_>>().join(" ")
+    }
+
     /// Memory of an engine of the service, in tokens; 0 if the service runs no models.
     #[must_use]
     pub fn engine_memory(&self) -> Tokens {
--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod members;
 mod odd_rows;
 mod poison;
+mod poison_parts;
 mod refusals;
 mod resumed_streams;
 mod rollouts;
--- a/crates/bluebelld/tests/gateway/poison.rs
+++ b/crates/bluebelld/tests/gateway/poison.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use bluebell_standins::site::{Fault, Poison, StoreMode};
+use bluebell_standins::site::{Fault, Poison, PoisonMarker, StoreMode};
 use futures_util::future::join_all;
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
@@ -34,7 +34,11 @@
         site.add_ledger(&format!("ledger-{number}")).await;
     }
     for upstream in site.chat.iter().chain(&site.ledger) {
-        upstream.set_poison(Some(Poison { marker: POISON_BODY.to_owned(), events, down: RESTART_DELAY }));
+        upstream.set_poison(Some(Poison {
+            marker: PoisonMarker::Body(POISON_BODY.to_owned()),
+            events,
+            down: RESTART_DELAY,
+        }));
     }
     site.register_all();
     site.wait_for_peer_connections().await;
