Known red: requests that share a crashing prompt part reach upstreams without limit

Tests: poison_parts::requests_with_a_part_that_crashes_upstreams_before_an_answer_stop and ..._within_an_answer_stop, three gateways and eight engines.

--- a/crates/bluebelld/tests/gateway/poison_parts.rs
+++ b/crates/bluebelld/tests/gateway/poison_parts.rs
@@ -4,10 +4,15 @@
 use std::time::Duration;
 
 use bluebell_standins::site::{Poison, PoisonMarker};
+use futures_util::future::join_all;
+use indexmap::IndexMap;
 use serde_json::Value;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
-use super::{caller::Ask, site::Site};
+use super::{
+    caller::{Answer, Ask},
+    site::Site,
+};
 
 /// The part that crashes upstreams.
 const POISON_PART: &str = "bad0";
@@ -17,6 +22,17 @@
 const ENGINES: usize = 8;
 /// Time from the crash of an upstream to its restart.
 const RESTART_DELAY: Duration = Duration::from_secs(2);
+/// Crash from which on the users' requirements count.
+const COUNTED_CRASH: usize = 5;
+/// Time after that crash in which further sends are not counted.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Number of sends that the users' requirement allows after that time.
+const MAX_LATE_SENDS: usize = 3;
+/// Pause between two requests with the poison part.
+const POISON_PAUSE: Duration = Duration::from_millis(120);
+/// Number of callers of sound requests.
+const SOUND_CALLERS: usize = 12;
+
 /// Starts gateways in front of engines that crash after the given number of events of an answer on the poison part.
 async fn start_site(gateway_count: usize, events: u64) -> Site {
     let mut site = Site::start(gateway_count).await;
@@ -43,6 +59,102 @@
         .body(&format!("body of {id}"))
 }
 
+/// Sends different requests with the poison part for the given time, by turns to the gateways, without waiting for answers.
+async fn send_poison_part(site: &Site, id_prefix: &str, duration: Duration) {
+    let sends = (0..(duration.as_millis() / POISON_PAUSE.as_millis()) as u32).map(|number| async move {
+        sleep(POISON_PAUSE * number).await;
+        let gateway = &site.gateways[number as usize % site.gateways.len()];
+        gateway.ask(&request_with_part(&format!("{id_prefix}-{number}"), POISON_PART)).await
+    });
+    for answer in join_all(sends).await {
+        assert!(!answer.complete || answer.status >= 500, "{answer:?}");
+    }
+}
+
+/// A sound request and its answer.
+#[derive(Debug)]
+struct SoundRequest {
+    sent: Instant,
+    answer: Answer,
+}
+
+impl SoundRequest {
+    fn has_begun(&self) -> bool {
+        self.answer.status == 200 && !self.answer.events().is_empty()
+    }
+}
+
+/// Runs callers of sound requests for the given time. Each request is sent once; its second part comes from a set of 40.
+async fn run_sound_callers(site: &Site, duration: Duration) -> Vec<SoundRequest> {
+    let callers = (0..SOUND_CALLERS).map(|caller| async move {
+        let (started, mut requests) = (Instant::now(), Vec::new());
+        while started.elapsed() < duration {
+            let number = requests.len();
+            let gateway = &site.gateways[(caller + number) % site.gateways.len()];
+            let part = format!("p{}", (caller * 7 + number * 3) % 40);
+            let ask = request_with_part(&format!("s-{caller}-{number}"), &part);
+            let sent = Instant::now();
+            requests.push(SoundRequest { sent, answer: gateway.ask(&ask).await });
+            sleep(Duration::from_millis(40)).await;
+        }
+        requests
+    });
+    join_all(callers).await.into_iter().flatten().collect()
+}
+
+/// Times at which upstreams started to run requests with the poison part, and times of the crashes that this caused, in
+/// order.
+fn poison_times(site: &Site) -> (Vec<Instant>, Vec<Instant>) {
+    let marker = PoisonMarker::Part(POISON_PART.to_owned());
+    let runs = site.chat.iter().flat_map(|upstream| upstream.runs()).filter(|run| marker.matches(&run.request));
+    let runs: Vec<(String, Instant)> = runs.map(|run| (run.upstream, Instant::from_std(run.began))).collect();
+    let mut crashes: IndexMap<&str, Instant> = IndexMap::new();
+    for (upstream, began) in &runs {
+        let first = crashes.entry(upstream).or_insert(*began);
+        *first = (*first).min(*began);
+    }
+    let mut crashes: Vec<Instant> = crashes.into_values().collect();
+    let mut sends: Vec<Instant> = runs.iter().map(|(_, began)| *began).collect();
+    crashes.sort();
+    sends.sort();
+    (sends, crashes)
+}
+
+/// Checks the users' requirements on a site at which all requests were sent.
+fn check_requirements(site: &Site, sound: &[SoundRequest]) {
+    let (sends, crashes) = poison_times(site);
+    let counted = crashes.get(COUNTED_CRASH - 1).or(crashes.last()).copied().expect("an upstream should have crashed");
+    let late = sends.iter().filter(|at| **at > counted + CONTACT_TIME).count();
+    let late_sound: Vec<&SoundRequest> = sound.iter().filter(|one| one.sent > counted + CONTACT_TIME * 2).collect();
+    let begun = late_sound.iter().filter(|one| one.has_begun()).count();
+    let summary = format!(
+        "{late} late sends of {}, {} crashes, {begun} of {} late sound requests begun",
+        sends.len(),
+        crashes.len(),
+        late_sound.len()
+    );
+    eprintln!("{summary}");
+    assert!(late <= MAX_LATE_SENDS, "{summary}");
+    assert!(late_sound.len() >= 20 && begun * 2 >= late_sound.len(), "{summary}");
+}
+
+async fn check_that_sends_stop(events: u64) {
+    let site = start_site(3, events).await;
+    let duration = Duration::from_secs(14);
+    let (_, sound) = tokio::join!(send_poison_part(&site, "bad", duration), run_sound_callers(&site, duration));
+    check_requirements(&site, &sound);
+}
+
+#[tokio::test]
+async fn requests_with_a_part_that_crashes_upstreams_before_an_answer_stop() {
+    check_that_sends_stop(0).await;
+}
+
+#[tokio::test]
+async fn requests_with_a_part_that_crashes_upstreams_within_an_answer_stop() {
+    check_that_sends_stop(1).await;
+}
+
 #[tokio::test]
 async fn logs_name_the_shared_parts_of_a_request_whose_upstream_crashed() {
     let site = start_site(1, 0).await;
