Block prompt parts that crash upstreams, not only requests

Cause: crashes counted against a digest of path, organisation and body alone. Requests that share only a part are all different, so each had few crashes and none was blocked for what the part did.

Change: the shared parts of a prompt (all but the last, 16 at most) are tracked beside the request, under fingerprints of their own, in the same reports, rows and messages. If a request and a part were at the same crashes, only the request is blocked. A complete success clears a part; one in the last five minutes excuses it from the next event at that gateway, so that popular parts don't count and one that turns bad soon does. An error answer says nothing of parts. First sends, resends, escalations and resumptions ask one method. A part is released an hour after its crashes although it is asked for. When memory is full, crashes that keep something blocked go last. Parts don't take part in the isolation of suspects: it would spread them over all upstreams.

--- a/crates/bluebell-core/src/poison/crashes.rs
+++ b/crates/bluebell-core/src/poison/crashes.rs
@@ -1,9 +1,10 @@
-//! Crash reports collected from all gateways, and the decision which requests caused the crashes.
+//! Crash reports collected from all gateways.
 //!
 //! A request is poison once three upstreams crashed while it was in flight, provided that in one of these crashes it
 //! had a higher crash count than every other request in flight there. Without such a crash, a fourth one is needed.
-//! Crashes that a poison request explains don't count against the requests that ran beside it. Gateways that have the
-//! same reports reach the same decision, regardless of the order in which the reports arrived.
+//! Crashes that a poison request explains don't count against the requests that ran beside it. A part that several
+//! prompts share is judged in the same way. Gateways that have the same reports reach the same decision, regardless of
+//! the order in which the reports arrived.
 
 use std::time::Duration;
 
@@ -11,13 +12,12 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_128;
 
-use super::{CrashEvidence, Fingerprint};
+use super::{
+    CrashEvidence, Fingerprint,
+    verdict::{self, CrashSuspects},
+};
 use crate::{ids::InstanceId, upstreams::UpstreamIncarnation};
 
-/// Crashes after which a request that stands out in at least one of them is blocked.
-const POISON_CRASHES: u32 = 3;
-/// Crashes after which a request is blocked even if other requests were in flight at as many.
-const AMBIGUOUS_POISON_CRASHES: u32 = 4;
 /// Time for which a crash is remembered after it was last reported, or after a blocked request that was in flight at
 /// it last arrived.
 pub const CRASH_MEMORY: Duration = Duration::from_secs(3600);
@@ -26,6 +26,8 @@
 const CLEARED_CRASH_MEMORY: Duration = Duration::from_secs(60);
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 256;
+/// Number of crashes below the maximum to which the memory is reduced when it is full.
+const TRIM_RESERVE: usize = 16;
 
 /// The requests that one gateway had in flight at an upstream that crashed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,7 +40,7 @@
     /// How the crash was detected.
     #[serde(rename = "sign")]
     pub evidence: CrashEvidence,
-    /// Requests that were in flight and have not been answered since.
+    /// Requests that were in flight and have not been answered since, and the shared parts of their prompts.
     pub suspects: Vec<Fingerprint>,
 }
 
@@ -51,7 +53,7 @@
     }
 }
 
-/// The crashes that are counted against a request.
+/// The crashes that are counted against a request or a prompt part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Suspicion {
     /// Upstreams that crashed while it was in flight there.
@@ -60,9 +62,10 @@
     pub is_poison: bool,
 }
 
-/// Requests that were in flight at upstreams that crashed, with the decision on each.
+/// Requests that were in flight at upstreams that crashed, and the shared parts of their prompts, with the decision on
+/// each.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Suspects(IndexMap<Fingerprint, Suspicion>);
+pub struct Suspects(pub(super) IndexMap<Fingerprint, Suspicion>);
 
 impl Suspects {
     /// The crashes counted against a request, or `None` if it is not suspected.
@@ -77,7 +80,14 @@
         self.get(fingerprint).is_some_and(|suspicion| suspicion.is_poison)
     }
 
-    /// Blocked requests with their crash counts.
+    /// Of a request and the parts of its prompt, the one that is blocked or else has the most crashes.
+    #[must_use]
+    pub fn worst<'a>(&self, causes: impl Iterator<Item = &'a Fingerprint>) -> Option<(Fingerprint, Suspicion)> {
+        let suspected = causes.filter_map(|one| Some((*one, self.get(one)?)));
+        suspected.max_by_key(|(_, found)| (found.is_poison, found.crashes))
+    }
+
+    /// Blocked requests and parts with their crash counts.
     pub fn poison(&self) -> impl Iterator<Item = (&Fingerprint, u32)> {
         self.0.iter().filter(|(_, one)| one.is_poison).map(|(fingerprint, one)| (fingerprint, one.crashes))
     }
@@ -85,6 +95,7 @@
 
 #[derive(Debug)]
 struct Crash {
+    at: Duration,
     last_needed: Duration,
     evidence: CrashEvidence,
     reports: IndexMap<InstanceId, IndexSet<Fingerprint>>,
@@ -111,11 +122,13 @@
         }
         let last_needed = now.saturating_sub(age);
         let crash = self.crashes.entry(report.incarnation.clone()).or_insert_with(|| Crash {
+            at: last_needed,
             last_needed,
             evidence: report.evidence,
             reports: IndexMap::new(),
             answered: IndexSet::new(),
         });
+        crash.at = crash.at.min(last_needed);
         crash.last_needed = crash.last_needed.max(last_needed);
         if crash.evidence == CrashEvidence::Lapsed {
             crash.evidence = report.evidence;
@@ -172,8 +185,12 @@
         is_inferred && self.crashes.shift_remove(incarnation).is_some()
     }
 
-    /// Keeps the crashes of a blocked request in memory for longer, because the request arrived again.
+    /// Keeps the crashes of a blocked request in memory for longer, because the request arrived again. Those of a part
+    /// are not kept: different requests share it, and it would stay blocked after its cause was fixed.
     pub fn refresh(&mut self, now: Duration, fingerprint: &Fingerprint) {
+        if fingerprint.is_part() {
+            return;
+        }
         let involves_it = |crash: &&mut Crash| crash.reports.values().any(|suspects| suspects.contains(fingerprint));
         self.crashes.values_mut().filter(involves_it).for_each(|crash| crash.last_needed = now);
     }
@@ -208,59 +225,28 @@
         all.filter_map(|(incarnation, reporter)| self.report(incarnation, reporter))
     }
 
-    /// Decides which requests caused the crashes.
+    /// Decides which requests and prompt parts caused the crashes.
     #[must_use]
     pub fn find_suspects(&self) -> Suspects {
-        let mut unexplained: Vec<IndexSet<Fingerprint>> = self.crashes.values().map(Crash::suspects).collect();
-        let mut found = IndexMap::new();
-        loop {
-            let counts = crash_counts(&unexplained);
-            let poison = worst_offenders(&unexplained, &counts);
-            if poison.is_empty() {
-                let rest = counts.into_iter().filter(|(one, _)| !found.contains_key(one)).collect::<Vec<_>>();
-                found.extend(rest.into_iter().map(|(one, crashes)| (one, Suspicion { crashes, is_poison: false })));
-                return Suspects(found);
-            }
-            found.extend(poison.iter().map(|one| (*one, Suspicion { crashes: counts[one], is_poison: true })));
-            unexplained.retain(|suspects| !poison.iter().any(|one| suspects.contains(one)));
-        }
+        let with_suspects = |crash: &Crash| CrashSuspects { at: crash.at, suspects: crash.suspects() };
+        verdict::find_suspects(self.crashes.values().map(with_suspects).collect())
     }
 
+    // Removes the oldest crashes if there are too many; last of all, those that keep something blocked.
     fn trim(&mut self) {
-        while self.crashes.len() > MAX_CRASHES {
-            let oldest = self
-                .crashes
-                .iter()
-                .min_by_key(|(_, crash)| crash.last_needed)
-                .map(|(incarnation, _)| incarnation.clone());
-            oldest.into_iter().for_each(|incarnation| drop(self.crashes.shift_remove(&incarnation)));
+        if self.crashes.len() <= MAX_CRASHES {
+            return;
+        }
+        let suspects = self.find_suspects();
+        let keeps_blocked = |crash: &Crash| crash.suspects().iter().any(|one| suspects.is_poison(one));
+        let mut order: Vec<(bool, Duration, UpstreamIncarnation)> = self
+            .crashes
+            .iter()
+            .map(|(incarnation, crash)| (keeps_blocked(crash), crash.last_needed, incarnation.clone()))
+            .collect();
+        order.sort();
+        for (_, _, incarnation) in order.into_iter().take(self.crashes.len() + TRIM_RESERVE - MAX_CRASHES) {
+            self.crashes.shift_remove(&incarnation);
         }
     }
 }
-
-fn crash_counts(crashes: &[IndexSet<Fingerprint>]) -> IndexMap<Fingerprint, u32> {
-    let mut counts = IndexMap::new();
-    for one in crashes.iter().flatten() {
-        *counts.entry(*one).or_default() += 1;
-    }
-    counts
-}
-
-// The requests to block, of those the ones with the most crashes.
-fn worst_offenders(crashes: &[IndexSet<Fingerprint>], counts: &IndexMap<Fingerprint, u32>) -> Vec<Fingerprint> {
-    let stands_out = |one: &Fingerprint| {
-        let has_most =
-            |crash: &IndexSet<Fingerprint>| crash.iter().all(|other| other == one || counts[other] < counts[one]);
-        crashes.iter().any(|crash| crash.contains(one) && has_most(crash))
-    };
-    let is_poison = |one: &Fingerprint, crashes: u32| {
-        crashes >= AMBIGUOUS_POISON_CRASHES || crashes >= POISON_CRASHES && stands_out(one)
-    };
-    let poison: Vec<(Fingerprint, u32)> = counts
-        .iter()
-        .filter(|(one, crashes)| is_poison(one, **crashes))
-        .map(|(one, crashes)| (*one, *crashes))
-        .collect();
-    let most = poison.iter().map(|(_, crashes)| *crashes).max().unwrap_or_default();
-    poison.into_iter().filter(|(_, crashes)| *crashes == most).map(|(one, _)| one).collect()
-}
--- a/crates/bluebell-core/src/poison/in_flight.rs
+++ b/crates/bluebell-core/src/poison/in_flight.rs
@@ -9,7 +9,10 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 
-use super::Fingerprint;
+use super::{
+    Fingerprint,
+    part_answers::{self, PartAnswers},
+};
 use crate::{
     ids::UpstreamId,
     upstreams::{Phase, Upstream, UpstreamIncarnation},
@@ -28,8 +31,8 @@
 const ANSWERED_RETENTION: Duration = Duration::from_secs(10);
 /// Maximum number of answered requests that are remembered.
 const MAX_ANSWERED: usize = 10_000;
-/// Maximum number of unanswered requests that are remembered for one upstream, and of suspects reported when it
-/// crashes.
+/// Maximum number of unanswered requests that are remembered for one upstream, and of suspected requests reported when
+/// it crashes. The same maximum applies to prompt parts.
 const MAX_SUSPECTS: usize = 128;
 
 /// How an attempt at an upstream ended.
@@ -40,6 +43,9 @@
     Unanswered,
     /// The request was not run, or failed without crashing the upstream.
     UpstreamAlive,
+    /// A complete answer came that is neither a success nor a failure of the upstream. It clears the request, but not
+    /// the parts of its prompt, which may not have been processed.
+    Rejected,
     /// A complete answer came.
     Answered,
 }
@@ -82,7 +88,7 @@
     pub incarnation: UpstreamIncarnation,
     /// How the crash was detected.
     pub evidence: CrashEvidence,
-    /// Requests in flight there and requests lost just before; each group newest first.
+    /// Requests in flight there and requests lost just before; each group newest first. Then the parts of their prompts.
     pub suspects: Vec<Fingerprint>,
 }
 
@@ -96,6 +102,7 @@
 struct UpstreamActivity {
     running: IndexMap<Fingerprint, u32>,
     unanswered: VecDeque<UnansweredRequest>,
+    unanswered_parts: VecDeque<UnansweredRequest>,
     last_alive: Duration,
     // First lost answer since the upstream last proved alive, unless older than the retention time.
     first_loss: Option<Duration>,
@@ -120,19 +127,20 @@
 pub struct InFlightTracker {
     upstreams: IndexMap<UpstreamIncarnation, UpstreamActivity>,
     answered: IndexMap<Fingerprint, Duration>,
+    part_answers: PartAnswers,
     crashed: Vec<CrashedUpstream>,
     cleared: Vec<Fingerprint>,
     blocked: IndexSet<Fingerprint>,
 }
 
 impl InFlightTracker {
-    /// Records that a request is sent to an upstream.
+    /// Records that a request is sent to an upstream. Also called for each shared part of its prompt.
     pub fn start(&mut self, incarnation: &UpstreamIncarnation, fingerprint: Fingerprint) {
         let activity = self.upstreams.entry(incarnation.clone()).or_default();
         *activity.running.entry(fingerprint).or_default() += 1;
     }
 
-    /// Records how a request ended at an upstream.
+    /// Records how a request ended at an upstream. Also called for each shared part of its prompt.
     pub fn finish(
         &mut self,
         now: Duration,
@@ -140,12 +148,15 @@
         fingerprint: Fingerprint,
         outcome: AttemptOutcome,
     ) {
-        if outcome == AttemptOutcome::Answered {
+        let is_answered = matches!(outcome, AttemptOutcome::Answered | AttemptOutcome::Rejected);
+        if outcome == AttemptOutcome::Answered && fingerprint.is_part() {
+            self.part_answers.record(now, fingerprint);
+        } else if is_answered && !fingerprint.is_part() {
             self.answered.shift_remove(&fingerprint);
             self.answered.insert(fingerprint, now);
         }
         let Some(activity) = self.upstreams.get_mut(incarnation) else { return };
-        if outcome == AttemptOutcome::Answered {
+        if is_answered {
             (activity.last_alive, activity.first_loss) = (now, None);
         }
         if let Some(count) = activity.running.get_mut(&fingerprint) {
@@ -155,10 +166,16 @@
             }
         }
         if outcome == AttemptOutcome::Unanswered {
-            if activity.unanswered.len() == MAX_SUSPECTS {
-                activity.unanswered.pop_front();
+            let unanswered = if fingerprint.is_part() {
+                activity.unanswered_parts.retain(|part| part.fingerprint != fingerprint);
+                &mut activity.unanswered_parts
+            } else {
+                &mut activity.unanswered
+            };
+            if unanswered.len() == MAX_SUSPECTS {
+                unanswered.pop_front();
             }
-            activity.unanswered.push_back(UnansweredRequest { fingerprint, ended_at: now });
+            unanswered.push_back(UnansweredRequest { fingerprint, ended_at: now });
         }
     }
 
@@ -271,16 +288,27 @@
         self.answered.get(fingerprint).is_some_and(|at| now < *at + ANSWERED_RETENTION)
     }
 
+    /// Whether a recent answer excuses a suspect of a crash that another gateway reports now. It excuses a prompt part from
+    /// the first crashes only, which are noted here.
+    pub fn excuse_reported(&mut self, now: Duration, suspect: &Fingerprint) -> bool {
+        if suspect.is_part() {
+            self.part_answers.excuse(now, suspect, ANSWERED_RETENTION)
+        } else {
+            self.was_answered(now, suspect)
+        }
+    }
+
     /// Number of distinct requests in flight at an upstream that meet a condition.
     #[must_use]
     pub fn count_running(&self, incarnation: &UpstreamIncarnation, condition: impl Fn(&Fingerprint) -> bool) -> usize {
         let running = self.upstreams.get(incarnation).map(|activity| activity.running.keys());
-        running.map_or(0, |all| all.filter(|one| condition(one)).count())
+        running.map_or(0, |all| all.filter(|one| !one.is_part() && condition(one)).count())
     }
 
     /// Removes idle upstreams and answered requests whose retention time is over or that exceed the maximum.
     pub fn expire(&mut self, now: Duration) {
         self.upstreams.retain(|_, activity| !activity.is_idle(now));
+        self.part_answers.expire(now);
         let old = self.answered.values().take_while(|at| now >= **at + ANSWERED_RETENTION).count();
         let surplus = self.answered.len().saturating_sub(MAX_ANSWERED);
         self.answered.drain(..old.max(surplus));
@@ -292,12 +320,17 @@
             return;
         }
         let since = activity.first_loss.unwrap_or(activity.last_alive).saturating_sub(SUSPECT_LOOKBACK);
-        let running = activity.running.keys().rev().copied();
-        let recent = activity.unanswered.iter().rev().take_while(|request| request.ended_at >= since);
-        let unanswered = recent.map(|request| request.fingerprint);
-        let all: IndexSet<Fingerprint> = running.chain(unanswered).collect();
-        let suspects: Vec<Fingerprint> =
-            all.into_iter().filter(|one| !self.was_answered(now, one)).take(MAX_SUSPECTS).collect();
+        let recent = |unanswered: &VecDeque<UnansweredRequest>| {
+            let recent = unanswered.iter().rev().take_while(|request| request.ended_at >= since);
+            recent.map(|request| request.fingerprint).collect::<Vec<_>>()
+        };
+        let unanswered = [recent(&activity.unanswered), recent(&activity.unanswered_parts)].concat();
+        let all: IndexSet<Fingerprint> = activity.running.keys().rev().copied().chain(unanswered).collect();
+        let (parts, requests): (Vec<Fingerprint>, Vec<Fingerprint>) = all.into_iter().partition(|one| one.is_part());
+        let mut suspects: Vec<Fingerprint> =
+            requests.into_iter().filter(|one| !self.was_answered(now, one)).take(MAX_SUSPECTS).collect();
+        let mut is_excused = |part: &Fingerprint| self.part_answers.excuse(now, part, part_answers::RETENTION);
+        suspects.extend(parts.into_iter().filter(|part| !is_excused(part)).take(MAX_SUSPECTS));
         self.crashed.push(CrashedUpstream { incarnation: incarnation.clone(), evidence, suspects });
     }
 }
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -156,8 +156,10 @@
         let Self { connection, is_reusable, decoded, mut guard, status, .. } = self;
         guard.set_outcome(if status.is_server_error() {
             AttemptOutcome::UpstreamAlive
-        } else {
+        } else if status.is_success() {
             AttemptOutcome::Answered
+        } else {
+            AttemptOutcome::Rejected
         });
         if is_reusable && !decoded.closes {
             gateway.pools.put(connection, gateway.now(), decoded.idle);
--- a/crates/bluebelld/src/gateway/attempt_guard.rs
+++ b/crates/bluebelld/src/gateway/attempt_guard.rs
@@ -16,7 +16,8 @@
     gateway: Arc<Gateway>,
     id: UpstreamId,
     incarnation: UpstreamIncarnation,
-    fingerprint: Fingerprint,
+    // The request, and the parts of its prompt.
+    causes: Vec<Fingerprint>,
     // None until the request is sent.
     outcome: Option<AttemptOutcome>,
     prefill: Tokens,
@@ -44,7 +45,7 @@
             gateway: Arc::clone(gateway),
             id: upstream.id.clone(),
             incarnation: upstream.incarnation(),
-            fingerprint: job.fingerprint,
+            causes: job.causes().copied().collect(),
             outcome: None,
             prefill,
             pending_prefill: prefill,
@@ -54,7 +55,8 @@
     /// Records that the request is being sent. Until another outcome is set, the attempt counts as unanswered.
     pub fn mark_sent(&mut self) {
         if self.outcome.is_none() {
-            self.gateway.traffic().in_flight.start(&self.incarnation, self.fingerprint);
+            let mut traffic = self.gateway.traffic();
+            self.causes.iter().for_each(|cause| traffic.in_flight.start(&self.incarnation, *cause));
         }
         self.outcome = Some(AttemptOutcome::Unanswered);
     }
@@ -90,11 +92,19 @@
             state.health.clear_trial();
         }
         let Some(outcome) = self.outcome else { return };
-        traffic.in_flight.finish(self.gateway.now(), &self.incarnation, self.fingerprint, outcome);
-        let is_suspect = self.gateway.routing.load().suspects.get(&self.fingerprint).is_some();
+        let now = self.gateway.now();
+        for cause in &self.causes {
+            traffic.in_flight.finish(now, &self.incarnation, *cause, outcome);
+        }
+        let routing = self.gateway.routing.load();
+        let is_cleared = |cause: &&Fingerprint| {
+            let is_answered =
+                outcome == AttemptOutcome::Answered || outcome == AttemptOutcome::Rejected && !cause.is_part();
+            is_answered && routing.suspects.get(cause).is_some()
+        };
         // An answer clears the request of the crashes that it was suspected of; the control thread tells the peers.
-        if outcome == AttemptOutcome::Answered && is_suspect {
-            traffic.in_flight.clear(self.fingerprint);
+        for cause in self.causes.iter().filter(is_cleared) {
+            traffic.in_flight.clear(*cause);
             self.gateway.crash_check.notify_one();
         }
     }
--- a/crates/bluebelld/src/gateway/control/crashes.rs
+++ b/crates/bluebelld/src/gateway/control/crashes.rs
@@ -54,17 +54,22 @@
         }
         let source = from.map_or("own", InstanceId::as_str);
         updates.iter().for_each(|aged| log_report(&aged.report, aged.age, source));
-        let suspects: Vec<Fingerprint> = updates.iter().flat_map(|aged| aged.report.suspects.clone()).collect();
-        let answered = self.recently_answered(&suspects, now);
         self.update_suspects();
-        self.members.forward(&ExchangeMessage::Crashes(updates), from);
-        self.clear_answered(&answered, None);
+        self.members.forward(&ExchangeMessage::Crashes(updates.clone()), from);
+        updates.iter().for_each(|aged| self.clear_excused(&aged.report, now));
     }
 
-    // Those suspects that this gateway recently saw answered.
-    fn recently_answered(&self, suspects: &[Fingerprint], now: Duration) -> Vec<Fingerprint> {
-        let traffic = self.gateway.traffic();
-        suspects.iter().filter(|fingerprint| traffic.in_flight.was_answered(now, fingerprint)).copied().collect()
+    // Clears a report of those suspects that this gateway recently saw answered. A request is cleared of all crashes, a
+    // prompt part only of this one.
+    fn clear_excused(&mut self, report: &CrashReport, now: Duration) {
+        let mut traffic = self.gateway.traffic();
+        let excused: Vec<Fingerprint> =
+            report.suspects.iter().filter(|one| traffic.in_flight.excuse_reported(now, one)).copied().collect();
+        drop(traffic);
+        let (parts, requests): (Vec<Fingerprint>, Vec<Fingerprint>) =
+            excused.into_iter().partition(Fingerprint::is_part);
+        self.clear_answered(&requests, None);
+        self.clear_crashes(vec![(report.incarnation.clone(), parts)], None);
     }
 
     /// Clears answered requests of all crashes recorded so far, and tells the other peers about these requests if any
@@ -146,7 +151,8 @@
         let suspects = Arc::new(self.crashes.find_suspects());
         let before = std::mem::replace(&mut self.suspects, Arc::clone(&suspects));
         log_blocking_changes(&before, &suspects);
-        self.gateway.metrics.set_poison(suspects.poison().count());
+        let part_count = suspects.poison().filter(|(fingerprint, _)| fingerprint.is_part()).count();
+        self.gateway.metrics.set_poison(suspects.poison().count() - part_count, part_count);
         self.publish();
     }
 
@@ -167,9 +173,8 @@
         // Not forwarded to peers as a crash report, as they get the row itself.
         if self.crashes.record(now, age, &stored.report) {
             log_report(&stored.report, age, source);
-            let answered = self.recently_answered(&stored.report.suspects, now);
             self.update_suspects();
-            self.clear_answered(&answered, None);
+            self.clear_excused(&stored.report, now);
         }
     }
 
@@ -206,10 +211,20 @@
 fn log_blocking_changes(before: &Suspects, now: &Suspects) {
     for (fingerprint, crashes) in now.poison().filter(|(fingerprint, _)| !before.is_poison(fingerprint)) {
         let text = fingerprint.to_string();
-        log::warn!(fingerprint = text.as_str(), crashes = crashes; "request is held back: upstreams end under it");
+        let message = if fingerprint.is_part() {
+            "prompt part is blocked: upstreams crash under requests with it"
+        } else {
+            "request is held back: upstreams end under it"
+        };
+        log::warn!(fingerprint = text.as_str(), crashes = crashes; "{message}");
     }
     for (fingerprint, crashes) in before.poison().filter(|(fingerprint, _)| !now.is_poison(fingerprint)) {
         let text = fingerprint.to_string();
-        log::info!(fingerprint = text.as_str(), crashes = crashes; "request is not held back any more");
+        let message = if fingerprint.is_part() {
+            "prompt part is not blocked any more"
+        } else {
+            "request is not held back any more"
+        };
+        log::info!(fingerprint = text.as_str(), crashes = crashes; "{message}");
     }
 }
--- a/crates/bluebelld/src/gateway/front/attempts.rs
+++ b/crates/bluebelld/src/gateway/front/attempts.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bluebell_core::ids::{OrgId, RequestId, RouteId, UpstreamId};
+use bluebell_core::{
+    ids::{OrgId, RequestId, RouteId, UpstreamId},
+    poison::Fingerprint,
+};
 
 use super::takeover::InFlightSince;
 use crate::{
@@ -98,6 +101,15 @@
     }
 }
 
+/// A request, or a part of its prompt, that is blocked.
+#[derive(Debug, Clone, Copy)]
+pub struct BlockedCause {
+    /// Fingerprint of the request or of the part.
+    pub fingerprint: Fingerprint,
+    /// Number of upstreams that crashed.
+    pub crashes: u32,
+}
+
 /// Results of the attempts at a request so far.
 #[derive(Debug, Default)]
 pub struct AttemptHistory {
@@ -111,8 +123,8 @@
     pub reason: String,
     /// Retry delay requested by the upstream that refused last.
     pub retry_after: Option<Duration>,
-    /// Number of upstreams that crashed while they ran the request or its repeats, if it is blocked for this.
-    pub crashes: Option<u32>,
+    /// Why the request is blocked, if it is.
+    pub blocked: Option<BlockedCause>,
 }
 
 impl AttemptHistory {
@@ -138,10 +150,15 @@
         self.maybe_ran += u32::from(in_flight_since.borrow().is_some());
     }
 
-    /// Marks the request as blocked because upstreams crashed while they ran it or its repeats.
-    pub fn block(&mut self, crashes: u32) {
-        self.reason = format!("{crashes} upstreams ended under it, it is held back");
-        self.crashes = Some(crashes);
+    /// Marks the request as blocked because upstreams crashed while they ran it, its repeats, or requests with a part of
+    /// its prompt.
+    pub fn block(&mut self, cause: BlockedCause) {
+        self.reason = if cause.fingerprint.is_part() {
+            format!("{} upstreams crashed under requests with a part of its prompt, the part is blocked", cause.crashes)
+        } else {
+            format!("{} upstreams ended under it, it is held back", cause.crashes)
+        };
+        self.blocked = Some(cause);
     }
 
     /// Whether the limits on attempts allow another send. The retry budget is checked separately.
--- a/crates/bluebelld/src/gateway/front/choose.rs
+++ b/crates/bluebelld/src/gateway/front/choose.rs
@@ -7,7 +7,7 @@
     upstreams::Upstream,
 };
 
-use super::attempts::AttemptHistory;
+use super::attempts::{AttemptHistory, BlockedCause};
 use crate::gateway::{
     job::Job,
     routing_state::RoutingState,
@@ -85,11 +85,11 @@
     if !history.may_send(job) || job.time_left(gateway).is_zero() {
         return None;
     }
-    let suspicion = gateway.routing.load().suspects.get(&job.fingerprint);
-    if let Some(crashes) = suspicion.filter(|found| found.is_poison).map(|found| found.crashes) {
-        gateway.traffic().in_flight.record_blocked(job.fingerprint);
+    let suspicion = gateway.routing.load().suspects.worst(job.causes());
+    if let Some((fingerprint, found)) = suspicion.filter(|(_, found)| found.is_poison) {
+        gateway.traffic().in_flight.record_blocked(fingerprint);
         gateway.metrics.record_blocked();
-        history.block(crashes);
+        history.block(BlockedCause { fingerprint, crashes: found.crashes });
         return None;
     }
     if !options.skip_budget && !job.may_be_retried(gateway) {
@@ -102,10 +102,10 @@
     if !options.skip_budget && !take_retry(gateway, job) {
         return None;
     }
-    if let Some(suspicion) = suspicion {
+    if let Some((cause, found)) = suspicion {
         log::info!(
             request = job.caller.request.as_str(), fingerprint = job.fingerprint.to_string().as_str(),
-            upstream = upstream.id.as_str(), crashes = suspicion.crashes;
+            cause = cause.to_string().as_str(), upstream = upstream.id.as_str(), crashes = found.crashes;
             "request under which upstreams ended is sent"
         );
     }
--- a/crates/bluebelld/src/gateway/front/refusal.rs
+++ b/crates/bluebelld/src/gateway/front/refusal.rs
@@ -64,6 +64,16 @@
         /// Number of upstreams that crashed.
         crashes: u32,
     },
+    /// Upstreams crashed while they ran requests with a part of the prompt; the part is blocked and the request did not
+    /// run.
+    #[snafu(display(
+        "{crashes} upstreams crashed under requests with a part of this prompt, the part is blocked and the request did \
+         not run"
+    ))]
+    PoisonPart {
+        /// Number of upstreams that crashed.
+        crashes: u32,
+    },
     /// The upstream failed; the request may have run.
     #[snafu(display("the upstream failed, the request may have run: {reason}"))]
     UpstreamFailed {
@@ -98,7 +108,8 @@
             | Self::Unavailable { .. }
             | Self::ShuttingDown
             | Self::Expired
-            | Self::Poison { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Poison { .. }
+            | Self::PoisonPart { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::UpstreamFailed { .. } | Self::Aborted => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/bluebelld/src/gateway/front/reply.rs
+++ b/crates/bluebelld/src/gateway/front/reply.rs
@@ -40,15 +40,16 @@
 /// Builds and logs the refusal of a request that no upstream answered.
 pub fn final_refusal(gateway: &Gateway, job: &Job, history: &AttemptHistory) -> Response {
     let is_expired = job.time_left(gateway).is_zero();
-    let refusal = match (history.maybe_ran > 0, history.crashes) {
+    let refusal = match (history.maybe_ran > 0, history.blocked) {
         (true, _) if is_expired => Refusal::TimedOut,
         (true, _) => Refusal::UpstreamFailed { reason: history.reason.clone() },
-        (false, Some(crashes)) => Refusal::Poison { crashes },
+        (false, Some(cause)) if cause.fingerprint.is_part() => Refusal::PoisonPart { crashes: cause.crashes },
+        (false, Some(cause)) => Refusal::Poison { crashes: cause.crashes },
         (false, None) if is_expired => Refusal::Expired,
         (false, None) => Refusal::Unavailable { reason: history.reason.clone() },
     };
     let delay = match refusal {
-        Refusal::Poison { .. } => CRASH_MEMORY,
+        Refusal::Poison { .. } | Refusal::PoisonPart { .. } => CRASH_MEMORY,
         _ => retry_after(job.time_left(gateway), history.retry_after.unwrap_or(UNAVAILABLE_RETRY_AFTER)),
     };
     let (declared, contact_age) = declared_version_and_contact_age(gateway);
@@ -56,6 +57,7 @@
         request = job.caller.request.as_str(),
         fingerprint = job.fingerprint.to_string().as_str(),
         parts = job.parts_text().as_str(),
+        blocked = history.blocked.map(|cause| cause.fingerprint.to_string()).unwrap_or_default().as_str(),
         route = job.route.id.as_str(),
         service = job.service.as_str(),
         sends = history.sends(),
--- a/crates/bluebelld/src/gateway/job.rs
+++ b/crates/bluebelld/src/gateway/job.rs
@@ -65,6 +65,11 @@
 }
 
 impl Job {
+    /// What may cause crashes of upstreams that run the request: the request itself, or a part of its prompt.
+    pub fn causes(&self) -> impl Iterator<Item = &Fingerprint> {
+        std::iter::once(&self.fingerprint).chain(&self.parts)
+    }
+
     /// Fingerprints of the shared prompt parts, for a log line.
     #[must_use]
     pub fn parts_text(&self) -> String {
@@ -95,11 +100,11 @@
         self.deadline.saturating_sub(gateway.now())
     }
 
-    /// Whether the retry budget has a retry left for the request, and it is not blocked.
+    /// Whether the retry budget has a retry left for the request, and neither it nor a part of its prompt is blocked.
     #[must_use]
     pub fn may_be_retried(&self, gateway: &Gateway) -> bool {
         let routing = gateway.routing.load();
-        let is_blocked = routing.suspects.is_poison(&self.fingerprint);
+        let is_blocked = routing.suspects.worst(self.causes()).is_some_and(|(_, found)| found.is_poison);
         let mut traffic = gateway.traffic();
         let window = traffic.retry_window(&self.service);
         !is_blocked && window.may_retry(gateway.now(), &gateway.retry_limit, routing.gateways)
--- a/crates/bluebelld/src/gateway/metrics.rs
+++ b/crates/bluebelld/src/gateway/metrics.rs
@@ -24,6 +24,7 @@
     upstream_ends: Counter<u64>,
     blocked_requests: Counter<u64>,
     poison_requests: Gauge<u64>,
+    poison_parts: Gauge<u64>,
     retry_budget: Gauge<f64>,
     declared_version: Gauge<u64>,
     upstreams: Gauge<u64>,
@@ -53,6 +54,7 @@
             ),
             blocked_requests: counter("bluebell_held_requests", "Requests held back since upstreams end under them"),
             poison_requests: gauge("bluebell_poison_requests", "Requests known to end upstreams"),
+            poison_parts: gauge("bluebell_poison_parts", "Prompt parts known to crash upstreams"),
             retry_budget: meter
                 .f64_gauge("bluebell_retry_budget_left")
                 .with_description("Sends left in the window")
@@ -102,9 +104,10 @@
         self.blocked_requests.add(1, &[]);
     }
 
-    /// Sets the number of requests known to crash upstreams.
-    pub fn set_poison(&self, count: usize) {
-        self.poison_requests.record(count as u64, &[]);
+    /// Sets the numbers of requests and of prompt parts known to crash upstreams.
+    pub fn set_poison(&self, requests: usize, parts: usize) {
+        self.poison_requests.record(requests as u64, &[]);
+        self.poison_parts.record(parts as u64, &[]);
     }
 
     /// Sets what is left of a service's retry budget.
