Block parts that were always at crashes together only where they come together

Cause: a part that every request with the crashing part had, and that nothing answered at the time, was at the same crashes; both were blocked.

Change: parts with the same crashes block requests that have all of them. An answer to a request with some of them clears these; a crash singles one out.

Test: part_that_was_at_the_same_crashes_as_the_crashing_one_blocks_no_request_ without_it (bluebell-core, poison_parts).

--- a/crates/bluebell-core/src/poison/crashes.rs
+++ b/crates/bluebell-core/src/poison/crashes.rs
@@ -65,13 +65,17 @@
 /// Requests that were in flight at upstreams that crashed, and the shared parts of their prompts, with the decision on
 /// each.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Suspects(pub(super) IndexMap<Fingerprint, Suspicion>);
+pub struct Suspects {
+    pub(super) found: IndexMap<Fingerprint, Suspicion>,
+    /// For each blocked part, the other blocked parts that were at exactly the same crashes.
+    pub(super) inseparable: IndexMap<Fingerprint, Vec<Fingerprint>>,
+}
 
 impl Suspects {
     /// The crashes counted against a request, or `None` if it is not suspected.
     #[must_use]
     pub fn get(&self, fingerprint: &Fingerprint) -> Option<Suspicion> {
-        self.0.get(fingerprint).copied()
+        self.found.get(fingerprint).copied()
     }
 
     /// Whether a request is blocked.
@@ -80,21 +84,32 @@
         self.get(fingerprint).is_some_and(|suspicion| suspicion.is_poison)
     }
 
-    /// Of a request and the parts of its prompt, the one that is blocked or else has the most crashes.
+    /// Of a request and the parts of its prompt, the one that blocks the request or else has the most crashes. Parts that
+    /// were always at crashes together block only requests with all of them: any one of them may be sound, and an answer
+    /// or another crash of a request with only some of them tells.
     #[must_use]
-    pub fn worst<'a>(&self, causes: impl Iterator<Item = &'a Fingerprint>) -> Option<(Fingerprint, Suspicion)> {
-        let suspected = causes.filter_map(|one| Some((*one, self.get(one)?)));
-        suspected.max_by_key(|(_, found)| (found.is_poison, found.crashes))
+    pub fn worst<'a>(&self, causes: impl Iterator<Item = &'a Fingerprint> + Clone) -> Option<(Fingerprint, Suspicion)> {
+        let has_inseparable = |one: &Fingerprint| {
+            let others = self.inseparable.get(one).into_iter().flatten();
+            others.into_iter().all(|other| causes.clone().any(|cause| cause == other))
+        };
+        let suspicion = |one: &Fingerprint| {
+            let found = self.get(one)?;
+            Some((*one, Suspicion { is_poison: found.is_poison && has_inseparable(one), ..found }))
+        };
+        causes.clone().filter_map(suspicion).max_by_key(|(_, found)| (found.is_poison, found.crashes))
     }
 
     /// Blocked requests and parts with their crash counts.
     pub fn poison(&self) -> impl Iterator<Item = (&Fingerprint, u32)> {
-        self.0.iter().filter(|(_, one)| one.is_poison).map(|(fingerprint, one)| (fingerprint, one.crashes))
+        self.found.iter().filter(|(_, one)| one.is_poison).map(|(fingerprint, one)| (fingerprint, one.crashes))
     }
 }
 
 #[derive(Debug)]
 struct Crash {
+    // Both times are CRASH_MEMORY later than on the clock of the process, so that those of crashes before its start are
+    // not negative.
     at: Duration,
     last_needed: Duration,
     evidence: CrashEvidence,
--- a/crates/bluebell-core/src/poison/verdict.rs
+++ b/crates/bluebell-core/src/poison/verdict.rs
@@ -55,17 +55,19 @@
 /// Decides which suspects to block.
 pub(super) fn find_suspects(mut unexplained: Vec<CrashSuspects>) -> Suspects {
     unexplained.sort_by_key(|crash| crash.at);
-    let mut found = IndexMap::new();
+    let mut suspects = Suspects::default();
     loop {
         let tallies = tally(&unexplained);
         let poison = worst_offenders(&unexplained, &tallies);
         if poison.is_empty() {
             for (one, tally) in tallies {
-                found.entry(one).or_insert(Suspicion { crashes: tally.crashes, is_poison: false });
+                suspects.found.entry(one).or_insert(Suspicion { crashes: tally.crashes, is_poison: false });
             }
-            return Suspects(found);
+            return suspects;
         }
-        found.extend(poison.iter().map(|one| (*one, Suspicion { crashes: tallies[one].crashes, is_poison: true })));
+        let blocked = |one: &Fingerprint| (*one, Suspicion { crashes: tallies[one].crashes, is_poison: true });
+        suspects.found.extend(poison.iter().map(blocked));
+        suspects.inseparable.extend(inseparable_parts(&unexplained, &poison));
         unexplained.retain(|crash| !poison.iter().any(|one| crash.suspects.contains(one)));
     }
 }
@@ -104,3 +106,18 @@
     let worst = poison.iter().map(rank).max();
     poison.into_iter().filter(|one| Some(rank(one)) == worst).collect()
 }
+
+// For each of the parts, the others that were at exactly the same crashes.
+fn inseparable_parts(
+    crashes: &[CrashSuspects],
+    poison: &[Fingerprint],
+) -> impl Iterator<Item = (Fingerprint, Vec<Fingerprint>)> {
+    let is_together = |one: &Fingerprint, other: &Fingerprint| {
+        crashes.iter().all(|crash| crash.suspects.contains(one) == crash.suspects.contains(other))
+    };
+    let parts = poison.iter().filter(|one| one.is_part());
+    parts.clone().map(move |one| {
+        let others = parts.clone().filter(|other| *other != one && is_together(one, other));
+        (*one, others.copied().collect())
+    })
+}
--- a/crates/bluebell-core/tests/poison_parts/main.rs
+++ b/crates/bluebell-core/tests/poison_parts/main.rs
@@ -61,6 +61,23 @@
     assert!(is_blocked(&crashes, part("bad")));
 }
 
+#[test]
+fn part_that_was_at_the_same_crashes_as_the_crashing_one_blocks_no_request_without_it() {
+    let mut crashes = Crashes::default();
+    for number in 0..4 {
+        let suspects = [request(&format!("p-{number}")), part("common"), part("bad")];
+        record(&mut crashes, SECOND * number as u32, number, &suspects);
+    }
+    let blocks = |crashes: &Crashes, causes: &[Fingerprint]| {
+        crashes.find_suspects().worst(causes.iter()).is_some_and(|(_, found)| found.is_poison)
+    };
+    assert!(blocks(&crashes, &[request("r"), part("common"), part("bad")]));
+    assert!(!blocks(&crashes, &[request("r"), part("common"), part("p-1")]));
+    record(&mut crashes, SECOND * 5, 5, &[request("r"), part("bad"), part("other")]);
+    assert!(blocks(&crashes, &[request("r"), part("bad")]), "a crash without the common part tells");
+    assert!(!blocks(&crashes, &[request("r"), part("common")]));
+}
+
 #[test]
 fn part_of_a_single_request_that_crashes_upstreams_is_not_blocked_with_it() {
     let mut crashes = Crashes::default();
--- a/crates/bluebelld/src/gateway/job.rs
+++ b/crates/bluebelld/src/gateway/job.rs
@@ -66,7 +66,7 @@
 
 impl Job {
     /// What may cause crashes of upstreams that run the request: the request itself, or a part of its prompt.
-    pub fn causes(&self) -> impl Iterator<Item = &Fingerprint> {
+    pub fn causes(&self) -> impl Iterator<Item = &Fingerprint> + Clone {
         std::iter::once(&self.fingerprint).chain(&self.parts)
     }
 
