Keep the times of crashes from before a gateway's start

What callers saw: a gateway that restarted let requests with a blocked part go, and they crashed three more upstreams: status 502 instead of 503.

Cause: the time of a crash was the time since the start of the process less the report's age, and 0 if the crash was older than the process. All crashes of stored reports then fell on one moment, and crashes of one moment count once for a part. The age told to others and stored was too small for the same reason, which kept reports for longer than an hour; requests were not affected otherwise.

Change: these times are kept on a clock that is ahead by the retention time, and reports come with their age.

Tests: gateway: poison_parts::crashing_part_is_still_blocked_at_gateways_that_ restart_or_join, 'left: 502, right: 503' without the change; bluebell-core: part_is_still_blocked_by_reports_from_before_the_start_of_a_ process. Besides, requests_with_a_crashing_part_stop_while_the_store_is_down and part_that_is_the_last_of_a_prompt_is_not_blocked, which passed at once.

--- a/crates/bluebell-core/src/poison/crashes.rs
+++ b/crates/bluebell-core/src/poison/crashes.rs
@@ -135,7 +135,7 @@
         if age >= CRASH_MEMORY {
             return false;
         }
-        let last_needed = now.saturating_sub(age);
+        let last_needed = now + CRASH_MEMORY - age;
         let crash = self.crashes.entry(report.incarnation.clone()).or_insert_with(|| Crash {
             at: last_needed,
             last_needed,
@@ -207,7 +207,7 @@
             return;
         }
         let involves_it = |crash: &&mut Crash| crash.reports.values().any(|suspects| suspects.contains(fingerprint));
-        self.crashes.values_mut().filter(involves_it).for_each(|crash| crash.last_needed = now);
+        self.crashes.values_mut().filter(involves_it).for_each(|crash| crash.last_needed = now + CRASH_MEMORY);
     }
 
     /// Removes crashes whose retention time is over. Returns whether there were any.
@@ -215,29 +215,35 @@
         let before = self.crashes.len();
         self.crashes.retain(|_, crash| {
             let retention = if crash.suspects().is_empty() { CLEARED_CRASH_MEMORY } else { CRASH_MEMORY };
-            now < crash.last_needed + retention
+            now + CRASH_MEMORY < crash.last_needed + retention
         });
         before != self.crashes.len()
     }
 
-    /// A gateway's report reduced to the suspects that are not cleared, with the time at which it was last needed;
-    /// `None` if no suspects remain.
+    /// A gateway's report reduced to the suspects that are not cleared, with the time since it was last needed; `None` if
+    /// no suspects remain.
     #[must_use]
-    pub fn report(&self, incarnation: &UpstreamIncarnation, reporter: &InstanceId) -> Option<(CrashReport, Duration)> {
+    pub fn report(
+        &self,
+        now: Duration,
+        incarnation: &UpstreamIncarnation,
+        reporter: &InstanceId,
+    ) -> Option<(CrashReport, Duration)> {
         let crash = self.crashes.get(incarnation)?;
         let suspects = crash.reports.get(reporter)?.iter().filter(|one| !crash.answered.contains(*one));
         let suspects: Vec<Fingerprint> = suspects.copied().collect();
         let (incarnation, reporter, evidence) = (incarnation.clone(), reporter.clone(), crash.evidence);
-        (!suspects.is_empty()).then_some((CrashReport { incarnation, reporter, evidence, suspects }, crash.last_needed))
+        let age = (now + CRASH_MEMORY).saturating_sub(crash.last_needed);
+        (!suspects.is_empty()).then_some((CrashReport { incarnation, reporter, evidence, suspects }, age))
     }
 
-    /// All reports that have suspects left, with the times at which they were last needed.
-    pub fn reports(&self) -> impl Iterator<Item = (CrashReport, Duration)> {
+    /// All reports that have suspects left, with the times since they were last needed.
+    pub fn reports(&self, now: Duration) -> impl Iterator<Item = (CrashReport, Duration)> {
         let all = self
             .crashes
             .iter()
             .flat_map(|(incarnation, crash)| crash.reports.keys().map(move |reporter| (incarnation, reporter)));
-        all.filter_map(|(incarnation, reporter)| self.report(incarnation, reporter))
+        all.filter_map(move |(incarnation, reporter)| self.report(now, incarnation, reporter))
     }
 
     /// Decides which requests and prompt parts caused the crashes.
--- a/crates/bluebell-core/tests/gateways/world.rs
+++ b/crates/bluebell-core/tests/gateways/world.rs
@@ -271,7 +271,7 @@
         }
         let rows: Vec<Row> = gateway.replica.rows().cloned().collect();
         let snapshots = gateway.replica.snapshots().collect();
-        let reports: Vec<CrashReport> = gateway.crashes.reports().map(|(report, _)| report).collect();
+        let reports: Vec<CrashReport> = gateway.crashes.reports(self.now).map(|(report, _)| report).collect();
         let answered =
             gateway.crashes.answered().map(|(incarnation, all)| (incarnation.clone(), all.iter().copied().collect()));
         let answered = PeerMessage::ClearedCrashes(answered.collect());
--- a/crates/bluebell-core/tests/poison.rs
+++ b/crates/bluebell-core/tests/poison.rs
@@ -140,7 +140,7 @@
     for number in 0..5000 {
         known.record(SECOND * number as u32, Duration::ZERO, &report(number, "g-1", &[&format!("r-{number}")]));
     }
-    assert!(known.reports().count() <= 256);
+    assert!(known.reports(SECOND * 5000).count() <= 256);
     let mut tracker = InFlightTracker::default();
     for number in 0..50_000 {
         let one = request(&format!("r-{number}"));
--- a/crates/bluebell-core/tests/poison_parts/main.rs
+++ b/crates/bluebell-core/tests/poison_parts/main.rs
@@ -118,6 +118,21 @@
     assert!(is_blocked(&crashes, part("bad")));
 }
 
+#[test]
+fn part_is_still_blocked_by_reports_from_before_the_start_of_a_process() {
+    let (mut old, mut started) = (Crashes::default(), Crashes::default());
+    for number in 0..3 {
+        record(&mut old, SECOND * number as u32, number, &[part("bad"), request(&format!("p-{number}"))]);
+    }
+    let uptime = Duration::from_millis(50);
+    for (report, age) in old.reports(SECOND * 60) {
+        started.record(uptime, age, &report);
+    }
+    assert!(is_blocked(&started, part("bad")));
+    let ages = |crashes: &Crashes, now| crashes.reports(now).map(|(_, age)| age).collect::<Vec<_>>();
+    assert_eq!(ages(&started, uptime), ages(&old, SECOND * 60));
+}
+
 #[test]
 fn blocked_part_is_released_an_hour_after_its_crashes_although_it_is_asked_for() {
     let mut crashes = Crashes::default();
@@ -140,7 +155,7 @@
         record(&mut crashes, SECOND * number as u32, number, &[request(&format!("r-{number}"))]);
     }
     assert!(is_blocked(&crashes, part("bad")));
-    assert!(crashes.reports().count() <= 256);
+    assert!(crashes.reports(SECOND * 2000).count() <= 256);
 }
 
 /// Suspects of a crash of the upstream, as a tracker reports them.
--- a/crates/bluebelld/src/entry/poison.rs
+++ b/crates/bluebelld/src/entry/poison.rs
@@ -160,9 +160,9 @@
         }
         let (store_clock, read_at) = state.store_clock?;
         let store_now = store_clock + now.saturating_sub(read_at);
-        let needed = |seen: Duration| store_now.saturating_sub(now.saturating_sub(seen));
-        let reports: Vec<StoredReport> =
-            state.crashes.reports().map(|(report, seen)| StoredReport { report, needed: needed(seen) }).collect();
+        let stored =
+            |(report, age): (CrashReport, Duration)| StoredReport { report, needed: store_now.saturating_sub(age) };
+        let reports: Vec<StoredReport> = state.crashes.reports(now).map(stored).collect();
         let members = self.shared.members.load();
         let own = &self.shared.config.instance.id;
         let State { rows, answered, .. } = &mut *state;
--- a/crates/bluebelld/src/gateway/control/crashes.rs
+++ b/crates/bluebelld/src/gateway/control/crashes.rs
@@ -112,9 +112,8 @@
     /// Sends all crash reports, and the requests cleared of each crash, to a peer that may lack them.
     pub(super) fn send_crashes(&self, peer: &InstanceId) {
         let now = self.gateway.now();
-        let with_age =
-            |(report, seen): (CrashReport, Duration)| AgedCrashReport { report, age: now.saturating_sub(seen) };
-        let all: Vec<AgedCrashReport> = self.crashes.reports().map(with_age).collect();
+        let with_age = |(report, age): (CrashReport, Duration)| AgedCrashReport { report, age };
+        let all: Vec<AgedCrashReport> = self.crashes.reports(now).map(with_age).collect();
         for chunk in all.chunks(MAX_REPORTS) {
             self.members.send(peer, &ExchangeMessage::Crashes(chunk.to_vec()));
         }
@@ -185,8 +184,9 @@
             self.update_suspects();
         }
         let Some(clock) = self.store_clock(now).filter(|_| self.is_store_connected(now)) else { return };
-        let on_store_clock = |seen: Duration| clock.saturating_sub(now.saturating_sub(seen));
-        let kept = self.crashes.reports().map(|(report, seen)| StoredReport { report, needed: on_store_clock(seen) });
+        let stored =
+            |(report, age): (CrashReport, Duration)| StoredReport { report, needed: clock.saturating_sub(age) };
+        let kept = self.crashes.reports(now).map(stored);
         let own_id = &self.gateway.settings.instance.id;
         let has_lowest_id = self.members.has_lowest_id(|_| true);
         let is_gone = |reporter: &InstanceId| !self.members.is_known(reporter);
--- a/crates/bluebelld/tests/gateway/poison_parts.rs
+++ b/crates/bluebelld/tests/gateway/poison_parts.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use bluebell_standins::site::{Poison, PoisonMarker};
+use bluebell_standins::site::{Poison, PoisonMarker, StoreMode};
 use futures_util::future::join_all;
 use indexmap::IndexMap;
 use serde_json::Value;
@@ -12,6 +12,7 @@
 use super::{
     caller::{Answer, Ask},
     site::Site,
+    until,
 };
 
 /// The part that crashes upstreams.
@@ -155,6 +156,74 @@
     check_that_sends_stop(1).await;
 }
 
+#[tokio::test]
+async fn requests_with_a_crashing_part_stop_while_the_store_is_down() {
+    let site = start_site(3, 0).await;
+    for gateway in &site.gateways {
+        gateway.store_mode.send_replace(StoreMode::Reset);
+    }
+    let duration = Duration::from_secs(14);
+    send_poison_part(&site, "bad", duration).await;
+    let (sends, crashes) = poison_times(&site);
+    let counted = crashes.get(COUNTED_CRASH - 1).or(crashes.last()).copied().expect("an upstream should have crashed");
+    let late = sends.iter().filter(|at| **at > counted + CONTACT_TIME).count();
+    assert!(late <= MAX_LATE_SENDS, "{late} late sends of {}, {} crashes", sends.len(), crashes.len());
+}
+
+/// Waits until a gateway has blocked a prompt part, and until the upstreams have restarted.
+async fn wait_until_blocked(site: &Site, gateway: usize) {
+    until("the part to be blocked", || async {
+        site.gateways[gateway].process.log().contains("prompt part is blocked")
+    })
+    .await;
+    sleep(RESTART_DELAY * 2).await;
+}
+
+/// Checks that a gateway refuses requests with the poison part at once and as not run, and serves a sound one.
+async fn check_blocked(site: &Site, gateway: usize, id: &str) {
+    let started = Instant::now();
+    let refused = site.gateways[gateway].ask(&request_with_part(id, POISON_PART)).await;
+    assert!(started.elapsed() < Duration::from_millis(300), "answered after {:?}", started.elapsed());
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert!(refused.body.contains("a part of this prompt"), "{refused:?}");
+    assert!(refused.header("retry-after").parse::<f64>().is_ok_and(|seconds| seconds > 60.0), "{refused:?}");
+    assert!(site.runs(id).is_empty(), "refused as not run, but ran");
+    let served = site.gateways[gateway].ask(&request_with_part(&format!("{id}-sound"), "p1")).await;
+    assert_eq!((served.status, served.complete), (200, true), "{served:?}");
+}
+
+#[tokio::test]
+async fn crashing_part_is_still_blocked_at_gateways_that_restart_or_join() {
+    let mut site = start_site(2, 0).await;
+    send_poison_part(&site, "bad", Duration::from_secs(4)).await;
+    wait_until_blocked(&site, 0).await;
+    site.gateways[1].process.kill();
+    site.gateways[1].process.restart();
+    site.add_gateway(2).await;
+    for gateway in 0..3 {
+        until("a gateway to be ready", || site.gateways[gateway].is_ready()).await;
+        check_blocked(&site, gateway, &format!("again-{gateway}")).await;
+    }
+    let log = site.gateways[0].process.log();
+    let lines: Vec<Value> = log.lines().filter_map(|line| serde_json::from_str(line).ok()).collect();
+    let refused = lines.iter().find(|line| line["request"] == "again-0").expect("the refusal should be logged");
+    let part = refused["blocked"].as_str().expect("the refusal should name what is blocked");
+    assert!(refused["parts"].as_str().is_some_and(|parts| parts.contains(part)), "{refused}");
+    let names_part = |line: &&Value| line["fingerprints"].as_str().is_some_and(|all| all.contains(part));
+    assert!(lines.iter().filter(names_part).count() >= 3, "the crash reports should name the part");
+}
+
+#[tokio::test]
+async fn part_that_is_the_last_of_a_prompt_is_not_blocked() {
+    let site = start_site(1, 0).await;
+    let parts = format!("{COMMON_PART}:40,own:30,{POISON_PART}:30");
+    for number in 0..6 {
+        let ask = Ask::new("/talk/1", &format!("r-{number}")).header("model", "*").header("prompt-prefix", &parts);
+        let answer = site.gateways[0].ask(&ask.body(&format!("body {number}"))).await;
+        assert_eq!((answer.status, answer.complete), (200, true), "{answer:?}");
+    }
+}
+
 #[tokio::test]
 async fn logs_name_the_shared_parts_of_a_request_whose_upstream_crashed() {
     let site = start_site(1, 0).await;
