Let the stand-in's upstream announce a departure and ask for pauses

`SiteUpstream::set_leaving` adds the platform's header to every answer, `Fault::Pause` answers 503 with the given values of `retry-after`, with or without `not-executed`, and `SiteUpstream::arrivals` says when requests came, whether or not they ran.

--- a/crates/bluebell-standins/src/site/mod.rs
+++ b/crates/bluebell-standins/src/site/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! They run inside a test's process; the store can also run in a process of its own. Tests can inject faults into each.
 
+mod answers;
 mod control;
 mod declarations;
 mod endless;
--- a/crates/bluebell-standins/src/site/refusals.rs
+++ b/crates/bluebell-standins/src/site/refusals.rs
@@ -4,7 +4,10 @@
 
 use tokio::{net::TcpStream, time::Instant};
 
-use super::http1::{self, Request};
+use super::{
+    http1::{self, Request},
+    upstream::RESPONSE_STAMP,
+};
 
 /// When a faulty upstream writes its refusal once more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,8 +31,14 @@
     ///
     /// # Errors
     /// If the connection breaks.
-    pub async fn refuse(&mut self, socket: &mut TcpStream, id: &str, copy: Option<CopyTime>) -> io::Result<()> {
-        write_refusal(socket, id).await?;
+    pub async fn refuse(
+        &mut self,
+        socket: &mut TcpStream,
+        id: &str,
+        copy: Option<CopyTime>,
+        announcement: &[(&str, &str)],
+    ) -> io::Result<()> {
+        write_refusal(socket, id, announcement).await?;
         self.id = id.to_owned();
         self.time = copy;
         self.due = if let Some(CopyTime::After(delay)) = copy { Some(Instant::now() + delay) } else { None };
@@ -50,7 +59,7 @@
             let is_due = request.is_none() || self.time == Some(CopyTime::BeforeNextAnswer);
             if is_due && self.time.take().is_some() {
                 self.due = None;
-                write_refusal(socket, &self.id).await?;
+                write_refusal(socket, &self.id, &[]).await?;
             }
             if let Some(request) = request {
                 return Ok(request);
@@ -67,8 +76,25 @@
 }
 
 // Without an id, the refusal names no request.
-async fn write_refusal(socket: &mut TcpStream, id: &str) -> io::Result<()> {
+async fn write_refusal(socket: &mut TcpStream, id: &str, announcement: &[(&str, &str)]) -> io::Result<()> {
     let headers = [("not-executed", "1"), ("request-id", id)];
     let headers = if id.is_empty() { &headers[..1] } else { &headers[..] };
-    http1::write(socket, 503, headers, b"").await
+    http1::write(socket, 503, &[headers, announcement].concat(), b"").await
+}
+
+/// Refuses a request with these values of `retry-after`, with or without `not-executed`.
+///
+/// # Errors
+/// If the connection breaks.
+pub async fn ask_for_pause(
+    socket: &mut TcpStream,
+    id: &str,
+    not_run: bool,
+    delays: &[String],
+    announcement: &[(&str, &str)],
+) -> io::Result<()> {
+    let signature = [("request-id", id), ("response-stamp", RESPONSE_STAMP)];
+    let proof: &[_] = if not_run { &[("not-executed", "1")] } else { &[] };
+    let delays: Vec<_> = delays.iter().map(|value| ("retry-after", value.as_str())).collect();
+    http1::write(socket, 503, &[&signature, proof, &delays, announcement].concat(), b"").await
 }
--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -18,11 +18,12 @@
 };
 
 use super::{
+    answers,
     endless::{self, Endless},
     http1::{self, Request},
     poison::Poison,
     raw::{RawAnswer, SharedFaults},
-    refusals::{CopyTime, RefusalCopy},
+    refusals::{self, CopyTime, RefusalCopy},
     store::SiteStore,
 };
 
@@ -47,6 +48,13 @@
     NotRunTwice(CopyTime),
     /// Rejects the request likewise and writes the same refusal once more, both without the request's id.
     NotRunTwiceWithoutId(CopyTime),
+    /// Answers with 503 and asks for a pause; doesn't run the request.
+    Pause {
+        /// Whether it says `not-executed`.
+        not_run: bool,
+        /// Values of the `retry-after` headers.
+        retry_after: Vec<String>,
+    },
     /// Runs the request, then resets the connection without an answer.
     LoseAnswer,
     /// Closes the connection in the middle of an event, after this many complete ones; a plain service closes it in
@@ -118,6 +126,8 @@
     shared_faults: SharedFaults,
     default_fault: Option<Fault>,
     runs: Vec<Run>,
+    arrivals: Vec<Instant>,
+    leaving: bool,
     connections: u64,
     id: String,
     starts: u64,
@@ -215,6 +225,17 @@
         lock(&self.state).runs.clone()
     }
 
+    /// Sets whether it announces its departure in all answers.
+    pub fn set_leaving(&self, leaving: bool) {
+        lock(&self.state).leaving = leaving;
+    }
+
+    /// When requests reached it, whether or not it ran them.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.state).arrivals.clone()
+    }
+
     /// Number of connections accepted so far.
     #[must_use]
     pub fn connections(&self) -> u64 {
@@ -314,6 +335,7 @@
         let mut buffer = Vec::new();
         let mut copy = RefusalCopy::default();
         while let Some(request) = copy.read(&mut socket, &mut buffer).await? {
+            lock(&self.state).arrivals.push(Instant::now());
             let expected = request.header("expect-instance");
             let id = lock(&self.state).id.clone();
             if !expected.is_empty() && expected != id {
@@ -332,6 +354,10 @@
             };
             let refused_id = request.header("request-id");
             let is_other_model = matches!(&fault, Some(Fault::OnlyModel(model)) if request.header("model") != model);
+            if let Some(Fault::Pause { not_run, retry_after }) = &fault {
+                refusals::ask_for_pause(&mut socket, refused_id, *not_run, retry_after, self.announcement()).await?;
+                continue;
+            }
             let refusal = match fault {
                 Some(Fault::NotRun) => Some((refused_id, None)),
                 Some(Fault::OnlyModel(_)) if is_other_model => Some((refused_id, None)),
@@ -340,7 +366,7 @@
                 _ => None,
             };
             if let Some((id, time)) = refusal {
-                copy.refuse(&mut socket, id, time).await?;
+                copy.refuse(&mut socket, id, time, self.announcement()).await?;
                 continue;
             }
             let run_index = {
@@ -361,6 +387,11 @@
         Ok(())
     }
 
+    // Header by which it announces its departure.
+    fn announcement(&self) -> &'static [(&'static str, &'static str)] {
+        if lock(&self.state).leaving { &[("server-leaving", "1")] } else { &[] }
+    }
+
     // Returns whether the connection stays open for further requests.
     async fn answer(&self, socket: &mut TcpStream, request: &Request, fault: Option<Fault>) -> io::Result<bool> {
         match fault {
@@ -376,7 +407,8 @@
             Some(Fault::Raw(raw)) => return raw.send(socket, request).await,
             Some(Fault::Slow(time)) => tokio::time::sleep(time).await,
             Some(Fault::Fails(status)) => {
-                let headers = [("request-id", request.header("request-id")), ("response-stamp", RESPONSE_STAMP)];
+                let signature = [("request-id", request.header("request-id")), ("response-stamp", RESPONSE_STAMP)];
+                let headers = [&signature, self.announcement()].concat();
                 http1::write(socket, status, &headers, b"failed").await?;
                 return Ok(true);
             }
@@ -385,7 +417,7 @@
         match self.kind {
             UpstreamKind::Engine { events } => self.answer_stream(socket, request, fault, events).await,
             UpstreamKind::Plain if matches!(fault, Some(Fault::Crash(_))) => self.crash().await,
-            UpstreamKind::Plain => answer_plain(socket, request, fault).await,
+            UpstreamKind::Plain => answers::answer_plain(socket, request, fault, self.announcement()).await,
         }
     }
 
@@ -413,6 +445,7 @@
             "HTTP/1.1 200 x\r\nrequest-id: {id}\r\nresponse-stamp: {RESPONSE_STAMP}\r\nconfidence: {confidence}\r\n\
              content-type: text/event-stream\r\n"
         );
+        self.announcement().iter().for_each(|(name, value)| head.push_str(&format!("{name}: {value}\r\n")));
         head.push_str(if chunked { "transfer-encoding: chunked\r\n\r\n" } else { "connection: close\r\n\r\n" });
         socket.write_all(head.as_bytes()).await?;
         let first = request.header("last-event-id").parse::<u64>().unwrap_or(0) + 1;
@@ -424,7 +457,7 @@
             if let Some(Fault::Stall { after, time }) = fault
                 && number == after + 1
             {
-                stall(socket, time).await?;
+                answers::stall(socket, time).await?;
             }
             let cut = match fault {
                 Some(Fault::Cut(after) | Fault::CutUnframed(after)) => number > after,
@@ -433,10 +466,10 @@
             let bytes = if cut { &event.as_bytes()[..event.len() / 2] } else { event.as_bytes() };
             if matches!(fault, Some(Fault::OutOfSequence(after)) if number > after) {
                 let out_of_sequence = format!("{event}id: 999\ndata: astray\n\n");
-                write_part(socket, out_of_sequence.as_bytes(), chunked).await?;
+                answers::write_part(socket, out_of_sequence.as_bytes(), chunked).await?;
                 return Ok(false);
             }
-            write_part(socket, bytes, chunked).await?;
+            answers::write_part(socket, bytes, chunked).await?;
             if cut {
                 return Ok(false);
             }
@@ -446,49 +479,8 @@
             socket.write_all(b"0\r\n\r\n").await?;
         }
         if fault == Some(Fault::SecondAnswer) {
-            socket.write_all(second_answer("another").as_bytes()).await?;
+            socket.write_all(answers::second_answer("another").as_bytes()).await?;
         }
         Ok(chunked)
     }
 }
-
-// Sends nothing for a while. Fails as soon as the caller disconnects.
-async fn stall(socket: &mut TcpStream, time: Duration) -> io::Result<()> {
-    let mut byte = [0];
-    match tokio::time::timeout(time, socket.peek(&mut byte)).await {
-        Ok(Ok(0)) => Err(io::ErrorKind::ConnectionAborted.into()),
-        Ok(Err(error)) => Err(error),
-        Ok(Ok(_)) | Err(_) => Ok(()),
-    }
-}
-
-async fn write_part(socket: &mut TcpStream, bytes: &[u8], chunked: bool) -> io::Result<()> {
-    if !chunked {
-        return socket.write_all(bytes).await;
-    }
-    let chunk = [format!("{:x}\r\n", bytes.len()).as_bytes(), bytes, b"\r\n"].concat();
-    socket.write_all(&chunk).await
-}
-
-async fn answer_plain(socket: &mut TcpStream, request: &Request, fault: Option<Fault>) -> io::Result<bool> {
-    let id = if fault == Some(Fault::WrongId) { "another" } else { request.header("request-id") };
-    let body = format!("{} {} done", request.method, request.target);
-    if let Some(Fault::Cut(_)) = fault {
-        let head = format!(
-            "HTTP/1.1 200 x\r\nrequest-id: {id}\r\nresponse-stamp: {RESPONSE_STAMP}\r\ncontent-length: {}\r\n\r\n",
-            body.len()
-        );
-        socket.write_all(head.as_bytes()).await?;
-        socket.write_all(&body.as_bytes()[..body.len() / 2]).await?;
-        return Ok(false);
-    }
-    http1::write(socket, 200, &[("request-id", id), ("response-stamp", RESPONSE_STAMP)], body.as_bytes()).await?;
-    if fault == Some(Fault::SecondAnswer) {
-        socket.write_all(second_answer("another").as_bytes()).await?;
-    }
-    Ok(true)
-}
-
-fn second_answer(id: &str) -> String {
-    format!("HTTP/1.1 200 x\r\nrequest-id: {id}\r\nresponse-stamp: {RESPONSE_STAMP}\r\ncontent-length: 5\r\n\r\nwrong")
-}
