Send nothing to upstreams that announced a departure or asked for a pause

What callers saw: during a planned replacement whose registry change a gateway had not heard of, requests still reached the upstream that said in each answer that it leaves; an upstream that refused with 503 and `Retry-After` was asked again by the next caller, and callers of a service whose upstreams all asked for quiet were told to return before the first was free.

Cause: the header of a departure was not decoded, and the retry delay was only passed on; the choice of an upstream knew neither.

The change: - A departure is final for an incarnation, kept 10 minutes beyond its registry entry, so that a stale entry doesn't bring it back. For 1 s after the first announcement, half the shortest drain, the upstream is the last resort: used if no other one of the service may be chosen, so that callers are served while all leave at once. Connections to it aren't pooled. - A pause of at most 60 s is part of `Health`: closed until its end even if all others are ejected, then single trials as after an ejection, until one is accepted (the head of its answer; `HealthEvent::Accepted`). 503 with a delay counts with or without proof of not having run. Each counts as a failure as before, too. - Every answer counts, also one that names another request. One with status 421 doesn't: another process wrote it. - `choose` filters by `Traffic::admission` before it prefers a stream's release or untried upstreams, and `Traffic::choose` filters again; `exchange` asks once more when the connection is there. - All paused: refused at once, not run, with the rest of the first pause and up to 400 ms at random. If the caller's time is over before that, it gets the delay as before.

Ruled out: keeping the pause outside of `Health`, as a second machine of trials would disagree with ejection; taking the first of several `Retry-After`, which could end the quiet too early: the longest counts.

Departures and pauses share one admission, hence one commit.

--- a/crates/bluebell-core/src/placing/health.rs
+++ b/crates/bluebell-core/src/placing/health.rs
@@ -1,5 +1,6 @@
 //! Circuit breaker of one upstream, driven by the outcome of its requests. Consecutive failures, or a high failure
-//! rate, eject the upstream for a period that doubles each time; afterwards single trial requests probe it.
+//! rate, eject the upstream for a period that doubles each time; afterwards single trial requests probe it. A pause that the
+//! upstream asked for is followed by trial requests as well, until it accepts one.
 
 use std::time::Duration;
 
@@ -11,6 +12,8 @@
 const MAX_CONSECUTIVE_FAILURES: u32 = 3;
 /// Failure rate that ejects an upstream.
 const MAX_FAILURE_RATE: f64 = 0.4;
+/// Upper bound of the pause that an upstream may ask for.
+pub const MAX_PAUSE: Duration = Duration::from_secs(60);
 /// Weight of one outcome in the moving average of the failure rate.
 const OUTCOME_WEIGHT: f64 = 0.05;
 
@@ -19,6 +22,8 @@
 pub enum HealthEvent {
     /// The upstream answered successfully.
     Good,
+    /// The upstream accepted the request; its answer has begun.
+    Accepted,
     /// The upstream reported an internal failure.
     Failed,
     /// The upstream could not be reached, broke the connection off or timed out.
@@ -34,12 +39,19 @@
     failure_rate: f64,
     ejection: Duration,
     ejected_until: Duration,
+    paused_until: Duration,
+    // Whether the upstream has accepted no request since its pause.
+    on_probation: bool,
     trial_in_flight: bool,
 }
 
 impl Health {
     /// Records the outcome of a request. Returns whether it ejects the upstream.
     pub fn record(&mut self, now: Duration, event: HealthEvent) -> bool {
+        if event == HealthEvent::Accepted {
+            self.on_probation &= !self.trial_in_flight;
+            return false;
+        }
         let was_trial = std::mem::take(&mut self.trial_in_flight);
         if event == HealthEvent::Good {
             self.consecutive_failures = 0;
@@ -63,18 +75,52 @@
         true
     }
 
-    /// Whether the upstream may receive a new request: it is not ejected, or its ejection period is over and no trial
-    /// request is in flight.
+    /// Records that the upstream asked for a pause, which is limited to [`MAX_PAUSE`]. Returns whether one begins; a
+    /// pause in progress is only ever extended.
+    pub fn pause(&mut self, now: Duration, delay: Duration) -> bool {
+        let was_paused = self.is_paused(now);
+        self.paused_until = self.paused_until.max(now + delay.min(MAX_PAUSE));
+        let begins = !was_paused && self.is_paused(now);
+        self.on_probation |= begins;
+        begins
+    }
+
+    /// Whether the upstream asked for a pause that is not over.
+    #[must_use]
+    pub fn is_paused(&self, now: Duration) -> bool {
+        now < self.paused_until
+    }
+
+    /// Time left of the pause that the upstream asked for; zero if it is over.
+    #[must_use]
+    pub fn pause_left(&self, now: Duration) -> Duration {
+        self.paused_until.saturating_sub(now)
+    }
+
+    /// Whether the upstream may receive a new request: it is neither ejected nor paused, or that period is over and no
+    /// trial request is in flight.
     #[must_use]
     pub fn is_available(&self, now: Duration) -> bool {
-        self.ejection.is_zero() || (now >= self.ejected_until && !self.trial_in_flight)
+        self.has_no_trials() || (self.may_try(now) && !self.trial_in_flight)
     }
 
-    /// Records that a request is sent. After an ejection period it becomes the only trial request.
-    pub fn record_send(&mut self, now: Duration) {
-        if !self.ejection.is_zero() && now >= self.ejected_until {
-            self.trial_in_flight = true;
+    /// Records that a request is sent. After an ejection period or a pause it becomes the only trial request. Returns
+    /// whether it is the first one after a pause.
+    pub fn record_send(&mut self, now: Duration) -> bool {
+        if self.has_no_trials() || !self.may_try(now) {
+            return false;
         }
+        let is_first = self.on_probation && !self.trial_in_flight;
+        self.trial_in_flight = true;
+        is_first
+    }
+
+    fn has_no_trials(&self) -> bool {
+        self.ejection.is_zero() && !self.on_probation
+    }
+
+    fn may_try(&self, now: Duration) -> bool {
+        now >= self.ejected_until && !self.is_paused(now)
     }
 
     /// Records that the trial request ended without an outcome, which permits another one.
--- a/crates/bluebell-core/src/placing/mod.rs
+++ b/crates/bluebell-core/src/placing/mod.rs
@@ -1,5 +1,6 @@
 //! Selects the upstream for a request by load, cached prompt parts, health and availability zone.
 
+mod departure;
 mod health;
 mod liveness;
 mod load;
@@ -7,7 +8,8 @@
 mod peer_loads;
 mod pick;
 
-pub use health::{Health, HealthEvent};
+pub use departure::{Admission, Departure, LAST_RESORT_PERIOD};
+pub use health::{Health, HealthEvent, MAX_PAUSE};
 pub use liveness::{Liveness, prefill_allowance};
 pub use load::{Load, Report};
 pub use parts::{Part, PartCache};
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{
     ids::ModelId,
-    placing::{HealthEvent, PREFILL_TOKENS_PER_MS},
+    placing::{Admission, HealthEvent, PREFILL_TOKENS_PER_MS},
     poison::{AttemptOutcome, ResponseLoss},
     upstreams::Upstream,
 };
@@ -41,8 +41,8 @@
         reason: String,
         /// Retry delay requested by the upstream.
         retry_after: Option<Duration>,
-        /// Whether the request reached the upstream.
-        delivered: bool,
+        /// How far the request got.
+        progress: SendProgress,
     },
     /// The upstream may have run the request, or may still run it.
     Unknown {
@@ -53,6 +53,17 @@
     },
 }
 
+/// How far a request that did not run got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendProgress {
+    /// It was not sent, as the upstream asked for a pause or left meanwhile.
+    Withheld,
+    /// The upstream could not be reached.
+    Unreachable,
+    /// The upstream refused it.
+    Refused,
+}
+
 /// Parameters of an attempt.
 #[derive(Debug, Clone)]
 pub struct AttemptPlan {
@@ -153,7 +164,7 @@
     /// Records the outcome of an answer that was read completely, and returns its connection to the pool if it is
     /// reusable.
     pub fn finish(self, gateway: &Gateway) {
-        let Self { connection, is_reusable, decoded, mut guard, status, .. } = self;
+        let Self { connection, is_reusable, decoded, upstream, mut guard, status, .. } = self;
         guard.set_outcome(if status.is_server_error() {
             AttemptOutcome::UpstreamAlive
         } else if status.is_success() {
@@ -161,8 +172,8 @@
         } else {
             AttemptOutcome::Rejected
         });
-        if is_reusable && !decoded.closes {
-            gateway.pools.put(connection, gateway.now(), decoded.idle);
+        if is_reusable {
+            keep_connection(gateway, &upstream, connection, &decoded);
         }
     }
 }
@@ -201,9 +212,10 @@
         // 504 means that the request's deadline passed, which is not the upstream's fault.
         Ok(response) if response.status == StatusCode::GATEWAY_TIMEOUT => None,
         Ok(response) if response.status.is_server_error() => Some(HealthEvent::Failed),
-        Ok(_) => None,
-        Err(Failure::NotRun { delivered: true, .. }) => Some(HealthEvent::Refused),
-        Err(Failure::NotRun { .. }) => Some(HealthEvent::Lost),
+        Ok(_) => Some(HealthEvent::Accepted),
+        Err(Failure::NotRun { progress: SendProgress::Refused, .. }) => Some(HealthEvent::Refused),
+        Err(Failure::NotRun { progress: SendProgress::Unreachable, .. }) => Some(HealthEvent::Lost),
+        Err(Failure::NotRun { progress: SendProgress::Withheld, .. }) => None,
         Err(Failure::Unknown { .. }) => None,
     };
     if let Some(event) = event {
@@ -220,6 +232,11 @@
 ) -> Result<UpstreamResponse, Failure> {
     let mut connection = connect(gateway, job, plan).await?;
     let (response, sent_at) = loop {
+        // The upstream's state may have changed while the connection was opened.
+        if gateway.traffic().admission(gateway.now(), &plan.upstream) == Admission::Closed {
+            let reason = "the upstream asked for a pause or left before the request was sent".to_owned();
+            return Err(Failure::NotRun { reason, retry_after: None, progress: SendProgress::Withheld });
+        }
         let sent_at = gateway.now();
         guard.mark_sent();
         plan.record_in_flight(Some(sent_at));
@@ -242,7 +259,7 @@
                 // hyper returned the request unsent, because the connection was already closed.
                 guard.set_outcome(AttemptOutcome::UpstreamAlive);
                 if !connection.reused {
-                    return Err(Failure::NotRun { reason, retry_after: None, delivered: false });
+                    return Err(Failure::NotRun { reason, retry_after: None, progress: SendProgress::Unreachable });
                 }
                 connection = connect(gateway, job, plan).await?;
             }
@@ -252,6 +269,7 @@
     gateway.traffic().record_activity(gateway.now(), &plan.upstream.id);
     let (head, body) = response.into_parts();
     let decoded = headers::decode_response(&head.headers);
+    record_announcements(gateway, &plan.upstream, head.status, &decoded);
     if let Some(report) = decoded.load {
         gateway.traffic().apply_report(gateway.now(), &plan.upstream.id, report);
     }
@@ -266,8 +284,8 @@
         let reason = format!("status {} and not run", head.status);
         let retry_after = decoded.retry_after;
         guard.set_outcome(AttemptOutcome::UpstreamAlive);
-        drain_refusal(gateway, body, connection, &decoded).await;
-        return Err(Failure::NotRun { reason, retry_after, delivered: true });
+        drain_refusal(gateway, &plan.upstream, body, connection, &decoded).await;
+        return Err(Failure::NotRun { reason, retry_after, progress: SendProgress::Refused });
     }
     if !decoded.stamped {
         let reason = format!("status {} without the upstream's signature", head.status);
@@ -289,17 +307,34 @@
     })
 }
 
+// Records what an upstream says about itself, in whichever answer.
+fn record_announcements(gateway: &Gateway, upstream: &Upstream, status: StatusCode, decoded: &ResponseHeaders) {
+    // Comes from another process that listens at the upstream's address now.
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    let now = gateway.now();
+    if decoded.leaving && gateway.traffic().record_leaving(now, upstream) {
+        gateway.metrics.record_departure(upstream.service.as_str());
+        gateway.pools.close_idle(&upstream.address);
+    }
+    let delay = decoded.retry_after.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
+    if delay.is_some_and(|delay| gateway.traffic().record_pause(now, upstream, delay)) {
+        gateway.metrics.record_pause(upstream.service.as_str());
+    }
+}
+
 async fn connect(gateway: &Arc<Gateway>, job: &Job, plan: &AttemptPlan) -> Result<PooledConnection, Failure> {
     let connecting = gateway.pools.get(plan.upstream.address, gateway.now(), &job.used);
     let Ok(connection) = timeout(job.time_left(gateway), connecting).await else {
         let reason = "no connection before the deadline".to_owned();
-        return Err(Failure::NotRun { reason, retry_after: None, delivered: false });
+        return Err(Failure::NotRun { reason, retry_after: None, progress: SendProgress::Unreachable });
     };
     let connection = connection.map_err(|error| {
         if error.is_refused() {
             crash_detection::record_refused(gateway, &plan.upstream);
         }
-        Failure::NotRun { reason: error.to_string(), retry_after: None, delivered: false }
+        Failure::NotRun { reason: error.to_string(), retry_after: None, progress: SendProgress::Unreachable }
     })?;
     job.used.add(&connection);
     Ok(connection)
@@ -311,13 +346,21 @@
 const REFUSAL_READ_TIMEOUT: Duration = Duration::from_millis(20);
 
 async fn drain_refusal(
-    gateway: &Arc<Gateway>,
+    gateway: &Gateway,
+    upstream: &Upstream,
     body: Incoming,
     connection: PooledConnection,
     decoded: &ResponseHeaders,
 ) {
     let read = timeout(REFUSAL_READ_TIMEOUT, Limited::new(body, MAX_REFUSAL_BYTES).collect()).await;
-    if matches!(read, Ok(Ok(_))) && !decoded.closes {
+    if matches!(read, Ok(Ok(_))) {
+        keep_connection(gateway, upstream, connection, decoded);
+    }
+}
+
+// Returns a connection to the pool, unless its upstream closes it or is leaving.
+fn keep_connection(gateway: &Gateway, upstream: &Upstream, connection: PooledConnection, decoded: &ResponseHeaders) {
+    if !decoded.closes && !gateway.traffic().is_leaving(upstream) {
         gateway.pools.put(connection, gateway.now(), decoded.idle);
     }
 }
--- a/crates/bluebelld/src/gateway/attempt_guard.rs
+++ b/crates/bluebelld/src/gateway/attempt_guard.rs
@@ -37,7 +37,12 @@
         let tokens = job.caller.prompt.0.saturating_sub(cached.0) as f64;
         let prefill = Tokens((tokens * job.token_weight(model)) as u64);
         state.load.start_request(prefill);
-        state.health.record_send(now);
+        if state.health.record_send(now) {
+            log::info!(
+                request = job.caller.request.as_str(), upstream = upstream.id.as_str();
+                "upstream is tried again after its pause"
+            );
+        }
         if let Some(model) = model {
             state.parts.insert(now, model, &job.caller.parts, job.engine_memory());
         }
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -226,7 +226,7 @@
         let addresses: HashSet<SocketAddr> = self.upstreams.listed().map(|upstream| upstream.address).collect();
         self.gateway.pools.sweep(now, |address| addresses.contains(address));
         let mut traffic = self.gateway.traffic();
-        traffic.retain(|id| self.upstreams.is_listed(id));
+        traffic.retain(now, |id| self.upstreams.is_listed(id));
         traffic.in_flight.expire(now);
         traffic.sessions.expire(now, self.gateway.settings.session_seconds);
         for (service, left) in traffic.retries_left(now, &self.gateway.retry_limit, self.members.count()) {
--- a/crates/bluebelld/src/gateway/front/attempts.rs
+++ b/crates/bluebelld/src/gateway/front/attempts.rs
@@ -110,6 +110,15 @@
     pub crashes: u32,
 }
 
+/// A pause that an upstream asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamPause {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Time left of the pause.
+    pub left: Duration,
+}
+
 /// Results of the attempts at a request so far.
 #[derive(Debug, Default)]
 pub struct AttemptHistory {
@@ -125,6 +134,8 @@
     pub retry_after: Option<Duration>,
     /// Why the request is blocked, if it is.
     pub blocked: Option<BlockedCause>,
+    /// The pause that ends first, if the request was given up because all upstreams asked for one.
+    pub pause: Option<UpstreamPause>,
 }
 
 impl AttemptHistory {
--- a/crates/bluebelld/src/gateway/front/choose.rs
+++ b/crates/bluebelld/src/gateway/front/choose.rs
@@ -4,10 +4,11 @@
 
 use bluebell_core::{
     ids::{ModelId, ReleaseId, SessionId, UpstreamId},
+    placing::Admission,
     upstreams::Upstream,
 };
 
-use super::attempts::{AttemptHistory, BlockedCause};
+use super::attempts::{AttemptHistory, BlockedCause, UpstreamPause};
 use crate::gateway::{
     job::Job,
     routing_state::RoutingState,
@@ -29,25 +30,48 @@
     pub excluded: Option<&'a UpstreamId>,
 }
 
-// Chooses an upstream for a request, preferring those that were not tried yet. A resumed stream stays on its release if
-// possible.
+// Upstreams to which a request may go, preferring those that were not tried yet. A resumed stream stays on its release if
+// possible. Upstreams that announced their departure are used only if there are no others.
+fn pool(
+    gateway: &Gateway,
+    routing: &RoutingState,
+    traffic: &Traffic,
+    job: &Job,
+    tried: &[UpstreamId],
+    options: &SendOptions<'_>,
+) -> Vec<Arc<Upstream>> {
+    let now = gateway.now();
+    let all = routing.upstreams(&job.service);
+    let is_eligible = eligibility(gateway, routing, traffic, job);
+    for admission in [Admission::Open, Admission::LastResort] {
+        let admitted: Vec<&Arc<Upstream>> = all
+            .iter()
+            .filter(|upstream| options.excluded != Some(&upstream.id) && traffic.admission(now, upstream) == admission)
+            .collect();
+        let is_pinned = |upstream: &&Arc<Upstream>| options.pinned_release == Some(&upstream.release);
+        let mut pool: Vec<Arc<Upstream>> = admitted.iter().copied().filter(is_pinned).cloned().collect();
+        if pool.is_empty() {
+            pool = admitted.into_iter().filter(|upstream| is_eligible(upstream)).cloned().collect();
+        }
+        let untried: Vec<Arc<Upstream>> =
+            pool.iter().filter(|upstream| !tried.contains(&upstream.id)).cloned().collect();
+        if !untried.is_empty() {
+            return untried;
+        }
+        if !pool.is_empty() {
+            return pool;
+        }
+    }
+    Vec::new()
+}
+
+// Chooses an upstream for a request.
 fn choose(gateway: &Gateway, job: &Job, tried: &[UpstreamId], options: &SendOptions<'_>) -> Option<Arc<Upstream>> {
     let now = gateway.now();
     let routing = gateway.routing.load();
     let mut traffic = gateway.traffic();
     let session = job.caller.session.as_ref();
-    let is_allowed = |upstream: &Arc<Upstream>| options.excluded != Some(&upstream.id);
-    let is_pinned = |upstream: &&Arc<Upstream>| options.pinned_release == Some(&upstream.release);
-    let pinned = routing.upstreams(&job.service).iter().filter(is_pinned);
-    let mut pool: Vec<Arc<Upstream>> = pinned.filter(|upstream| is_allowed(upstream)).cloned().collect();
-    if pool.is_empty() {
-        pool = eligible_upstreams(gateway, &routing, &traffic, job);
-        pool.retain(is_allowed);
-    }
-    let untried: Vec<Arc<Upstream>> = pool.iter().filter(|upstream| !tried.contains(&upstream.id)).cloned().collect();
-    if !untried.is_empty() {
-        pool = untried;
-    }
+    let pool = pool(gateway, &routing, &traffic, job, tried, options);
     let candidates: Vec<&Upstream> = pool.iter().map(|upstream| upstream.as_ref()).collect();
     let model = options.model.or(job.caller.model.as_ref());
     let weight = job.token_weight(model);
@@ -62,15 +86,34 @@
     Some(chosen)
 }
 
-// Upstreams of the releases to which the traffic split, or a session pinned to a release, allows the request to go.
-fn eligible_upstreams(gateway: &Gateway, routing: &RoutingState, traffic: &Traffic, job: &Job) -> Vec<Arc<Upstream>> {
+// Whether the traffic split, or a session pinned to a release, allows a request to go to an upstream.
+fn eligibility(gateway: &Gateway, routing: &RoutingState, traffic: &Traffic, job: &Job) -> impl Fn(&Upstream) -> bool {
     let session = job.caller.session.as_ref();
     let pin_lifetime = gateway.settings.session_seconds;
-    let pinned = session.and_then(|session| traffic.sessions.get(gateway.now(), session, pin_lifetime));
-    let key = session.map_or(job.caller.request.as_str(), SessionId::as_str);
-    let split = routing.split(&job.service);
-    let admits = |upstream: &&Arc<Upstream>| split.admits(key, pinned, &upstream.release);
-    routing.upstreams(&job.service).iter().filter(admits).cloned().collect()
+    let pinned = session.and_then(|session| traffic.sessions.get(gateway.now(), session, pin_lifetime)).cloned();
+    let key = session.map_or(job.caller.request.as_str(), SessionId::as_str).to_owned();
+    let split = routing.split(&job.service).clone();
+    move |upstream| split.admits(&key, pinned.as_ref(), &upstream.release)
+}
+
+fn eligible_upstreams(gateway: &Gateway, routing: &RoutingState, traffic: &Traffic, job: &Job) -> Vec<Arc<Upstream>> {
+    let is_eligible = eligibility(gateway, routing, traffic, job);
+    routing.upstreams(&job.service).iter().filter(|upstream| is_eligible(upstream)).cloned().collect()
+}
+
+// Records why no upstream takes a request.
+fn record_unavailable(gateway: &Gateway, job: &Job, history: &mut AttemptHistory, options: &SendOptions<'_>) {
+    let routing = gateway.routing.load();
+    let traffic = gateway.traffic();
+    let mut pool = eligible_upstreams(gateway, &routing, &traffic, job);
+    pool.retain(|upstream| options.excluded != Some(&upstream.id));
+    history.pause = traffic.first_pause(gateway.now(), &pool).map(|(upstream, left)| UpstreamPause { upstream, left });
+    let reason = match (&history.pause, pool.is_empty()) {
+        (Some(_), _) => "all asked for a pause",
+        (None, false) => "all are leaving",
+        (None, true) => "none is known",
+    };
+    history.reason = reason.to_owned();
 }
 
 /// Chooses the upstream for the next attempt at a request, and takes a retry from the budget if needed. None if the
@@ -82,6 +125,7 @@
     history: &mut AttemptHistory,
     options: &SendOptions<'_>,
 ) -> Option<Arc<Upstream>> {
+    history.pause = None;
     if !history.may_send(job) || job.time_left(gateway).is_zero() {
         return None;
     }
@@ -96,7 +140,7 @@
         return None;
     }
     let Some(upstream) = choose(gateway, job, &history.upstreams, options) else {
-        history.reason = "none is known".to_owned();
+        record_unavailable(gateway, job, history, options);
         return None;
     };
     if !options.skip_budget && !take_retry(gateway, job) {
--- a/crates/bluebelld/src/gateway/front/refusal.rs
+++ b/crates/bluebelld/src/gateway/front/refusal.rs
@@ -15,6 +15,8 @@
 const RETRY_AFTER_DIVISOR: u32 = 4;
 /// Minimum retry delay suggested to a caller, if the time left allows it.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Time over which the callers refused during a pause return after it.
+const RETURN_SPREAD: Duration = Duration::from_millis(400);
 
 /// Why a request is not answered by an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
@@ -134,3 +136,11 @@
 pub fn retry_after(time_left: Duration, delay: Duration) -> Duration {
     delay.max(MIN_RETRY_AFTER).min(time_left / RETRY_AFTER_DIVISOR)
 }
+
+/// Retry delay after a pause that all upstreams asked for: its rest and a random part, so that callers don't all return in
+/// the same moment. None if the caller would have no time left.
+#[must_use]
+pub fn retry_after_pause(time_left: Duration, pause: Duration) -> Option<Duration> {
+    let delay = pause + RETURN_SPREAD.mul_f64(rand::random());
+    (delay < time_left).then_some(delay)
+}
--- a/crates/bluebelld/src/gateway/front/reply.rs
+++ b/crates/bluebelld/src/gateway/front/reply.rs
@@ -10,7 +10,7 @@
 use super::{
     attempts::AttemptHistory,
     body::{AnswerBody, Response},
-    refusal::{Refusal, retry_after},
+    refusal::{Refusal, retry_after, retry_after_pause},
 };
 use crate::{
     gateway::{job::Job, state::Gateway},
@@ -39,7 +39,8 @@
 
 /// Builds and logs the refusal of a request that no upstream answered.
 pub fn final_refusal(gateway: &Gateway, job: &Job, history: &AttemptHistory) -> Response {
-    let is_expired = job.time_left(gateway).is_zero();
+    let time_left = job.time_left(gateway);
+    let is_expired = time_left.is_zero();
     let refusal = match (history.maybe_ran > 0, history.blocked) {
         (true, _) if is_expired => Refusal::TimedOut,
         (true, _) => Refusal::UpstreamFailed { reason: history.reason.clone() },
@@ -48,9 +49,11 @@
         (false, None) if is_expired => Refusal::Expired,
         (false, None) => Refusal::Unavailable { reason: history.reason.clone() },
     };
-    let delay = match refusal {
-        Refusal::Poison { .. } | Refusal::PoisonPart { .. } => CRASH_MEMORY,
-        _ => retry_after(job.time_left(gateway), history.retry_after.unwrap_or(UNAVAILABLE_RETRY_AFTER)),
+    let pause = history.pause.as_ref();
+    let delay = match (&refusal, pause.and_then(|pause| retry_after_pause(time_left, pause.left))) {
+        (Refusal::Poison { .. } | Refusal::PoisonPart { .. }, _) => CRASH_MEMORY,
+        (_, Some(delay)) => delay,
+        (_, None) => retry_after(time_left, history.retry_after.unwrap_or(UNAVAILABLE_RETRY_AFTER)),
     };
     let (declared, contact_age) = declared_version_and_contact_age(gateway);
     log::info!(
@@ -65,6 +68,8 @@
         waited_ms = (gateway.now() - job.arrived).as_millis() as u64,
         declared = declared,
         beliefs_ms = contact_age,
+        paused = pause.map_or("", |pause| pause.upstream.as_str()),
+        pause_ms = pause.map_or(0, |pause| pause.left.as_millis() as u64),
         status = refusal.status().as_u16();
         "given up: {refusal}"
     );
--- a/crates/bluebelld/src/gateway/metrics.rs
+++ b/crates/bluebelld/src/gateway/metrics.rs
@@ -22,6 +22,8 @@
     retries: Counter<u64>,
     escalations: Counter<u64>,
     upstream_ends: Counter<u64>,
+    departures: Counter<u64>,
+    pauses: Counter<u64>,
     blocked_requests: Counter<u64>,
     poison_requests: Gauge<u64>,
     poison_parts: Gauge<u64>,
@@ -52,6 +54,11 @@
                 "bluebell_upstream_ends",
                 "Upstreams that ended with requests of this gateway under way",
             ),
+            departures: counter(
+                "bluebell_upstream_departures",
+                "Upstreams that announced their departure to this gateway",
+            ),
+            pauses: counter("bluebell_upstream_pauses", "Pauses that upstreams asked this gateway for"),
             blocked_requests: counter("bluebell_held_requests", "Requests held back since upstreams end under them"),
             poison_requests: gauge("bluebell_poison_requests", "Requests known to end upstreams"),
             poison_parts: gauge("bluebell_poison_parts", "Prompt parts known to crash upstreams"),
@@ -99,6 +106,16 @@
         self.upstream_ends.add(1, &[KeyValue::new("service", service.to_owned()), KeyValue::new("planned", planned)]);
     }
 
+    /// Counts an upstream that announced its departure.
+    pub fn record_departure(&self, service: &str) {
+        self.departures.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Counts a pause that an upstream asked for.
+    pub fn record_pause(&self, service: &str) {
+        self.pauses.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Counts a request that was blocked because it is known to crash upstreams.
     pub fn record_blocked(&self) {
         self.blocked_requests.add(1, &[]);
--- a/crates/bluebelld/src/gateway/pool.rs
+++ b/crates/bluebelld/src/gateway/pool.rs
@@ -189,6 +189,11 @@
         }
     }
 
+    /// Closes the idle connections to an upstream.
+    pub fn close_idle(&self, address: &SocketAddr) {
+        self.lock().remove(address);
+    }
+
     /// Closes idle connections that expired or whose upstream is no longer registered.
     pub fn sweep(&self, now: Duration, is_known: impl Fn(&SocketAddr) -> bool) {
         let mut idle = self.lock();
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -7,8 +7,8 @@
     canary::{PaceBaseline, SessionPins, Split, Tally},
     ids::{InstanceId, ModelId, ReleaseId, ServiceId, SessionId, UpstreamId},
     placing::{
-        Candidate, Health, HealthEvent, Liveness, Load, PREFILL_TOKENS_PER_MS, Part, PartCache, PeerLoad, PeerLoads,
-        Report, RequestProfile, pick,
+        Admission, Candidate, Departure, Health, HealthEvent, Liveness, Load, PREFILL_TOKENS_PER_MS, Part, PartCache,
+        PeerLoad, PeerLoads, Report, RequestProfile, pick,
     },
     poison::{InFlightTracker, Suspects},
     retry::{RetryLimit, RetryWindow},
@@ -25,6 +25,8 @@
     pub load: Load,
     /// Health, as seen by this gateway.
     pub health: Health,
+    /// Its departure, as it announced it to this gateway.
+    pub departure: Departure,
     /// Prompt parts that it is assumed to have cached.
     pub parts: PartCache,
     /// Its latest activity.
@@ -32,6 +34,18 @@
     started_at_ms: u64,
 }
 
+impl UpstreamState {
+    /// Whether the upstream may receive a new request. An ejected one may, if there is no healthy one.
+    #[must_use]
+    pub fn admission(&self, now: Duration) -> Admission {
+        if self.health.is_paused(now) { Admission::Closed } else { self.departure.admission(now) }
+    }
+
+    fn is_available(&self, now: Duration) -> bool {
+        self.health.is_available(now) && self.admission(now) == Admission::Open
+    }
+}
+
 /// Key of a tally: service, release and kind of work.
 type TallyKey = (ServiceId, ReleaseId, String);
 
@@ -100,6 +114,12 @@
     pub fn upstream(&mut self, upstream: &Upstream) -> &mut UpstreamState {
         let state = self.upstreams.entry(upstream.id.clone()).or_default();
         if state.started_at_ms != upstream.started_at_ms {
+            if state.departure.is_announced() {
+                log::info!(
+                    upstream = upstream.id.as_str(), born = upstream.started_at_ms;
+                    "upstream that announced its departure was replaced by a new incarnation"
+                );
+            }
             *state = UpstreamState { started_at_ms: upstream.started_at_ms, ..UpstreamState::default() };
         }
         state
@@ -238,9 +258,84 @@
         }
     }
 
-    /// Removes upstreams that are not known any more and at which this gateway has no requests.
-    pub fn retain(&mut self, is_known: impl Fn(&UpstreamId) -> bool) {
-        self.upstreams.retain(|id, state| state.load.own_requests() > 0 || is_known(id));
+    /// Removes upstreams that are not known any more and at which this gateway has no requests. Of those that announced
+    /// their departure or asked for a pause, only this is kept for a while.
+    pub fn retain(&mut self, now: Duration, is_known: impl Fn(&UpstreamId) -> bool) {
+        self.upstreams.retain(|id, state| {
+            if state.load.own_requests() > 0 || is_known(id) {
+                return true;
+            }
+            if !state.departure.is_remembered(now) && !state.health.is_paused(now) {
+                return false;
+            }
+            let (departure, started_at_ms) = (state.departure, state.started_at_ms);
+            let health = std::mem::take(&mut state.health);
+            *state = UpstreamState { departure, health, started_at_ms, ..UpstreamState::default() };
+            true
+        });
+    }
+
+    // State of this incarnation of an upstream, if it is known.
+    fn incarnation(&self, upstream: &Upstream) -> Option<&UpstreamState> {
+        self.upstreams.get(&upstream.id).filter(|state| state.started_at_ms == upstream.started_at_ms)
+    }
+
+    fn incarnation_mut(&mut self, upstream: &Upstream) -> Option<&mut UpstreamState> {
+        self.upstreams.get_mut(&upstream.id).filter(|state| state.started_at_ms == upstream.started_at_ms)
+    }
+
+    /// Whether an upstream may receive a new request.
+    #[must_use]
+    pub fn admission(&self, now: Duration, upstream: &Upstream) -> Admission {
+        self.incarnation(upstream).map_or(Admission::Open, |state| state.admission(now))
+    }
+
+    /// Whether an upstream has announced its departure.
+    #[must_use]
+    pub fn is_leaving(&self, upstream: &Upstream) -> bool {
+        self.incarnation(upstream).is_some_and(|state| state.departure.is_announced())
+    }
+
+    /// Records that an upstream announced its departure. Returns whether this is the first announcement.
+    pub fn record_leaving(&mut self, now: Duration, upstream: &Upstream) -> bool {
+        let is_first = self.incarnation_mut(upstream).is_some_and(|state| state.departure.announce(now));
+        if is_first {
+            log::info!(
+                upstream = upstream.id.as_str(), service = upstream.service.as_str(), born = upstream.started_at_ms;
+                "upstream announced its departure and gets no more requests"
+            );
+        }
+        is_first
+    }
+
+    /// Records that an upstream asked for a pause. Returns whether one begins.
+    pub fn record_pause(&mut self, now: Duration, upstream: &Upstream, delay: Duration) -> bool {
+        let Some(state) = self.incarnation_mut(upstream) else { return false };
+        let begins = state.health.pause(now, delay);
+        if begins {
+            log::info!(
+                upstream = upstream.id.as_str(), service = upstream.service.as_str(),
+                asked_ms = delay.as_millis() as u64, pause_ms = state.health.pause_left(now).as_millis() as u64;
+                "upstream asked for a pause"
+            );
+        }
+        begins
+    }
+
+    /// The upstream whose pause ends first, of those that are available after it, with the time left.
+    #[must_use]
+    pub fn first_pause<'a>(
+        &self,
+        now: Duration,
+        among: impl IntoIterator<Item = &'a Arc<Upstream>>,
+    ) -> Option<(UpstreamId, Duration)> {
+        let pause = |upstream: &Arc<Upstream>| {
+            let state = self.incarnation(upstream)?;
+            let left = state.health.pause_left(now);
+            let returns = !left.is_zero() && state.departure.admission(now + left) != Admission::Closed;
+            returns.then(|| (upstream.id.clone(), left))
+        };
+        among.into_iter().filter_map(pause).min_by_key(|(_, left)| *left)
     }
 
     /// Applies an upstream's report of its own load.
@@ -269,7 +364,7 @@
         let mut pending = Vec::with_capacity(upstreams.len());
         for upstream in upstreams {
             let state = self.upstream(upstream);
-            if state.health.is_available(now) {
+            if state.is_available(now) {
                 pending.push(state.load.pending_prefill(now));
             }
         }
@@ -289,7 +384,8 @@
         }
     }
 
-    /// Chooses one of the given upstreams. Unhealthy ones are considered only if all of them are.
+    /// Chooses one of the given upstreams; none if all of them asked for a pause or have left. Those that announced their
+    /// departure are considered only if there are no others, and unhealthy ones only if there are no healthy ones.
     pub fn choose<'a>(
         &mut self,
         now: Duration,
@@ -297,11 +393,19 @@
         criteria: &SelectionCriteria<'_>,
         among: &[&'a Upstream],
     ) -> Option<&'a Upstream> {
+        let admissions: Vec<(&Upstream, Admission)> =
+            among.iter().map(|upstream| (*upstream, self.upstream(upstream).admission(now))).collect();
+        let best = admissions.iter().map(|(_, admission)| *admission).min()?;
+        if best == Admission::Closed {
+            return None;
+        }
+        let admitted: Vec<&Upstream> =
+            admissions.into_iter().filter(|(_, admission)| *admission == best).map(|(upstream, _)| upstream).collect();
         let healthy: Vec<&Upstream> =
-            among.iter().copied().filter(|upstream| self.upstream(upstream).health.is_available(now)).collect();
-        let pool = if healthy.is_empty() { among } else { &healthy };
+            admitted.iter().copied().filter(|upstream| self.upstream(upstream).health.is_available(now)).collect();
+        let pool = if healthy.is_empty() { &admitted } else { &healthy };
         let separated = criteria.separate_from.map(|suspects| self.fewest_suspects(pool, suspects));
-        let pool = separated.as_deref().unwrap_or(pool);
+        let pool = separated.as_ref().unwrap_or(pool);
         let shared = criteria.parts.split_last().map_or(&[][..], |(_, shared)| shared);
         let shared_tokens: u64 = shared.iter().map(|part| part.tokens.0).sum();
         let key = shared.last().zip(criteria.model).map(|(part, model)| format!("{model}/{}", part.id));
--- a/crates/bluebelld/tests/gateway/site.rs
+++ b/crates/bluebelld/tests/gateway/site.rs
@@ -5,13 +5,14 @@
     net::SocketAddr,
     path::PathBuf,
     sync::atomic::{AtomicU32, Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 pub use bluebell_standins::site::TIMEOUT_MS;
 use bluebell_standins::site::{Run, SiteStore, SiteUpstream, StoreMode, UpstreamKind, declarations, server_entry};
+use futures_util::future::join_all;
 use serde_json::Value;
-use tokio::sync::watch;
+use tokio::{sync::watch, time::sleep};
 
 use super::{
     caller::{self, Answer, Ask},
@@ -209,6 +210,24 @@
     }
 }
 
+/// Sends a request every 10 ms for this long, without waiting for the answers, and returns all answers.
+pub async fn load(site: &Site, path: &str, name: &str, time: Duration) -> Vec<Answer> {
+    let count = time.as_millis() / 10;
+    let asks = (0..count as u32).map(|number| async move {
+        sleep(Duration::from_millis(10) * number).await;
+        site.gateways[0].ask(&Ask::new(&format!("{path}{number}"), &format!("{name}-{number}"))).await
+    });
+    join_all(asks).await
+}
+
+/// Number of requests that reached an upstream in a period after `start`, given in milliseconds.
+pub fn arrivals(upstream: &SiteUpstream, start: Instant, period: std::ops::Range<u64>) -> usize {
+    let is_inside = |at: &Instant| {
+        at.checked_duration_since(start).is_some_and(|since| period.contains(&(since.as_millis() as u64)))
+    };
+    upstream.arrivals().iter().filter(|at| is_inside(at)).count()
+}
+
 fn registry_entry(upstream: &SiteUpstream, service: &str, release: &str, state: &str) -> Value {
     server_entry(upstream.address, service, "z1", release, state)
 }
