--- a/crates/bluebell-core/src/retry/takeover.rs
+++ b/crates/bluebell-core/src/retry/takeover.rs
@@ -6,8 +6,8 @@
 
 use std::time::Duration;
 
-/// Time for which a silent attempt is kept after the request was sent to the other upstream. Upstreams refuse a request
-/// within this time; two of them must not run one request for longer than 400 ms.
+/// Time for which a silent attempt is kept after the request was sent to the other upstream. A refusal is expected within
+/// this time; two upstreams must not run one request for longer than 400 ms.
 pub const MAX_OVERLAP: Duration = Duration::from_millis(250);
 
 /// State of one takeover.
