--- a/crates/bluebell-core/src/units.rs
+++ b/crates/bluebell-core/src/units.rs
@@ -164,6 +164,45 @@
     }
 }
 
+/// A rate of requests per second, written `3.4`.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Default, Serialize, Deserialize)]
+pub struct Rate(f64);
+
+impl Rate {
+    /// Maximum rate; higher ones are clamped to it.
+    const MAX: f64 = 1e6;
+
+    /// A number of requests per second, clamped; zero if it is negative or not a number.
+    #[must_use]
+    pub fn per_second(number: f64) -> Self {
+        Self(number.clamp(0.0, Self::MAX).max(0.0))
+    }
+
+    /// The number of requests per second.
+    #[must_use]
+    pub fn value(self) -> f64 {
+        self.0
+    }
+}
+
+impl FromStr for Rate {
+    type Err = UnitError;
+
+    fn from_str(text: &str) -> Result<Self, UnitError> {
+        let value = number_before(text, "")?;
+        if !(0.0..=f64::MAX).contains(&value) {
+            return RangeSnafu { text, range: "0 and more" }.fail();
+        }
+        Ok(Self::per_second(value))
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// A price per thousand tokens, in millionths of the currency unit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub struct Price(pub u64);
--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -97,6 +97,23 @@
     Raw(RawAnswer),
 }
 
+/// What an upstream says of itself in all its answers.
+#[derive(Debug, Clone, Default)]
+pub struct Announcement {
+    leaving: bool,
+    limit: Option<String>,
+}
+
+impl Announcement {
+    /// Its headers.
+    #[must_use]
+    pub fn headers(&self) -> Vec<(&str, &str)> {
+        let leaving = self.leaving.then_some(("server-leaving", "1"));
+        let limit = self.limit.as_deref().map(|limit| ("server-limit", limit));
+        leaving.into_iter().chain(limit).collect()
+    }
+}
+
 /// An upstream's registry entry and the store that holds it.
 #[derive(Debug, Clone)]
 struct Registration {
@@ -127,7 +144,7 @@
     default_fault: Option<Fault>,
     runs: Vec<Run>,
     arrivals: Vec<Instant>,
-    leaving: bool,
+    announcement: Announcement,
     connections: u64,
     id: String,
     starts: u64,
@@ -227,7 +244,12 @@
 
     /// Sets whether it announces its departure in all answers.
     pub fn set_leaving(&self, leaving: bool) {
-        lock(&self.state).leaving = leaving;
+        lock(&self.state).announcement.leaving = leaving;
+    }
+
+    /// Sets the rate limit that it names in all answers.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        lock(&self.state).announcement.limit = limit.map(str::to_owned);
     }
 
     /// When requests reached it, whether or not it ran them.
@@ -355,7 +377,9 @@
             let refused_id = request.header("request-id");
             let is_other_model = matches!(&fault, Some(Fault::OnlyModel(model)) if request.header("model") != model);
             if let Some(Fault::Pause { not_run, retry_after }) = &fault {
-                refusals::ask_for_pause(&mut socket, refused_id, *not_run, retry_after, self.announcement()).await?;
+                let announcement = self.announcement();
+                let headers = announcement.headers();
+                refusals::ask_for_pause(&mut socket, refused_id, *not_run, retry_after, &headers).await?;
                 continue;
             }
             let refusal = match fault {
@@ -366,7 +390,7 @@
                 _ => None,
             };
             if let Some((id, time)) = refusal {
-                copy.refuse(&mut socket, id, time, self.announcement()).await?;
+                copy.refuse(&mut socket, id, time, &self.announcement().headers()).await?;
                 continue;
             }
             let run_index = {
@@ -387,9 +411,8 @@
         Ok(())
     }
 
-    // Header by which it announces its departure.
-    fn announcement(&self) -> &'static [(&'static str, &'static str)] {
-        if lock(&self.state).leaving { &[("server-leaving", "1")] } else { &[] }
+    fn announcement(&self) -> Announcement {
+        lock(&self.state).announcement.clone()
     }
 
     // Returns whether the connection stays open for further requests.
@@ -408,7 +431,8 @@
             Some(Fault::Slow(time)) => tokio::time::sleep(time).await,
             Some(Fault::Fails(status)) => {
                 let signature = [("request-id", request.header("request-id")), ("response-stamp", RESPONSE_STAMP)];
-                let headers = [&signature, self.announcement()].concat();
+                let announcement = self.announcement();
+                let headers = [&signature[..], &announcement.headers()].concat();
                 http1::write(socket, status, &headers, b"failed").await?;
                 return Ok(true);
             }
@@ -417,7 +441,7 @@
         match self.kind {
             UpstreamKind::Engine { events } => self.answer_stream(socket, request, fault, events).await,
             UpstreamKind::Plain if matches!(fault, Some(Fault::Crash(_))) => self.crash().await,
-            UpstreamKind::Plain => answers::answer_plain(socket, request, fault, self.announcement()).await,
+            UpstreamKind::Plain => answers::answer_plain(socket, request, fault, &self.announcement().headers()).await,
         }
     }
 
@@ -445,7 +469,7 @@
             "HTTP/1.1 200 x\r\nrequest-id: {id}\r\nresponse-stamp: {RESPONSE_STAMP}\r\nconfidence: {confidence}\r\n\
              content-type: text/event-stream\r\n"
         );
-        self.announcement().iter().for_each(|(name, value)| head.push_str(&format!("{name}: {value}\r\n")));
+        self.announcement().headers().iter().for_each(|(name, value)| head.push_str(&format!("{name}: {value}\r\n")));
         head.push_str(if chunked { "transfer-encoding: chunked\r\n\r\n" } else { "connection: close\r\n\r\n" });
         socket.write_all(head.as_bytes()).await?;
         let first = request.header("last-event-id").parse::<u64>().unwrap_or(0) + 1;
--- a/crates/bluebelld/src/gateway/front/record.rs
+++ b/crates/bluebelld/src/gateway/front/record.rs
@@ -5,6 +5,8 @@
     placing::HealthEvent,
 };
 
+use bluebell_platform::headers::LimitStatement;
+
 use crate::gateway::{
     attempt::UpstreamResponse,
     job::Job,
@@ -26,6 +28,11 @@
     let failed = response.status.is_server_error();
     let model = response.model.as_ref().map_or("", ModelId::as_str);
     let kind = job.work_kind(response.model.as_ref());
+    let limit = match response.decoded.limit {
+        LimitStatement::None => String::new(),
+        LimitStatement::Unreadable => "unreadable".to_owned(),
+        LimitStatement::Limit(rate) => rate.to_string(),
+    };
     let now = gateway.now();
     let pace = if failed { AnswerPace::Unknown } else { pace };
     let counted =
@@ -49,6 +56,7 @@
         release = response.upstream.release.as_str(),
         model = model,
         confidence = response.decoded.confidence.map_or(-1, i16::from),
+        limit = limit.as_str(),
         sends = sends + 1,
         took_ms = (now - job.arrived).as_millis() as u64,
         status = response.status.as_u16();
