--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod explain;
 mod kept_answers;
 mod leaving;
+mod limits;
 mod members;
 mod odd_rows;
 mod pauses;
