Keep to the rate limits that upstreams name, all gateways together

What was seen: an upstream that named a limit of 3.8 a second got 45 requests in 4 s, 28 allowed (users' record: 47 at 3.4). Cause: the limit was not read, and nothing in the choice of an upstream knew a rate. Class: a statement of an upstream about itself that no code reads. Evidence: the rate at both upstreams did not change at the moment they named it, at any gateway. Ruled out: a limit kept by each gateway for itself, a path around it (no code knew it).

The limit is divided among as many gateways as it has whole requests a second, chosen by rendezvous hashing; each spends its share through a token bucket where it chooses the upstream, the one place through which first sends, resends, escalations, resumed streams and takeovers go. Gateways tell each other the limits in their status messages; the field is last, so older programs ignore it and its absence is no error. A limit ends or rises only by the answer to a request sent after it was last named. 10 s without word, other gateways own it. If all upstreams are at their limits, callers are refused at once and come back at the rate of the limits.

--- a/crates/bluebell-core/src/lib.rs
+++ b/crates/bluebell-core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod placing;
 pub mod poison;
 pub mod quality;
+pub mod rate_limit;
 pub mod replica;
 pub mod retry;
 pub mod rollout;
--- a/crates/bluebell-wire/src/messages.rs
+++ b/crates/bluebell-wire/src/messages.rs
@@ -16,10 +16,10 @@
     poison::{CrashReport, Fingerprint},
     replica::{Origin, Row},
     settings::SettingsUpdate,
-    units::{Cost, Price, Tokens},
+    units::{Cost, Price, Rate, Tokens},
     upstreams::UpstreamIncarnation,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 /// Message from an entry to a sidecar on [`Route::Run`](crate::Route::Run).
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -277,6 +277,29 @@
     pub sessions: Vec<SessionRelease>,
     /// Roll-outs whose release the sender judged bad, by the store version of their order.
     pub rejected: Vec<u64>,
+    /// Rate limits that upstreams named to the sender.
+    #[serde(deserialize_with = "absent_as_default")]
+    pub limits: Vec<UpstreamLimit>,
+}
+
+// For a field at the very end of a message that older programs do not send. Older programs ignore what follows the fields
+// that they know.
+fn absent_as_default<'de, D: Deserializer<'de>, T: Deserialize<'de> + Default>(deserializer: D) -> Result<T, D::Error> {
+    Ok(T::deserialize(deserializer).unwrap_or_else(|error| {
+        log::debug!("last field of a message is absent: {error}");
+        T::default()
+    }))
+}
+
+/// Rate limit that an upstream named to one gateway.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct UpstreamLimit {
+    /// Incarnation of the upstream that named it.
+    pub incarnation: UpstreamIncarnation,
+    /// The limit for all gateways together; none if it has ended.
+    pub limit: Option<Rate>,
+    /// Time since the upstream said so.
+    pub age: Duration,
 }
 
 /// Release that a session is served by.
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -8,7 +8,7 @@
     poison::{AttemptOutcome, ResponseLoss},
     upstreams::Upstream,
 };
-use bluebell_platform::headers::{self, Forward, ResponseHeaders};
+use bluebell_platform::headers::{self, Forward, LimitStatement, ResponseHeaders};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -233,7 +233,7 @@
     let mut connection = connect(gateway, job, plan).await?;
     let (response, sent_at) = loop {
         // The upstream's state may have changed while the connection was opened.
-        if gateway.traffic().admission(gateway.now(), &plan.upstream) == Admission::Closed {
+        if gateway.traffic().admission_of_chosen(gateway.now(), &plan.upstream) == Admission::Closed {
             let reason = "the upstream asked for a pause or left before the request was sent".to_owned();
             return Err(Failure::NotRun { reason, retry_after: None, progress: SendProgress::Withheld });
         }
@@ -273,6 +273,7 @@
     if let Some(report) = decoded.load {
         gateway.traffic().apply_report(gateway.now(), &plan.upstream.id, report);
     }
+    record_limit(gateway, job, &plan.upstream, sent_at, head.status, &decoded);
     // Without the id of this request, a refusal may be an earlier one that the upstream wrote once more.
     if decoded.request.as_deref() != Some(job.caller.request.as_str()) {
         let named = decoded.request.as_deref().unwrap_or("no request");
@@ -324,6 +325,28 @@
     }
 }
 
+// Records what an answer says about its upstream's rate limit. Any answer may name one, but only a success of this request
+// shows that there is none any more.
+fn record_limit(
+    gateway: &Gateway,
+    job: &Job,
+    upstream: &Upstream,
+    sent_at: Duration,
+    status: StatusCode,
+    decoded: &ResponseHeaders,
+) {
+    let is_own = decoded.stamped && decoded.request.as_deref() == Some(job.caller.request.as_str());
+    let limit = match decoded.limit {
+        LimitStatement::Limit(_) if status == StatusCode::MISDIRECTED_REQUEST => return,
+        LimitStatement::Limit(rate) => Some(rate),
+        LimitStatement::None if is_own && status.is_success() => None,
+        LimitStatement::None | LimitStatement::Unreadable => return,
+    };
+    if gateway.traffic().record_limit(gateway.now(), sent_at, upstream, limit) {
+        gateway.metrics.record_limit(upstream.service.as_str());
+    }
+}
+
 async fn connect(gateway: &Arc<Gateway>, job: &Job, plan: &AttemptPlan) -> Result<PooledConnection, Failure> {
     let connecting = gateway.pools.get(plan.upstream.address, gateway.now(), &job.used);
     let Ok(connection) = timeout(job.time_left(gateway), connecting).await else {
--- a/crates/bluebelld/src/gateway/control/members.rs
+++ b/crates/bluebelld/src/gateway/control/members.rs
@@ -153,6 +153,11 @@
         1 + self.known.len()
     }
 
+    /// All other gateways that [`Members::count`] counts.
+    pub(super) fn ids(&self) -> impl Iterator<Item = &InstanceId> {
+        self.known.keys()
+    }
+
     /// Whether this gateway has a lower id than all connected gateways that fulfil the condition.
     pub(super) fn has_lowest_id(&self, condition: impl Fn(&InstanceId) -> bool) -> bool {
         let own = &self.gateway.settings.instance.id;
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -212,6 +212,8 @@
         }
         self.check_startup(now);
         self.process_crashes();
+        let own = &self.gateway.settings.instance.id;
+        self.gateway.traffic().assign_limits(now, own, self.members.ids());
         self.broadcast_status(now);
         self.drive_rollouts(now);
         self.sync_reports(now);
--- a/crates/bluebelld/src/gateway/control/status.rs
+++ b/crates/bluebelld/src/gateway/control/status.rs
@@ -1,4 +1,5 @@
-//! Periodic status messages between gateways: their load at each upstream, and during a roll-out their tallies and the
+//! Periodic status messages between gateways: their load at each upstream, the rate limits
+//! that upstreams named to them, and during a roll-out their tallies and the
 //! releases of their sessions. Tallies and sessions are sent only when they have changed since the last message. A new
 //! connection makes the next message a full one.
 
@@ -14,6 +15,7 @@
         let now = self.gateway.now();
         let mut traffic = self.gateway.traffic();
         traffic.apply_peer_loads(now, peer.clone(), &status.loads);
+        traffic.apply_peer_limits(now, &peer, &status.limits);
         for pin in &status.sessions {
             traffic.sessions.learn(now.saturating_sub(pin.age), &pin.session, &pin.release);
         }
@@ -39,7 +41,7 @@
         } else {
             (Vec::new(), Vec::new())
         };
-        let loads = traffic.loads(&self.suspects);
+        let (loads, limits) = (traffic.loads(&self.suspects), traffic.limits(now));
         drop(traffic);
         let is_changed = |row: &&ReleaseTally| !self.sent_status.tallies.contains(row);
         let status = GatewayStatus {
@@ -48,6 +50,7 @@
             tallies: tallies.iter().filter(is_changed).cloned().collect(),
             sessions,
             rejected: self.rollouts.rejected_orders(),
+            limits,
         };
         let sessions_from = if is_rolling_out { now } else { Duration::ZERO };
         let is_queued = self.members.broadcast(&ExchangeMessage::Status(Box::new(status)));
--- a/crates/bluebelld/src/gateway/front/attempts.rs
+++ b/crates/bluebelld/src/gateway/front/attempts.rs
@@ -9,7 +9,7 @@
 
 use super::takeover::InFlightSince;
 use crate::{
-    gateway::{attempt::Failure, job::Job, state::Gateway},
+    gateway::{attempt::Failure, job::Job, state::Gateway, traffic::UpstreamWait},
     metrics::Outcome,
 };
 
@@ -110,15 +110,6 @@
     pub crashes: u32,
 }
 
-/// A pause that an upstream asked for.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct UpstreamPause {
-    /// The upstream.
-    pub upstream: UpstreamId,
-    /// Time left of the pause.
-    pub left: Duration,
-}
-
 /// Results of the attempts at a request so far.
 #[derive(Debug, Default)]
 pub struct AttemptHistory {
@@ -134,8 +125,10 @@
     pub retry_after: Option<Duration>,
     /// Why the request is blocked, if it is.
     pub blocked: Option<BlockedCause>,
-    /// The pause that ends first, if the request was given up because all upstreams asked for one.
-    pub pause: Option<UpstreamPause>,
+    /// The upstream that is the first to take requests again, if the request was given up because none takes one now.
+    pub wait: Option<UpstreamWait>,
+    /// Time after which its caller is to come back, if that depends on the rate limits of upstreams.
+    pub return_in: Option<Duration>,
 }
 
 impl AttemptHistory {
--- a/crates/bluebelld/src/gateway/front/choose.rs
+++ b/crates/bluebelld/src/gateway/front/choose.rs
@@ -8,12 +8,12 @@
     upstreams::Upstream,
 };
 
-use super::attempts::{AttemptHistory, BlockedCause, UpstreamPause};
+use super::attempts::{AttemptHistory, BlockedCause};
 use crate::gateway::{
     job::Job,
     routing_state::RoutingState,
     state::Gateway,
-    traffic::{SelectionCriteria, Traffic},
+    traffic::{SelectionCriteria, Traffic, WaitCause},
 };
 
 /// Options of the next attempt at a request.
@@ -104,12 +104,17 @@
 // Records why no upstream takes a request.
 fn record_unavailable(gateway: &Gateway, job: &Job, history: &mut AttemptHistory, options: &SendOptions<'_>) {
     let routing = gateway.routing.load();
-    let traffic = gateway.traffic();
+    let now = gateway.now();
+    let mut traffic = gateway.traffic();
     let mut pool = eligible_upstreams(gateway, &routing, &traffic, job);
     pool.retain(|upstream| options.excluded != Some(&upstream.id));
-    history.pause = traffic.first_pause(gateway.now(), &pool).map(|(upstream, left)| UpstreamPause { upstream, left });
-    let reason = match (&history.pause, pool.is_empty()) {
+    history.wait = traffic.first_wait(now, &pool);
+    let limited = history.wait.as_ref().filter(|wait| wait.cause == WaitCause::RateLimit);
+    history.return_in = limited.map(|wait| traffic.schedule_return(now, &job.service, wait.left, &pool));
+    let reason = match (&history.wait, pool.is_empty()) {
+        (Some(wait), _) if wait.cause == WaitCause::RateLimit => "all are at their rate limits or asked for a pause",
         (Some(_), _) => "all asked for a pause",
+        (None, false) if traffic.has_limited(&pool) => "their rate limits are left to other gateways",
         (None, false) => "all are leaving",
         (None, true) => "none is known",
     };
@@ -125,7 +130,7 @@
     history: &mut AttemptHistory,
     options: &SendOptions<'_>,
 ) -> Option<Arc<Upstream>> {
-    history.pause = None;
+    (history.wait, history.return_in) = (None, None);
     if !history.may_send(job) || job.time_left(gateway).is_zero() {
         return None;
     }
--- a/crates/bluebelld/src/gateway/front/refusal.rs
+++ b/crates/bluebelld/src/gateway/front/refusal.rs
@@ -18,6 +18,9 @@
 /// Time over which the callers refused during a pause return after it.
 const RETURN_SPREAD: Duration = Duration::from_millis(400);
 
+/// Part of the time left after which a caller returns that has no time to wait for its turn.
+const EARLY_RETURN: std::ops::Range<f64> = 0.25..0.75;
+
 /// Why a request is not answered by an upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum Refusal {
@@ -144,3 +147,10 @@
     let delay = pause + RETURN_SPREAD.mul_f64(rand::random());
     (delay < time_left).then_some(delay)
 }
+
+/// Retry delay of a caller that is to come back after `return_in`. A caller that has no time left by then tries again at a
+/// random moment before its deadline, as another gateway may have room.
+#[must_use]
+pub fn retry_after_return(time_left: Duration, return_in: Duration) -> Duration {
+    if return_in < time_left { return_in } else { time_left.mul_f64(rand::random_range(EARLY_RETURN)) }
+}
--- a/crates/bluebelld/src/gateway/front/reply.rs
+++ b/crates/bluebelld/src/gateway/front/reply.rs
@@ -10,10 +10,10 @@
 use super::{
     attempts::AttemptHistory,
     body::{AnswerBody, Response},
-    refusal::{Refusal, retry_after, retry_after_pause},
+    refusal::{Refusal, retry_after, retry_after_pause, retry_after_return},
 };
 use crate::{
-    gateway::{job::Job, state::Gateway},
+    gateway::{job::Job, state::Gateway, traffic::WaitCause},
     metrics::Outcome,
 };
 
@@ -49,8 +49,12 @@
         (false, None) if is_expired => Refusal::Expired,
         (false, None) => Refusal::Unavailable { reason: history.reason.clone() },
     };
-    let pause = history.pause.as_ref();
-    let delay = match (&refusal, pause.and_then(|pause| retry_after_pause(time_left, pause.left))) {
+    let wait = history.wait.as_ref();
+    let return_delay = match history.return_in {
+        Some(time) => Some(retry_after_return(time_left, time)),
+        None => wait.and_then(|wait| retry_after_pause(time_left, wait.left)),
+    };
+    let delay = match (&refusal, return_delay) {
         (Refusal::Poison { .. } | Refusal::PoisonPart { .. }, _) => CRASH_MEMORY,
         (_, Some(delay)) => delay,
         (_, None) => retry_after(time_left, history.retry_after.unwrap_or(UNAVAILABLE_RETRY_AFTER)),
@@ -68,8 +72,10 @@
         waited_ms = (gateway.now() - job.arrived).as_millis() as u64,
         declared = declared,
         beliefs_ms = contact_age,
-        paused = pause.map_or("", |pause| pause.upstream.as_str()),
-        pause_ms = pause.map_or(0, |pause| pause.left.as_millis() as u64),
+        paused = wait.map_or("", |wait| wait.upstream.as_str()),
+        pause_ms = wait.map_or(0, |wait| wait.left.as_millis() as u64),
+        limited = wait.is_some_and(|wait| wait.cause == WaitCause::RateLimit),
+        return_ms = history.return_in.unwrap_or_default().as_millis() as u64,
         status = refusal.status().as_u16();
         "given up: {refusal}"
     );
--- a/crates/bluebelld/src/gateway/metrics.rs
+++ b/crates/bluebelld/src/gateway/metrics.rs
@@ -24,6 +24,7 @@
     upstream_ends: Counter<u64>,
     departures: Counter<u64>,
     pauses: Counter<u64>,
+    limits: Counter<u64>,
     blocked_requests: Counter<u64>,
     poison_requests: Gauge<u64>,
     poison_parts: Gauge<u64>,
@@ -59,6 +60,7 @@
                 "Upstreams that announced their departure to this gateway",
             ),
             pauses: counter("bluebell_upstream_pauses", "Pauses that upstreams asked this gateway for"),
+            limits: counter("bluebell_upstream_limits", "Rate limits that upstreams named to this gateway"),
             blocked_requests: counter("bluebell_held_requests", "Requests held back since upstreams end under them"),
             poison_requests: gauge("bluebell_poison_requests", "Requests known to end upstreams"),
             poison_parts: gauge("bluebell_poison_parts", "Prompt parts known to crash upstreams"),
@@ -116,6 +118,11 @@
         self.pauses.add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts a rate limit that an upstream named.
+    pub fn record_limit(&self, service: &str) {
+        self.limits.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Counts a request that was blocked because it is known to crash upstreams.
     pub fn record_blocked(&self) {
         self.blocked_requests.add(1, &[]);
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -11,11 +11,12 @@
         PeerLoad, PeerLoads, Report, RequestProfile, pick,
     },
     poison::{InFlightTracker, Suspects},
+    rate_limit::{Fleet, LimitChange, LimitReport, RateLimit, ReturnQueue},
     retry::{RetryLimit, RetryWindow},
-    units::Tokens,
+    units::{Rate, Tokens},
     upstreams::{Upstream, UpstreamIncarnation},
 };
-use bluebell_wire::messages::{ReleaseTally, SessionRelease, UpstreamLoad};
+use bluebell_wire::messages::{ReleaseTally, SessionRelease, UpstreamLimit, UpstreamLoad};
 use indexmap::IndexMap;
 
 /// State of one upstream.
@@ -31,6 +32,8 @@
     pub parts: PartCache,
     /// Its latest activity.
     pub liveness: Liveness,
+    /// Rate limit that it named.
+    pub limit: RateLimit,
     started_at_ms: u64,
 }
 
@@ -38,14 +41,47 @@
     /// Whether the upstream may receive a new request. An ejected one may, if there is no healthy one.
     #[must_use]
     pub fn admission(&self, now: Duration) -> Admission {
+        if self.limit.has_room(now) { self.admission_of_chosen(now) } else { Admission::Closed }
+    }
+
+    /// Whether a request for which the upstream was chosen may be sent.
+    #[must_use]
+    pub fn admission_of_chosen(&self, now: Duration) -> Admission {
         if self.health.is_paused(now) { Admission::Closed } else { self.departure.admission(now) }
     }
 
+    // Time until it takes a new request, and what it is that has to end first; none if it takes no more.
+    fn wait(&self, now: Duration) -> Option<(Duration, WaitCause)> {
+        let pause = (self.health.pause_left(now), WaitCause::Pause);
+        let wait = pause.max((self.limit.wait(now)?, WaitCause::RateLimit));
+        (self.departure.admission(now + wait.0) != Admission::Closed).then_some(wait)
+    }
+
     fn is_available(&self, now: Duration) -> bool {
         self.health.is_available(now) && self.admission(now) == Admission::Open
     }
 }
 
+/// Why an upstream takes no request for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum WaitCause {
+    /// It asked for a pause.
+    Pause,
+    /// Its rate limit is used up.
+    RateLimit,
+}
+
+/// The upstream that is the first to take a request again.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamWait {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Why it takes no request before.
+    pub cause: WaitCause,
+    /// Time until then.
+    pub left: Duration,
+}
+
 /// Key of a tally: service, release and kind of work.
 type TallyKey = (ServiceId, ReleaseId, String);
 
@@ -65,6 +101,9 @@
     paces: IndexMap<(ServiceId, String), PaceBaseline>,
     // Loads that the other gateways reported.
     peers: PeerLoads,
+    // The gateways that share the upstreams' rate limits.
+    fleet: Fleet,
+    returns: IndexMap<ServiceId, ReturnQueue>,
 }
 
 /// An answer to be counted in the tally of its release.
@@ -259,18 +298,20 @@
     }
 
     /// Removes upstreams that are not known any more and at which this gateway has no requests. Of those that announced
-    /// their departure or asked for a pause, only this is kept for a while.
+    /// their departure, asked for a pause or named a rate limit, only this is kept for a while.
     pub fn retain(&mut self, now: Duration, is_known: impl Fn(&UpstreamId) -> bool) {
         self.upstreams.retain(|id, state| {
             if state.load.own_requests() > 0 || is_known(id) {
                 return true;
             }
-            if !state.departure.is_remembered(now) && !state.health.is_paused(now) {
+            let is_remembered =
+                state.departure.is_remembered(now) || state.health.is_paused(now) || state.limit.is_remembered(now);
+            if !is_remembered {
                 return false;
             }
             let (departure, started_at_ms) = (state.departure, state.started_at_ms);
-            let health = std::mem::take(&mut state.health);
-            *state = UpstreamState { departure, health, started_at_ms, ..UpstreamState::default() };
+            let (health, limit) = (std::mem::take(&mut state.health), std::mem::take(&mut state.limit));
+            *state = UpstreamState { departure, health, limit, started_at_ms, ..UpstreamState::default() };
             true
         });
     }
@@ -290,6 +331,12 @@
         self.incarnation(upstream).map_or(Admission::Open, |state| state.admission(now))
     }
 
+    /// Whether a request for which an upstream was chosen may be sent to it.
+    #[must_use]
+    pub fn admission_of_chosen(&self, now: Duration, upstream: &Upstream) -> Admission {
+        self.incarnation(upstream).map_or(Admission::Open, |state| state.admission_of_chosen(now))
+    }
+
     /// Whether an upstream has announced its departure.
     #[must_use]
     pub fn is_leaving(&self, upstream: &Upstream) -> bool {
@@ -322,20 +369,87 @@
         begins
     }
 
-    /// The upstream whose pause ends first, of those that are available after it, with the time left.
+    /// The upstream that takes a request first, of those that take none now but will.
     #[must_use]
-    pub fn first_pause<'a>(
+    pub fn first_wait<'a>(
         &self,
         now: Duration,
         among: impl IntoIterator<Item = &'a Arc<Upstream>>,
-    ) -> Option<(UpstreamId, Duration)> {
-        let pause = |upstream: &Arc<Upstream>| {
-            let state = self.incarnation(upstream)?;
-            let left = state.health.pause_left(now);
-            let returns = !left.is_zero() && state.departure.admission(now + left) != Admission::Closed;
-            returns.then(|| (upstream.id.clone(), left))
+    ) -> Option<UpstreamWait> {
+        let wait = |upstream: &Arc<Upstream>| {
+            let (left, cause) = self.incarnation(upstream)?.wait(now).filter(|(left, _)| !left.is_zero())?;
+            Some(UpstreamWait { upstream: upstream.id.clone(), cause, left })
+        };
+        among.into_iter().filter_map(wait).min_by_key(|wait| wait.left)
+    }
+
+    /// Whether any of the given upstreams has a rate limit.
+    #[must_use]
+    pub fn has_limited(&self, among: &[Arc<Upstream>]) -> bool {
+        among.iter().filter_map(|upstream| self.incarnation(upstream)).any(|state| state.limit.limit().is_some())
+    }
+
+    /// Time after which a caller is to come back that was refused because of the rate limits of upstreams. `first` is the
+    /// time until one of them has room.
+    pub fn schedule_return(
+        &mut self,
+        now: Duration,
+        service: &ServiceId,
+        first: Duration,
+        among: &[Arc<Upstream>],
+    ) -> Duration {
+        let shares = among.iter().filter_map(|upstream| self.incarnation(upstream)).map(|state| state.limit.share());
+        let rate = Rate::per_second(shares.map(Rate::value).sum());
+        self.returns.entry(service.clone()).or_default().schedule(now, first, rate)
+    }
+
+    /// Records what an answer says about its upstream's rate limit. `sent_at` is when its request was sent. Returns
+    /// whether a limit begins.
+    pub fn record_limit(&mut self, now: Duration, sent_at: Duration, upstream: &Upstream, limit: Option<Rate>) -> bool {
+        let Some(state) = self.upstreams.get_mut(&upstream.id) else { return false };
+        if state.started_at_ms != upstream.started_at_ms {
+            return false;
+        }
+        let change = state.limit.record_answer(now, sent_at, limit);
+        state.limit.assign(now, &upstream.id, &self.fleet);
+        log_limit(&upstream.id, state, change, "own");
+        change == LimitChange::Began
+    }
+
+    /// Applies the rate limits that a peer reports.
+    pub fn apply_peer_limits(&mut self, now: Duration, peer: &InstanceId, limits: &[UpstreamLimit]) {
+        for UpstreamLimit { incarnation, limit, age } in limits {
+            let started_at_ms = incarnation.started_at_ms;
+            let state = self
+                .upstreams
+                .entry(incarnation.upstream.clone())
+                .or_insert_with(|| UpstreamState { started_at_ms, ..UpstreamState::default() });
+            // A report on another incarnation says nothing about the known one.
+            if state.started_at_ms == started_at_ms {
+                let change = state.limit.record_report(now, LimitReport { limit: *limit, age: *age });
+                state.limit.assign(now, &incarnation.upstream, &self.fleet);
+                log_limit(&incarnation.upstream, state, change, peer.as_str());
+            }
+        }
+    }
+
+    /// Rate limits that upstreams named to this gateway, for its peers.
+    #[must_use]
+    pub fn limits(&self, now: Duration) -> Vec<UpstreamLimit> {
+        let row = |(id, state): (&UpstreamId, &UpstreamState)| {
+            let LimitReport { limit, age } = state.limit.report(now)?;
+            let incarnation = UpstreamIncarnation { upstream: id.clone(), started_at_ms: state.started_at_ms };
+            Some(UpstreamLimit { incarnation, limit, age })
         };
-        among.into_iter().filter_map(pause).min_by_key(|(_, left)| *left)
+        self.upstreams.iter().filter_map(row).collect()
+    }
+
+    /// Divides the upstreams' rate limits among the gateways anew.
+    pub fn assign_limits<'a>(&mut self, now: Duration, own: &InstanceId, others: impl Iterator<Item = &'a InstanceId>) {
+        self.fleet.update(own, others);
+        for (id, state) in &mut self.upstreams {
+            state.limit.assign(now, id, &self.fleet);
+        }
     }
 
     /// Applies an upstream's report of its own load.
@@ -384,8 +498,9 @@
         }
     }
 
-    /// Chooses one of the given upstreams; none if all of them asked for a pause or have left. Those that announced their
-    /// departure are considered only if there are no others, and unhealthy ones only if there are no healthy ones.
+    /// Chooses one of the given upstreams and counts the request in its rate limit; none if all of them asked for a pause,
+    /// have left or are at their limits. Those that announced their departure are considered only if there are no others,
+    /// and unhealthy ones only if there are no healthy ones.
     pub fn choose<'a>(
         &mut self,
         now: Duration,
@@ -433,6 +548,22 @@
             })
             .collect();
         let position = pick(&profile, &candidates, &mut rand::rng())?;
-        pool.get(position).copied()
+        let chosen = pool.get(position).copied()?;
+        self.upstream(chosen).limit.take(now);
+        Some(chosen)
     }
 }
+
+fn log_limit(id: &UpstreamId, state: &UpstreamState, change: LimitChange, source: &str) {
+    let message = match change {
+        LimitChange::None => return,
+        LimitChange::Began => "upstream names a rate limit",
+        LimitChange::Adjusted => "upstream names another rate limit",
+        LimitChange::Ended => "upstream names no rate limit any more",
+    };
+    log::info!(
+        upstream = id.as_str(), born = state.started_at_ms, source = source,
+        limit = state.limit.limit().map_or(-1.0, Rate::value), share = state.limit.share().value();
+        "{message}"
+    );
+}
--- a/crates/bluebelld/tests/gateway/limits.rs
+++ b/crates/bluebelld/tests/gateway/limits.rs
@@ -59,3 +59,70 @@
     let failed = calls.iter().chain(&streams).filter(|answer| answer.status != 200).count();
     assert_eq!(failed, 0, "requests were not served, though other upstreams named no limit");
 }
+
+#[tokio::test]
+async fn callers_are_refused_at_once_as_not_run_when_all_upstreams_are_at_their_limits() {
+    let site = Site::start(1).await;
+    site.ledger.iter().for_each(|upstream| upstream.set_limit(Some("2")));
+    for number in 0..4 {
+        site.gateways[0].ask(&Ask::new("/look/1", &format!("told-{number}"))).await;
+    }
+    sleep(Duration::from_secs(2)).await;
+    let start = Instant::now();
+    let gateway = &site.gateways[0];
+    let asks = (0..40).map(|number| async move {
+        let asked = Instant::now();
+        let answer = gateway.ask(&Ask::new("/look/1", &format!("at-once-{number}"))).await;
+        (answer, asked.elapsed())
+    });
+    let answers = join_all(asks).await;
+    let refused: Vec<_> = answers.iter().filter(|(answer, _)| answer.status == 503).collect();
+    let served = answers.iter().filter(|(answer, _)| answer.status == 200).count();
+    assert_eq!(served + refused.len(), 40);
+    assert!((1..=4).contains(&served), "{served} requests were served within {:?}", start.elapsed());
+    assert!(refused.iter().all(|(_, took)| *took < Duration::from_millis(500)), "refusals came late");
+    let runs = (0..40).map(|number| site.runs(&format!("at-once-{number}")).len());
+    assert_eq!(runs.sum::<usize>(), served, "refused requests have run");
+    let mut delays: Vec<f64> =
+        refused.iter().filter_map(|(answer, _)| answer.header("retry-after").parse().ok()).collect();
+    delays.sort_by(f64::total_cmp);
+    // Two upstreams at 2 a second have room for 4 of the refused callers a second.
+    let returning = |until: f64| delays.iter().filter(|delay| **delay < until).count();
+    assert!(delays[0] <= 1.1, "no caller comes back soon: {delays:?}");
+    assert!(returning(1.0) <= 8, "callers do not come back at the rate of the limits: {delays:?}");
+}
+
+#[tokio::test]
+async fn upstream_that_names_no_limit_any_more_is_used_as_before_by_all_gateways() {
+    let mut site = Site::start(2).await;
+    site.add_ledger("ledger-3").await;
+    site.wait_for_peer_connections().await;
+    site.ledger.iter().for_each(|upstream| {
+        upstream.set_default_fault(Some(Fault::Slow(Duration::from_millis(100))));
+    });
+    let (interval, time) = (Duration::from_millis(12), Duration::from_millis(6000));
+    site.ledger[0].set_limit(Some("1.5"));
+    load(&site, "/look/", "limited", interval, time).await;
+    site.ledger[0].set_limit(None);
+    let start = Instant::now();
+    let answers = load(&site, "/look/", "free", interval, time).await;
+    let free = arrivals(&site.ledger[0], start, 4000..6000);
+    assert!(free > 30, "only {free} requests in 2 s after the limit had ended");
+    assert!(answers.iter().all(|answer| answer.status == 200));
+}
+
+#[tokio::test]
+async fn limits_that_are_no_rates_are_ignored() {
+    let site = Site::start(1).await;
+    for value in ["-1", "NaN", "soon", ""] {
+        site.ledger.iter().for_each(|upstream| upstream.set_limit(Some(value)));
+        let time = Duration::from_millis(500);
+        let answers = load(&site, "/look/", &format!("odd-{value}"), Duration::from_millis(12), time).await;
+        assert!(answers.iter().all(|answer| answer.status == 200), "{value:?}");
+    }
+    // An extreme rate is no limit in practice.
+    site.ledger.iter().for_each(|upstream| upstream.set_limit(Some("1e300")));
+    load(&site, "/look/", "told", Duration::from_millis(12), Duration::from_millis(500)).await;
+    let answers = load(&site, "/look/", "high", Duration::from_millis(12), Duration::from_millis(500)).await;
+    assert!(answers.iter().all(|answer| answer.status == 200));
+}
