--- a/crates/bluebell-standins/src/site/mod.rs
+++ b/crates/bluebell-standins/src/site/mod.rs
@@ -21,5 +21,5 @@
 pub use poison::{Poison, PoisonMarker};
 pub use raw::{REQUEST_ID, RawAnswer, RawEnd, SharedFaults};
 pub use refusals::CopyTime;
-pub use store::{SiteStore, StoreMode, StoredRow};
+pub use store::{SiteStore, StoreCopy, StoreMode, StoredRow};
 pub use upstream::{Fault, Run, SiteUpstream, UpstreamKind};
--- a/crates/bluebell-standins/src/site/store.rs
+++ b/crates/bluebell-standins/src/site/store.rs
@@ -79,11 +79,21 @@
     }
 }
 
+/// Copy of the store's content at one moment.
+#[derive(Debug, Clone, Default)]
+pub struct StoreCopy {
+    rows: BTreeMap<RowKey, Versioned>,
+    objects: BTreeMap<String, Vec<u8>>,
+    version: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     rows: BTreeMap<RowKey, Versioned>,
     objects: BTreeMap<String, Vec<u8>>,
     version: u64,
+    // Number of restores.
+    era: u64,
     // Feeds that ask for changes after a version below this one get 410.
     compacted_version: u64,
     calls: u64,
@@ -164,6 +174,23 @@
         self.write(RowKey::new(table, "", key), Some(String::new()), Some(row.to_owned()))
     }
 
+    /// Copies the content.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.lock();
+        StoreCopy { rows: state.rows.clone(), objects: state.objects.clone(), version: state.version }
+    }
+
+    /// Goes back to a copy. Versions since then are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.lock();
+        let StoreCopy { rows, objects, version } = copy;
+        (state.rows, state.objects, state.version) = (rows, objects, version);
+        state.era += 1;
+        drop(state);
+        self.changed.send_replace(version);
+    }
+
     /// Deletes a row; returns the store version of the deletion.
     pub fn delete(&self, table: &str, key: &str) -> u64 {
         self.write(RowKey::new(table, "", key), None, None)
@@ -240,11 +267,13 @@
             }
             self.lock().calls += 1;
             let current_mode = *mode.borrow();
+            let era = self.lock().era.to_string();
+            let era = ("store-era", era.as_str());
             match current_mode {
                 StoreMode::Open => {}
                 StoreMode::RecordsBusy if !concerns_records(&request) => {}
                 StoreMode::Busy | StoreMode::RecordsBusy => {
-                    http1::write(&mut socket, 503, &[], b"").await?;
+                    http1::write(&mut socket, 503, &[era], b"").await?;
                     continue;
                 }
                 StoreMode::Reset => return Ok(()),
@@ -257,11 +286,14 @@
                 StoreMode::Slow(delay_ms) => sleep(Duration::from_millis(delay_ms)).await,
             }
             if let Some((status, body)) = self.handle_object(&request) {
-                http1::write(&mut socket, status, &[], &body).await?;
+                http1::write(&mut socket, status, &[era], &body).await?;
                 continue;
             }
             let (status, body) = self.handle_rows(&request, &mode.subscribe()).await;
-            write_json(&mut socket, status, &body).await?;
+            // A restore may have ended the wait for changes.
+            let era = self.lock().era.to_string();
+            let headers = [("content-type", "application/json"), ("store-era", era.as_str())];
+            http1::write(&mut socket, status, &headers, body.as_bytes()).await?;
         }
         Ok(())
     }
@@ -340,7 +372,7 @@
     // Changes of the table after a version, or 410 if its history was compacted; `None` if there are no changes.
     fn changes_after(&self, table: &str, after: u64) -> Option<(u16, String)> {
         let state = self.lock();
-        if after < state.compacted_version {
+        if after < state.compacted_version || after > state.version {
             return Some((410, EMPTY.to_owned()));
         }
         let mut changes: Vec<_> =
--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod poison;
 mod poison_parts;
 mod refusals;
+mod restores;
 mod resumed_streams;
 mod rollouts;
 mod site;
