Follow a store that was restored from an older copy

Cause: the store gives versions out again after a restore, and a row is taken only above the version that is known. Class: a number that someone else gives out, compared as if it never went back. Evidence: the row of 21.5 s had version 30, as the one of 12 s that was known; the next row, 31, was taken. Ruled out: peers that bring old rows back (no line shows it); a feed that misses changes was not the cause there, but fails the same way in a test.

Versions are packed with the era of the store, so they compare across restores. Where the store has less than a gateway knows, it keeps what it knows for 6 s, in which operators and upstreams write theirs again; gateways write stages, member rows and crash reports again. Declarations never go back.

--- a/crates/bluebell-core/src/lib.rs
+++ b/crates/bluebell-core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod routing;
 pub mod session;
 pub mod settings;
+pub mod store_version;
 pub mod stream_end;
 pub mod units;
 pub mod upstreams;
--- a/crates/bluebelld/src/gateway/control/feeds.rs
+++ b/crates/bluebelld/src/gateway/control/feeds.rs
@@ -1,5 +1,5 @@
 //! Reads the store's change feeds. Each origin is read by consecutive long polls from the last version seen, starting
-//! with a snapshot. A new snapshot is read whenever the store has compacted the changes since that version.
+//! with a snapshot. A new snapshot is read whenever the store doesn't have the changes since that version.
 
 use std::{sync::Arc, time::Duration};
 
@@ -31,10 +31,11 @@
 async fn follow(gateway: Arc<Gateway>, events: EventSender, origin: Origin) {
     let mut last_version = None;
     let mut backoff = MIN_BACKOFF;
+    let mut wait = LONG_POLL_TIME;
     loop {
-        match read(&gateway, origin, &mut last_version).await {
+        match read(&gateway, origin, &mut last_version, wait).await {
             Ok(Some(event)) => {
-                backoff = MIN_BACKOFF;
+                (backoff, wait) = (MIN_BACKOFF, LONG_POLL_TIME);
                 let is_busy = origin == Origin::Upstreams && event.has_rows();
                 if events.send(event).is_err() {
                     return;
@@ -45,12 +46,14 @@
                 }
             }
             Ok(None) => {
-                log::warn!("the store has compacted changes of {origin:?} that were not read yet; reading a snapshot");
+                log::warn!("the store has no changes of {origin:?} after the last ones read; reading a snapshot");
             }
             Err(reason) => {
                 if events.send(Event::StoreFailed(reason)).is_err() {
                     return;
                 }
+                // The store may have been restored meanwhile, which only an answer tells.
+                wait = Duration::ZERO;
                 let jitter = rand::rng().random_range(0.5..1.0);
                 tokio::time::sleep(backoff.mul_f64(jitter)).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
@@ -59,20 +62,25 @@
     }
 }
 
-// Returns `None` if the changes were compacted, so that the next call reads a snapshot.
-async fn read(gateway: &Gateway, origin: Origin, last_version: &mut Option<u64>) -> Result<Option<Event>, String> {
+// Returns `None` if the store doesn't have the changes, so that the next call reads a snapshot.
+async fn read(
+    gateway: &Gateway,
+    origin: Origin,
+    last_version: &mut Option<u64>,
+    wait: Duration,
+) -> Result<Option<Event>, String> {
     let Some(after) = *last_version else {
         let snapshot = gateway.store.snapshot(origin).await.map_err(|error| error.to_string())?;
         *last_version = Some(snapshot.version);
         let (rows, version, clock) = (snapshot.rows, snapshot.version, snapshot.clock);
         return Ok(Some(Event::Snapshot { origin, rows, version, clock }));
     };
-    match gateway.store.changes(origin, after, LONG_POLL_TIME).await.map_err(|error| error.to_string())? {
+    match gateway.store.changes(origin, after, wait).await.map_err(|error| error.to_string())? {
         Changes::Rows(changed) => {
             *last_version = Some(after.max(changed.version));
             Ok(Some(Event::Changes { rows: changed.rows, clock: changed.clock }))
         }
-        Changes::Compacted => {
+        Changes::Unavailable => {
             *last_version = None;
             Ok(None)
         }
--- a/crates/bluebelld/src/gateway/control/members.rs
+++ b/crates/bluebelld/src/gateway/control/members.rs
@@ -7,6 +7,7 @@
     dissemination::forward_targets,
     ids::InstanceId,
     replica::{Origin, Row},
+    store_version::number,
 };
 use bluebell_platform::store::{Put, RowKey, Transaction, TransactionOutcome};
 use bluebell_wire::messages::{ExchangeMessage, GatewayAddress};
@@ -62,7 +63,7 @@
     /// Applies a changed member row.
     pub(super) fn apply_row(&mut self, name: &str, row: &Row, now: Duration) {
         let Ok(id) = name.parse::<InstanceId>() else {
-            log::warn!(row = row.version; "member row has the key {name:?}, which is not an instance id");
+            log::warn!(row = number(row.version); "member row has the key {name:?}, which is not an instance id");
             return;
         };
         let is_own = id == self.gateway.settings.instance.id;
@@ -73,12 +74,21 @@
             }
             None => {
                 if self.known.shift_remove(&id).is_some() {
-                    log::info!(peer = id.as_str(), row = row.version; "peer has left");
+                    log::info!(peer = id.as_str(), row = number(row.version); "peer has left");
                 }
             }
             Some(_) if is_own => {}
             Some(Some(address)) => self.put(id, address, Some(row.version), now),
-            Some(None) => log::warn!(peer = id.as_str(), row = row.version; "member row does not hold a valid address"),
+            Some(None) => {
+                log::warn!(peer = id.as_str(), row = number(row.version); "member row does not hold a valid address");
+            }
+        }
+    }
+
+    /// Writes this gateway's row again, if it is the one with the given name.
+    pub(super) fn rewrite_row(&self, name: &str) {
+        if name == self.gateway.settings.instance.id.as_str() && !self.gateway.is_leaving() {
+            spawn_local(write_own_row(Arc::clone(&self.gateway), true));
         }
     }
 
--- a/crates/bluebelld/src/gateway/control/rollouts.rs
+++ b/crates/bluebelld/src/gateway/control/rollouts.rs
@@ -6,6 +6,7 @@
     canary::{AggregatedTallies, Analysis, Order, Schedule, Split, StageRow, Verdict},
     ids::{InstanceId, ServiceId},
     replica::Row,
+    store_version::{era, number},
 };
 use bluebell_platform::describe_json;
 use bluebell_wire::messages::ReleaseTally;
@@ -34,7 +35,7 @@
     // The last content that could be read.
     pub(super) row: Option<StageRow>,
     pub(super) version: u64,
-    // Whether the row has unreadable content now, and has to be written again.
+    // Whether the row has unreadable content now or was lost by the store, and has to be written again.
     pub(super) is_damaged: bool,
 }
 
@@ -65,6 +66,19 @@
         self.by_order_key.insert(key.to_owned(), rollout);
     }
 
+    /// Replaces the version of a known order that was written again after the store was restored. Returns false if this
+    /// is another order.
+    pub(super) fn renumber(&mut self, key: &str, order: &Order) -> bool {
+        let Some(rollout) = self.by_order_key.get_mut(key) else { return false };
+        let known = &rollout.order;
+        let is_same = (&known.service, &known.to, known.within) == (&order.service, &order.to, order.within)
+            && era(known.version) < era(order.version);
+        if is_same {
+            rollout.order.version = order.version;
+        }
+        is_same
+    }
+
     pub(super) fn remove_order(&mut self, key: &str) {
         self.by_order_key.shift_remove(key);
     }
@@ -76,7 +90,7 @@
             Some(Ok(stage)) => {
                 log::info!(
                     key = row.key.as_str(), to = stage.to.as_str(), holder = stage.holder.as_str(),
-                    row = row.version, source = source;
+                    row = number(row.version), source = source;
                     "roll-out is at stage {:?}", stage.stage
                 );
                 let stored = StoredStage { row: Some(stage), version: row.version, is_damaged: false };
@@ -84,7 +98,7 @@
             }
             Some(Err(error)) => {
                 let reason = describe_json(&error);
-                log::error!(key = row.key.as_str(), row = row.version; "failed to decode roll-out stage: {reason}");
+                log::error!(key = row.key.as_str(), row = number(row.version); "failed to decode roll-out stage: {reason}");
                 let known = self.stages.shift_remove(&row.key).and_then(|stored| stored.row);
                 let stored = StoredStage { row: known, version: row.version, is_damaged: true };
                 self.stages.insert(row.key.clone(), stored);
@@ -92,19 +106,30 @@
         }
     }
 
+    /// Records that the store has lost a stage row, or its last change, and holds it at the given version; zero if it
+    /// doesn't.
+    pub(super) fn mark_lost(&mut self, key: &str, version: u64) {
+        if let Some(stored) = self.stages.get_mut(key) {
+            (stored.version, stored.is_damaged) = (version, true);
+        }
+    }
+
     /// Stage row of the order's service. The row may belong to an earlier order.
     pub(super) fn stored_stage(&self, order: &Order) -> Option<&StoredStage> {
         self.stages.get(&stage_key(&order.service))
     }
 
-    /// Stage row of this very order.
+    /// Stage row of this very order. The row may have the version that the order had before the store was restored.
     pub(super) fn current_stage(&self, order: &Order) -> Option<&StageRow> {
-        self.stored_stage(order)?.row.as_ref().filter(|row| row.order == order.version)
+        let is_renumbered = |row: &StageRow| row.to == order.to && era(row.order) < era(order.version);
+        self.stored_stage(order)?.row.as_ref().filter(|row| row.order == order.version || is_renumbered(row))
     }
 
-    /// Whether the stage row of an order has unreadable content.
+    /// Whether the stage row of an order has to be written again: it has unreadable content, was lost by the store, or
+    /// has an earlier version of the order.
     pub(super) fn is_damaged(&self, order: &Order) -> bool {
-        self.stored_stage(order).is_some_and(|stored| stored.is_damaged)
+        let is_renumbered = self.current_stage(order).is_some_and(|row| row.order != order.version);
+        is_renumbered || self.stored_stage(order).is_some_and(|stored| stored.is_damaged)
     }
 
     /// Whether any roll-out is in progress, or has to be written to the store again.
--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -7,6 +7,7 @@
     ids::{InstanceId, ServiceId, UpstreamId},
     ingress::Declared,
     replica::{Origin, Row},
+    store_version::number,
     upstreams::{Phase, Upstream},
 };
 use bluebell_platform::{operator, upstream};
@@ -35,7 +36,7 @@
         self.members.forward(&ExchangeMessage::Rows(rows), from);
     }
 
-    fn apply_operator_row(&mut self, row: &Row, source: &str) {
+    pub(super) fn apply_operator_row(&mut self, row: &Row, source: &str) {
         let Some(content) = &row.value else {
             if operator::is_order(&row.key) {
                 self.rollouts.remove_order(&row.key);
@@ -47,7 +48,7 @@
                 Ok(declared) => {
                     let routes = declared.routes().count();
                     log::info!(
-                        version = declared.version, row = row.version, routes = routes, keys = declared.keys.len(),
+                        version = declared.version, row = number(row.version), routes = routes, keys = declared.keys.len(),
                         source = source;
                         "declarations in force"
                     );
@@ -56,14 +57,21 @@
                     self.use_declared();
                 }
                 Err(error) => {
-                    log::error!(row = row.version, source = source; "keeping the previous declarations: {error}");
+                    log::error!(row = number(row.version), source = source; "keeping the previous declarations: {error}");
                 }
             }
         } else if operator::is_order(&row.key) {
             match operator::decode_order(content, row.version) {
+                Ok(order) if self.rollouts.renumber(&row.key, &order) => {
+                    log::info!(
+                        service = order.service.as_str(), to = order.to.as_str(), row = number(row.version), source = source;
+                        "roll-out order was written again after the store was restored"
+                    );
+                    self.gateway.traffic().renumber_order(&order.service, order.version);
+                }
                 Ok(order) => {
                     log::info!(
-                        service = order.service.as_str(), to = order.to.as_str(), row = row.version,
+                        service = order.service.as_str(), to = order.to.as_str(), row = number(row.version),
                         within_ms = order.within.as_millis() as u64, source = source;
                         "roll-out ordered"
                     );
@@ -71,7 +79,7 @@
                     self.rollouts.put_order(&row.key, order, self.gateway.now());
                 }
                 Err(error) => {
-                    log::error!(row = row.version, key = row.key.as_str(); "failed to decode roll-out order: {error}");
+                    log::error!(row = number(row.version), key = row.key.as_str(); "failed to decode roll-out order: {error}");
                 }
             }
         }
@@ -80,11 +88,11 @@
     fn apply_upstream_row(&mut self, row: &Row, source: &str) {
         let now = self.gateway.now();
         let Ok(id) = row.key.parse::<UpstreamId>() else {
-            log::warn!(row = row.version; "registry entry has the key {:?}, which is not an upstream id", row.key);
+            log::warn!(row = number(row.version); "registry entry has the key {:?}, which is not an upstream id", row.key);
             return;
         };
         let Some(content) = &row.value else {
-            log::info!(upstream = id.as_str(), row = row.version, source = source; "upstream's registry entry is gone");
+            log::info!(upstream = id.as_str(), row = number(row.version), source = source; "upstream's registry entry is gone");
             self.undeclared.shift_remove(&id);
             self.remove_upstream(now, &id);
             return;
@@ -93,7 +101,7 @@
             Ok(upstream) => {
                 log::info!(
                     upstream = id.as_str(), service = upstream.service.as_str(), release = upstream.release.as_str(),
-                    leaving = upstream.phase == Phase::Leaving, row = row.version, source = source;
+                    leaving = upstream.phase == Phase::Leaving, row = number(row.version), source = source;
                     "upstream's registry entry was added or changed"
                 );
                 self.undeclared.shift_remove(&id);
@@ -104,7 +112,7 @@
                 }
             }
             Err(error) => {
-                log::warn!(upstream = id.as_str(), row = row.version; "failed to decode registry entry: {error}");
+                log::warn!(upstream = id.as_str(), row = number(row.version); "failed to decode registry entry: {error}");
                 self.undeclared.shift_remove(&id);
                 self.remove_upstream(now, &id);
             }
@@ -158,7 +166,7 @@
         self.upstreams.remove(now, id);
     }
 
-    fn apply_fleet_row(&mut self, row: &Row, source: &str) {
+    pub(super) fn apply_fleet_row(&mut self, row: &Row, source: &str) {
         let now = self.gateway.now();
         if let Some(name) = row.key.strip_prefix(members::KEY_PREFIX) {
             self.members.apply_row(name, row, now);
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -18,6 +18,7 @@
     feeds,
     members::Members,
     peer_status::{PeerStatus, SentStatus},
+    recency,
     rollouts::Rollouts,
 };
 use crate::{
@@ -84,7 +85,7 @@
         Self {
             gateway,
             events,
-            replica: Replica::default(),
+            replica: Replica::with_recency(recency::read),
             declared: None,
             upstreams: Upstreams::default(),
             undeclared: IndexMap::new(),
@@ -127,9 +128,10 @@
     fn handle_batch(&mut self, first: Event, inbox: &mut mpsc::UnboundedReceiver<Event>) {
         self.handle(first);
         for _ in 1..EVENT_BATCH {
-            let Ok(event) = inbox.try_recv() else { return };
+            let Ok(event) = inbox.try_recv() else { break };
             self.handle(event);
         }
+        self.process_reverted();
     }
 
     fn handle(&mut self, event: Event) {
@@ -211,6 +213,11 @@
             self.publish();
         }
         self.check_startup(now);
+        let released = self.replica.release(now);
+        if !released.is_empty() {
+            log::info!(rows = released.len(); "rows lost by the store were not written again and are given up");
+        }
+        self.apply_rows(released, None);
         self.process_crashes();
         let own = &self.gateway.settings.instance.id;
         self.gateway.traffic().assign_limits(now, own, self.members.ids());
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -194,6 +194,11 @@
         }
     }
 
+    /// Replaces the version of a roll-out's order. Its tallies go on.
+    pub fn renumber_order(&mut self, service: &ServiceId, version: u64) {
+        self.orders.insert(service.clone(), version);
+    }
+
     /// Counts an answer in the tally of its release and kind of work. Unless the roll-out evaluates that release, its
     /// pace also counts towards the usual one.
     pub fn count_answer(&mut self, answer: &CountedAnswer<'_>, split: &Split) {
--- a/crates/bluebelld/src/records/ratings.rs
+++ b/crates/bluebelld/src/records/ratings.rs
@@ -38,7 +38,7 @@
     pub async fn ratings(&self, after: u64) -> Result<Ratings, RecordError> {
         let found = match self.store.changes(Origin::Ratings, after, NO_WAIT).await? {
             Changes::Rows(found) => found,
-            Changes::Compacted => {
+            Changes::Unavailable => {
                 let all = self.store.snapshot(Origin::Ratings).await?;
                 log::warn!(after, reached = all.version; "the store compacted ratings before they were read");
                 all
--- a/crates/bluebelld/src/records/reports.rs
+++ b/crates/bluebelld/src/records/reports.rs
@@ -77,6 +77,16 @@
         self.stored.shift_remove(&row.key).map(|(report, _)| report)
     }
 
+    /// Replaces a row by what the store holds of it, which may be a deletion.
+    pub fn replace(&mut self, row: &Row) {
+        if row.value.is_some() {
+            self.insert(row);
+        } else {
+            self.remove(row);
+        }
+        self.last_written.shift_remove(&row.key);
+    }
+
     /// Deletions of the rows that are known here but missing from a snapshot of the store.
     #[must_use]
     pub fn missing_from(&self, snapshot: &Snapshot) -> Vec<Row> {
--- a/crates/bluebelld/tests/gateway/restores.rs
+++ b/crates/bluebelld/tests/gateway/restores.rs
@@ -20,7 +20,7 @@
 const READ_AGAIN: Duration = Duration::from_millis(1500);
 
 /// Takes the store away from all gateways, and brings it back with the content of a copy.
-async fn restore(site: &Site, copy: StoreCopy) {
+pub async fn restore(site: &Site, copy: StoreCopy) {
     site.gateways.iter().for_each(|gateway| _ = gateway.store_mode.send_replace(StoreMode::Reset));
     sleep(AWAY).await;
     site.store.restore(copy);
--- a/crates/bluebelld/tests/gateway/rollouts.rs
+++ b/crates/bluebelld/tests/gateway/rollouts.rs
@@ -5,7 +5,7 @@
 use bluebell_standins::site::{Fault, StoreMode};
 use serde_json::json;
 
-use super::{caller::Ask, site::Site, until};
+use super::{caller::Ask, restores::restore, site::Site, until};
 
 /// Ordered duration of the roll-outs, in seconds.
 const ROLLOUT_SECONDS: u64 = 6;
@@ -164,3 +164,33 @@
     tokio::time::sleep(Duration::from_secs(2)).await;
     assert_eq!(rollout_state(&site), "completed");
 }
+
+#[tokio::test]
+async fn completed_rollout_is_written_again_and_not_repeated_after_a_restore_of_the_store() {
+    let mut site = Site::start(2).await;
+    site.wait_for_peer_connections().await;
+    let copy = site.store.copy();
+    order_rollout(&mut site).await;
+    send_requests_until(&site, &[0, 1], "completed").await;
+    let order = site.store.get("op", "rollout/chat").expect("the order should be in the store");
+    restore(&site, copy).await;
+    assert_eq!(rollout_state(&site), "");
+    let old_release_runs = |site: &Site| site.chat[0].runs().len() + site.chat[1].runs().len();
+    let before = old_release_runs(&site);
+    until("the stage to be written again", || async { rollout_state(&site) == "completed" }).await;
+    site.put_entry(&site.chat[2], "chat", "v2", "ready");
+    site.store.put("op", "rollout/chat", &order);
+    for round in 0..80 {
+        for (index, gateway) in site.gateways.iter().enumerate() {
+            let ask = Ask::new("/talk/1", &format!("restored-{index}-{round}")).header("model", "small");
+            assert_eq!(gateway.ask(&ask.header("token-count", "10,5")).await.status, 200);
+        }
+        assert_eq!(rollout_state(&site), "completed");
+    }
+    assert_eq!(old_release_runs(&site), before, "requests were sent to the old release again");
+    let stage = site.store.scan("bluebell", "").into_iter().find(|row| row.key == "stage/chat");
+    let order_version =
+        site.store.scan("op", "").into_iter().find(|row| row.key == "rollout/chat").map(|row| row.version);
+    let named = stage.and_then(|row| row.value["order"].as_u64()).map(bluebell_core::store_version::number);
+    assert_eq!(named, order_version, "the stage names another order");
+}
