Refuse calls that the end of a drain could cut and that may not be repeated

Reported by another operator: in a planned stop, requests that came late in the grace were taken, passed on and cut at its end, among them some that may not be repeated (LOST). It happened here: with an upstream that takes 1.5 s and deadlines of 2 s, calls sent from 3.8 s after the signal on (drain time 6 s) got 502 at the end, outcome unknown. Cause: a stopping gateway took each call as if it lasted 300 ms. A call that may run only once is now accepted only if its deadline passes before the stop, and refused as not run otherwise; its caller is told to come back. stops::call_that_may_not_be_repeated_...: failed before (502 at 3,800 ms), passes.

--- a/crates/bluebelld/src/gateway/front/answer.rs
+++ b/crates/bluebelld/src/gateway/front/answer.rs
@@ -29,7 +29,7 @@
 /// Duration that nearly all streams stay below. A stream that starts later than this before the process stops is likely
 /// to be cut off.
 const TYPICAL_STREAM_DURATION: Duration = Duration::from_millis(4300);
-/// Duration that nearly all requests without a stream stay below.
+/// Duration that nearly all requests without a stream stay below that may be repeated.
 const TYPICAL_CALL_DURATION: Duration = Duration::from_millis(300);
 
 /// Answers a request.
@@ -85,9 +85,15 @@
 }
 
 // Whether the process stops before the answer is likely to be complete. A stopping process accepts requests as long as
-// possible, because the load balancer may have no other gateway in its zone.
+// possible, because the load balancer may have no other gateway in its zone. A call that may run only once is accepted
+// only if its deadline passes before the stop, as its caller could not repeat it if it were cut.
 fn stops_before_answer(gateway: &Gateway, job: &Job) -> bool {
-    gateway.stops_within(if job.route.repeat.is_stream() { TYPICAL_STREAM_DURATION } else { TYPICAL_CALL_DURATION })
+    let repeat = job.route.repeat;
+    gateway.stops_within(match (repeat.is_stream(), repeat.may_repeat()) {
+        (true, _) => TYPICAL_STREAM_DURATION,
+        (false, true) => TYPICAL_CALL_DURATION,
+        (false, false) => job.time_left(gateway),
+    })
 }
 
 fn with_connection_close(mut response: Response) -> Response {
--- a/crates/bluebelld/tests/gateway/stops.rs
+++ b/crates/bluebelld/tests/gateway/stops.rs
@@ -122,3 +122,30 @@
     until("the reload to be logged", || async { site.gateways[0].process.log().contains("reload ordered") }).await;
     assert_eq!(site.gateways[0].ask(&Ask::new("/look/1", "r-1")).await.status, 200);
 }
+
+#[tokio::test]
+async fn call_that_may_not_be_repeated_is_answered_or_refused_as_not_run_until_the_end_of_a_drain() {
+    let mut site = Site::start(1).await;
+    let address = site.gateways[0].caller_address;
+    site.ledger.iter().for_each(|upstream| upstream.set_default_fault(Some(Fault::Slow(Duration::from_millis(1500)))));
+    site.gateways[0].process.terminate();
+    let calls = (0..60u64).map(|number| async move {
+        tokio::time::sleep(Duration::from_millis(100 * number)).await;
+        let ask = Ask::new("/book/1", &format!("b-{number}")).deadline(Duration::from_millis(2000));
+        let Ok(mut caller) = Caller::connect(address).await else { return None };
+        Some((number, caller.ask(&ask).await.map(|answer| answer.status)))
+    });
+    let answers: Vec<_> = futures_util::future::join_all(calls).await.into_iter().flatten().collect();
+    let runs = |number: &u64| site.runs(&format!("b-{number}")).len();
+    for (number, status) in &answers {
+        match status {
+            Some(200) => assert_eq!(runs(number), 1),
+            // Accepting it was a mistake if it has run.
+            Some(503) | None => assert_eq!(runs(number), 0, "call {number} was refused or cut, but ran"),
+            other => panic!("call {number}, {} ms after the signal: {other:?}", 100 * number),
+        }
+    }
+    assert!(answers.iter().any(|(_, status)| *status == Some(200)), "{answers:?}");
+    assert!(answers.iter().any(|(_, status)| *status == Some(503)), "{answers:?}");
+    assert_eq!(site.gateways[0].process.ended().await, Some(0));
+}
