Don't tell callers that a request did not run without proof

Callers take 408, 429 and 503 for a promise and send such calls again; the upstream may have run it (REFUSED, TWICE). Cause: an upstream's failure is passed on with its status, whatever callers take that status for. Such an answer is now told as 502, without the upstream's signature. refusals::refusal_of_an_upstream_without_proof_...: failed before with (408, signed), passes.

--- a/crates/bluebelld/src/gateway/front/buffered.rs
+++ b/crates/bluebelld/src/gateway/front/buffered.rs
@@ -35,7 +35,7 @@
     let mut history = AttemptHistory::default();
     let options = SendOptions { model: None, pinned_release: None, skip_budget: true, excluded: None };
     match (Call { gateway, job: &job }).run(options, &mut history, None).await {
-        Some((status, headers, body)) => forward_buffered(status, &headers, body),
+        Some((status, headers, body)) => forward_buffered(&job, status, &headers, body),
         None => final_refusal(gateway, &job, &history),
     }
 }
--- a/crates/bluebelld/src/gateway/front/reply.rs
+++ b/crates/bluebelld/src/gateway/front/reply.rs
@@ -28,11 +28,16 @@
     (version, gateway.now().saturating_sub(routing.last_contact).as_millis() as u64)
 }
 
+// Whether callers take a request that is answered with this status for one that did not and will not run.
+fn promises_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
 /// Outcome of a request for the metrics, derived from the status of its answer.
 pub fn outcome(response: &Response) -> Outcome {
-    match response.status().as_u16() {
-        200..=299 => Outcome::Served,
-        408 | 421 | 429 | 503 => Outcome::Refused,
+    match response.status() {
+        status if status.is_success() => Outcome::Served,
+        status if promises_not_run(status) => Outcome::Refused,
         _ => Outcome::Failed,
     }
 }
@@ -91,7 +96,17 @@
     response
 }
 
-/// Builds the caller's response from an upstream's answer that was read completely.
-pub fn forward_buffered(status: StatusCode, headers: &HeaderMap, body: Bytes) -> Response {
+/// Builds the caller's response from an upstream's answer that was read completely. A status by which callers take the
+/// request for not run is replaced, as the upstream did not state that.
+pub fn forward_buffered(job: &Job, status: StatusCode, headers: &HeaderMap, body: Bytes) -> Response {
+    if promises_not_run(status) {
+        let refusal = Refusal::UpstreamFailed { reason: format!("status {status} without proof of not having run") };
+        log::info!(
+            request = job.caller.request.as_str(), route = job.route.id.as_str(),
+            status = refusal.status().as_u16();
+            "given up: {refusal}"
+        );
+        return refusal.response(Some(&job.caller.request), None);
+    }
     forward_response(status, headers, Full::new(body).map_err(|never| match never {}).boxed_unsync())
 }
--- a/crates/bluebelld/src/gateway/front/start.rs
+++ b/crates/bluebelld/src/gateway/front/start.rs
@@ -213,7 +213,7 @@
         crash_detection::record_lost_answer(gateway, &response.upstream, loss);
     }
     let Ok(Ok(body)) = body else { return None };
-    let reply = forward_buffered(response.status, &response.headers, body);
+    let reply = forward_buffered(job, response.status, &response.headers, body);
     response.finish(gateway);
     (!may_retry).then_some(reply)
 }
--- a/crates/bluebelld/tests/gateway/refusals.rs
+++ b/crates/bluebelld/tests/gateway/refusals.rs
@@ -129,3 +129,24 @@
     let opened = site.ledger[0].connections() - before;
     assert!(opened <= 6, "{opened} connections for 40 requests, half of them refused first");
 }
+
+#[tokio::test]
+async fn refusal_of_an_upstream_without_proof_is_not_told_as_not_run() {
+    let site = Site::start(1).await;
+    for status in [408, 429, 503] {
+        let fault = Some(Fault::Fails(status));
+        site.ledger.iter().chain(&site.chat).for_each(|upstream| upstream.set_default_fault(fault.clone()));
+        for (path, kind) in
+            [("/book/1", "call"), ("/look/1", "repeated"), ("/once/1", "stream"), ("/talk/1", "resumed")]
+        {
+            let id = format!("{kind}-{status}");
+            let ask = Ask::new(path, &id).header("model", "small").header("token-count", "10,5");
+            let answer = site.gateways[0].ask(&ask).await;
+            assert!(!site.runs(&id).is_empty(), "{id} did not run");
+            assert_eq!((answer.status, answer.header("response-stamp")), (502, ""), "{id}");
+        }
+        // The upstreams may have been left out for their failures.
+        site.ledger.iter().chain(&site.chat).for_each(|upstream| upstream.set_default_fault(None));
+        tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    }
+}
