Soak: rate limits, departures and pauses of upstreams, and restores of the store

Faults of the new kinds are drawn apart, so seeds keep their other faults. A rule checks what reaches upstreams that named a limit, announced their departure or asked for a pause; requests of gateways that a fault has affected shortly before don't count.

--- a/crates/bluebell-soak/src/checks/mod.rs
+++ b/crates/bluebell-soak/src/checks/mod.rs
@@ -1,5 +1,6 @@
 //! The rules, checked against the records of callers and upstreams.
 
+mod announcements;
 mod answers;
 mod control_plane;
 mod runs;
@@ -40,6 +41,9 @@
     AllowedVersion,
     /// No requests are sent to an upstream after its drain time.
     Drains,
+    /// Upstreams get no more requests than they said they take: those that name a rate limit, are leaving, or ask for a
+    /// pause.
+    Announcements,
     /// The deadline passed to upstreams does not exceed the remaining time.
     Deadlines,
     /// The retries of all gateways together stay within the retry budget.
@@ -97,6 +101,8 @@
     pub requests: Vec<RequestRecord>,
     /// Requests that upstreams ran.
     pub runs: Vec<(UpstreamIndex, Run)>,
+    /// Requests that reached upstreams, whether or not they ran.
+    pub arrivals: Vec<(UpstreamIndex, Instant, String)>,
     /// Faults and operations.
     pub injected: InjectionLog,
     /// Start and end of the phase after recovery, in which requests have to be served.
@@ -168,6 +174,7 @@
     let mut context = CheckContext::new(evidence);
     answers::check(&mut context);
     runs::check(&mut context);
+    announcements::check(&mut context);
     control_plane::check(&mut context);
     context.findings
 }
--- a/crates/bluebell-soak/src/faults.rs
+++ b/crates/bluebell-soak/src/faults.rs
@@ -29,6 +29,10 @@
 pub const STALE_ENTRY_TIME: Duration = Duration::from_millis(2600);
 /// Time between two updates of a burst.
 const BURST_INTERVAL: Duration = Duration::from_millis(30);
+/// Time for which the store is away before it comes back from a copy.
+const RESTORE_TIME: Duration = Duration::from_millis(1000);
+/// Time after that within which operators and upstreams write theirs again.
+const REWRITE_TIME: Duration = Duration::from_millis(1500);
 /// Interval at which a stopping process is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -82,6 +86,30 @@
     pub stored_at: Instant,
 }
 
+/// What an upstream said of itself in all its answers for some time.
+#[derive(Debug, Clone)]
+pub struct Announcement {
+    /// The upstream.
+    pub upstream: UpstreamIndex,
+    /// When it began.
+    pub from: Instant,
+    /// When it ended.
+    pub to: Instant,
+    /// What it said.
+    pub kind: AnnouncementKind,
+}
+
+/// Kind of an [`Announcement`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum AnnouncementKind {
+    /// It takes this number of requests per second from all gateways together.
+    Limit(f64),
+    /// It is leaving.
+    Leaving,
+    /// Each gateway is to send nothing for this time after an answer.
+    Pause(Duration),
+}
+
 /// A roll-out that was started.
 #[derive(Debug, Clone, Copy)]
 pub struct RolloutRecord {
@@ -100,6 +128,8 @@
     pub key_changes: Vec<KeyChange>,
     /// Upstreams that were drained.
     pub drains: Vec<DrainRecord>,
+    /// What upstreams said of themselves.
+    pub announcements: Vec<Announcement>,
     /// The roll-out, if there was one.
     pub rollout: Option<RolloutRecord>,
     /// Gateways that ended by themselves or did not stop in time, with a description.
@@ -226,6 +256,9 @@
             FaultKind::CrashUpstream(upstream) => self.crash_upstream(*upstream).await,
             FaultKind::DrainUpstream(upstream) => self.drain_upstream(*upstream).await,
             FaultKind::ReuseAddress(upstream) => self.reuse_address(*upstream, duration).await,
+            FaultKind::RestoreStore => self.restore_store(duration).await,
+            FaultKind::LimitUpstream(upstream, limit) => self.limit_upstream(*upstream, *limit, duration).await,
+            FaultKind::LeaveUpstream(upstream) => self.leave_upstream(*upstream).await,
             FaultKind::Rollout { bad } => self.start_rollout(*bad).await,
         }
     }
@@ -261,11 +294,52 @@
         affected.iter().for_each(|upstream| upstream.server.set_default_fault(Some(fault.clone())));
         sleep(duration).await;
         affected.iter().for_each(|upstream| upstream.clear_fault());
+        if let Some(pause) = pause_time(fault) {
+            let kind = AnnouncementKind::Pause(pause);
+            affected.iter().for_each(|upstream| self.record_announcement(upstream.index, from, kind));
+        }
         if may_lose_requests(fault) {
             affected.iter().for_each(|upstream| self.record(from, FaultScope::Upstream(upstream.index), false));
         }
     }
 
+    fn record_announcement(&self, upstream: UpstreamIndex, from: Instant, kind: AnnouncementKind) {
+        self.log().announcements.push(Announcement { upstream, from, to: Instant::now(), kind });
+    }
+
+    async fn restore_store(&self, age: Duration) {
+        let copy = self.fleet.store.copy();
+        sleep(age).await;
+        let from = Instant::now();
+        self.set_store_mode(None, StoreMode::Reset);
+        sleep(RESTORE_TIME).await;
+        let before = self.fleet.store.copy();
+        self.fleet.store.restore(copy.clone());
+        self.set_store_mode(None, StoreMode::Open);
+        sleep(REWRITE_TIME).await;
+        self.fleet.store.write_again(&before, &copy, &["op", "servers"]);
+        self.record(from, FaultScope::Store, false);
+    }
+
+    async fn limit_upstream(&self, index: UpstreamIndex, limit: f64, duration: Duration) {
+        let Some(upstream) = self.fleet.upstream(index) else { return };
+        let from = Instant::now();
+        upstream.server.set_limit(Some(&limit.to_string()));
+        sleep(duration).await;
+        upstream.server.set_limit(None);
+        self.record_announcement(index, from, AnnouncementKind::Limit(limit));
+    }
+
+    async fn leave_upstream(&self, index: UpstreamIndex) {
+        let Some(upstream) = self.fleet.upstream(index) else { return };
+        let from = Instant::now();
+        upstream.server.set_leaving(true);
+        sleep(2 * DRAIN_TIME).await;
+        self.record_announcement(index, from, AnnouncementKind::Leaving);
+        upstream.server.set_leaving(false);
+        self.crash_upstream(index).await;
+    }
+
     async fn kill_gateway(&self, number: usize, downtime: Duration) {
         let from = Instant::now();
         let gateway = &self.fleet.gateways[number];
@@ -401,8 +475,13 @@
     }
 }
 
+fn pause_time(fault: &Fault) -> Option<Duration> {
+    let Fault::Pause { retry_after, .. } = fault else { return None };
+    retry_after.first()?.parse().ok().map(Duration::from_secs_f64)
+}
+
 // Whether a fault excuses lost requests. It doesn't if the upstream is only slow, rejects requests without running them,
-// or reports low confidence in its answers.
+// reports low confidence in its answers, or asks for a pause.
 fn may_lose_requests(fault: &Fault) -> bool {
-    !matches!(fault, Fault::NotRun | Fault::Slow(_) | Fault::Paced(_) | Fault::Confidence(_))
+    !matches!(fault, Fault::NotRun | Fault::Pause { .. } | Fault::Slow(_) | Fault::Paced(_) | Fault::Confidence(_))
 }
--- a/crates/bluebell-soak/src/plan.rs
+++ b/crates/bluebell-soak/src/plan.rs
@@ -18,6 +18,10 @@
 const MEAN_FAULT_INTERVAL: Duration = Duration::from_millis(700);
 /// Maximum duration of a fault.
 const MAX_FAULT_DURATION: Duration = Duration::from_millis(6000);
+/// Time for which an upstream names a rate limit: several windows in which its requests are counted.
+const LIMIT_TIME: Duration = Duration::from_secs(12);
+/// Changes the seed of the kinds of faults that were added later.
+const LATER_KINDS: u64 = 0x6c69_6d69;
 /// Time within which a roll-out has to be completed.
 pub const ROLLOUT_TIME: Duration = Duration::from_secs(8);
 
@@ -117,6 +121,12 @@
     DrainUpstream(UpstreamIndex),
     /// An upstream's address is registered for the other service, under another id.
     ReuseAddress(UpstreamIndex),
+    /// The store goes away and comes back from a copy that is as old as the fault lasts.
+    RestoreStore,
+    /// An upstream names a rate limit, in requests per second.
+    LimitUpstream(UpstreamIndex, f64),
+    /// An upstream announces its departure in its answers only, stops and is replaced by another.
+    LeaveUpstream(UpstreamIndex),
     /// A roll-out of a new release is started.
     Rollout {
         /// Whether all answers of the new release are errors.
@@ -198,6 +208,7 @@
             // Exponentially distributed intervals: faults start as a Poisson process.
             at += MEAN_FAULT_INTERVAL.mul_f64(-random.random_range(f64::EPSILON..1.0).ln());
         }
+        plan.add_later_kinds(seed);
         plan.faults.sort_by_key(|fault| fault.at);
         plan
     }
@@ -228,6 +239,29 @@
         }
     }
 
+    // Kinds that were added later are drawn apart, so that a seed keeps its other faults.
+    fn add_later_kinds(&mut self, seed: u64) {
+        let mut random = StdRng::seed_from_u64(seed ^ LATER_KINDS);
+        for _ in 0..random.random_range(0..=4) {
+            let upstream = self.draw_upstream(&mut random);
+            let kind = match random.random_range(0..5) {
+                0 => FaultKind::RestoreStore,
+                1 => FaultKind::LeaveUpstream(upstream),
+                2 => {
+                    let retry_after = vec![format!("{:.1}", random.random_range(0.5..2.5))];
+                    FaultKind::Upstream(upstream, Fault::Pause { not_run: random.random_bool(0.5), retry_after })
+                }
+                _ => FaultKind::LimitUpstream(upstream, random.random_range(0.5..8.0)),
+            };
+            let duration = match kind {
+                FaultKind::LimitUpstream(..) => LIMIT_TIME,
+                _ => random.random_range(Duration::from_millis(500)..MAX_FAULT_DURATION),
+            };
+            let at = self.fault_phase.mul_f64(random.random_range(0.0..0.9));
+            self.faults.push(ScheduledFault { at, duration, kind });
+        }
+    }
+
     fn draw_upstream(&self, random: &mut StdRng) -> UpstreamIndex {
         if random.random_bool(0.5) {
             UpstreamIndex::Chat(random.random_range(0..self.chat_upstreams))
--- a/crates/bluebell-soak/src/run_plan.rs
+++ b/crates/bluebell-soak/src/run_plan.rs
@@ -68,11 +68,16 @@
         .all_upstreams()
         .flat_map(|upstream| upstream.server.runs().into_iter().map(|run| (upstream.index, run)))
         .collect();
+    let arrivals = fleet.all_upstreams().flat_map(|upstream| {
+        let arrived = upstream.server.arrived_requests().into_iter();
+        arrived.map(|(at, request)| (upstream.index, at, request))
+    });
     let evidence = Evidence {
         plan: &plan,
         started_at: fleet.started_at,
         requests: callers.take_records(),
         runs,
+        arrivals: arrivals.collect(),
         injected: injector.take_log(),
         recovered_phase,
     };
--- a/crates/bluebell-standins/src/site/store.rs
+++ b/crates/bluebell-standins/src/site/store.rs
@@ -191,6 +191,19 @@
         self.changed.send_replace(version);
     }
 
+    /// Writes the rows of some tables again that were lost with a restore: those that differ in `before`, the content of
+    /// just before it, and `copy`, and were not written since.
+    pub fn write_again(&self, before: &StoreCopy, copy: &StoreCopy, tables: &[&str]) {
+        let value = |rows: &BTreeMap<RowKey, Versioned>, at: &RowKey| rows.get(at).and_then(|row| row.value.clone());
+        for at in before.rows.keys().filter(|at| tables.contains(&at.table.as_str())) {
+            let lost = value(&before.rows, at);
+            let restored = value(&copy.rows, at);
+            if lost != restored && value(&self.lock().rows, at) == restored {
+                self.write(at.clone(), lost, None);
+            }
+        }
+    }
+
     /// Deletes a row; returns the store version of the deletion.
     pub fn delete(&self, table: &str, key: &str) -> u64 {
         self.write(RowKey::new(table, "", key), None, None)
--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -143,7 +143,7 @@
     shared_faults: SharedFaults,
     default_fault: Option<Fault>,
     runs: Vec<Run>,
-    arrivals: Vec<Instant>,
+    arrivals: Vec<(Instant, String)>,
     announcement: Announcement,
     connections: u64,
     id: String,
@@ -255,6 +255,12 @@
     /// When requests reached it, whether or not it ran them.
     #[must_use]
     pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.state).arrivals.iter().map(|(at, _)| *at).collect()
+    }
+
+    /// As [`Self::arrivals`], with the ids of the requests.
+    #[must_use]
+    pub fn arrived_requests(&self) -> Vec<(Instant, String)> {
         lock(&self.state).arrivals.clone()
     }
 
@@ -357,7 +363,8 @@
         let mut buffer = Vec::new();
         let mut copy = RefusalCopy::default();
         while let Some(request) = copy.read(&mut socket, &mut buffer).await? {
-            lock(&self.state).arrivals.push(Instant::now());
+            let arrival = (Instant::now(), request.header("request-id").to_owned());
+            lock(&self.state).arrivals.push(arrival);
             let expected = request.header("expect-instance");
             let id = lock(&self.state).id.clone();
             if !expected.is_empty() && expected != id {
