Tell the other gateways of departures that upstreams announce

Statuses now name the upstreams that announced their departure lately. For a peer's word the upstream is a last resort, not closed: for 10 s, for that incarnation, and until it answers without the announcement. The fields at the end of a status may be absent, so programs of the version before and this one read each other's (older_programs). leaving::departure_announced_to_one_gateway_...: failed with the reports ignored (6 requests), passes.

--- a/crates/bluebell-core/src/placing/departure.rs
+++ b/crates/bluebell-core/src/placing/departure.rs
@@ -1,5 +1,8 @@
 //! Departure of one incarnation of an upstream, as the upstream announces it in its answers. It is never taken back: only
 //! another incarnation receives requests again.
+//!
+//! Gateways tell each other of announcements. The word of a peer makes the upstream a last resort for a while; an answer of
+//! the upstream itself without the announcement outweighs it.
 
 use std::time::Duration;
 
@@ -10,6 +13,10 @@
 /// reappear.
 const DEPARTURE_MEMORY: Duration = Duration::from_secs(600);
 
+/// Time after an announcement to a peer during which the upstream is a last resort here. By then the registry says that it
+/// leaves, or it has said so here, unless the announcement was a mistake.
+const PEER_REPORT_PERIOD: Duration = Duration::from_secs(10);
+
 /// Whether an upstream may receive a new request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Admission {
@@ -25,6 +32,10 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Departure {
     announced_at: Option<Duration>,
+    // When the upstream announced it to a peer.
+    reported_at: Option<Duration>,
+    // When an answer to this gateway last lacked the announcement.
+    contradicted_at: Option<Duration>,
 }
 
 impl Departure {
@@ -35,6 +46,32 @@
         is_first
     }
 
+    /// Records that the upstream announced its departure to a peer, this long ago. Returns whether that is news.
+    pub fn report(&mut self, now: Duration, age: Duration) -> bool {
+        let at = now.saturating_sub(age);
+        let is_outweighed = self.contradicted_at.is_some_and(|contradicted_at| at <= contradicted_at);
+        if age >= PEER_REPORT_PERIOD || is_outweighed {
+            return false;
+        }
+        let is_news = self.announced_at.is_none() && self.reported_at.is_none();
+        self.reported_at.get_or_insert(at);
+        is_news
+    }
+
+    /// Records an answer of the upstream without the announcement.
+    pub fn contradict(&mut self, now: Duration) {
+        if self.reported_at.take().is_some() || self.contradicted_at.is_some() {
+            self.contradicted_at = Some(now);
+        }
+    }
+
+    /// Time since the announcement to this gateway, if peers are to be told of it.
+    #[must_use]
+    pub fn age_for_peers(&self, now: Duration) -> Option<Duration> {
+        let age = now.saturating_sub(self.announced_at?);
+        (age < PEER_REPORT_PERIOD).then_some(age)
+    }
+
     /// Whether the upstream has announced its departure.
     #[must_use]
     pub fn is_announced(&self) -> bool {
@@ -45,6 +82,7 @@
     #[must_use]
     pub fn admission(&self, now: Duration) -> Admission {
         match self.announced_at {
+            None if self.reported_at.is_some_and(|at| now < at + PEER_REPORT_PERIOD) => Admission::LastResort,
             None => Admission::Open,
             Some(at) if now < at + LAST_RESORT_PERIOD => Admission::LastResort,
             Some(_) => Admission::Closed,
--- a/crates/bluebell-core/tests/departure.rs
+++ b/crates/bluebell-core/tests/departure.rs
@@ -18,6 +18,25 @@
     assert_eq!(departure.admission(later * 1000), Admission::Closed);
 }
 
+#[test]
+fn departure_told_by_a_peer_is_a_last_resort_for_a_while_and_ends_by_the_upstreams_own_word() {
+    let second = Duration::from_secs(1);
+    let mut departure = Departure::default();
+    assert!(departure.report(NOW, second));
+    assert!(!departure.report(NOW, second), "told again");
+    assert_eq!(departure.admission(NOW), Admission::LastResort);
+    assert!(departure.age_for_peers(NOW).is_none(), "a peer's word is not passed on");
+    assert_eq!(departure.admission(NOW + 60 * second), Admission::Open);
+    departure.contradict(NOW + second);
+    assert_eq!(departure.admission(NOW + second), Admission::Open);
+    assert!(!departure.report(NOW + 2 * second, 2 * second), "the peer's word is older than the upstream's");
+    assert!(departure.report(NOW + 2 * second, Duration::ZERO));
+    departure.announce(NOW + 3 * second);
+    assert_eq!(departure.age_for_peers(NOW + 4 * second), Some(second));
+    assert_eq!(departure.admission(NOW + 5 * second), Admission::Closed);
+    assert!(!Departure::default().report(NOW + 60 * second, 60 * second), "too old");
+}
+
 #[test]
 fn pause_is_bounded_and_never_shortened() {
     let mut health = Health::default();
--- a/crates/bluebell-wire/src/messages.rs
+++ b/crates/bluebell-wire/src/messages.rs
@@ -280,9 +280,12 @@
     /// Rate limits that upstreams named to the sender.
     #[serde(deserialize_with = "absent_as_default")]
     pub limits: Vec<UpstreamLimit>,
+    /// Upstreams that announced their departure to the sender lately, with the time since then.
+    #[serde(deserialize_with = "absent_as_default")]
+    pub departures: Vec<(UpstreamIncarnation, Duration)>,
 }
 
-// For a field at the very end of a message that older programs do not send. Older programs ignore what follows the fields
+// For fields at the very end of a message that older programs do not send. Older programs ignore what follows the fields
 // that they know.
 fn absent_as_default<'de, D: Deserializer<'de>, T: Deserialize<'de> + Default>(deserializer: D) -> Result<T, D::Error> {
     Ok(T::deserialize(deserializer).unwrap_or_else(|error| {
--- /dev/null
+++ b/crates/bluebell-wire/tests/older_programs.rs
@@ -0,0 +1,50 @@
+//! Messages between gateways of this version and of the one before, which lacks the last fields of a status.
+
+use std::time::Duration;
+
+use bluebell_core::{units::Rate, upstreams::UpstreamIncarnation};
+use bluebell_wire::messages::{ExchangeMessage, GatewayStatus, UpstreamLimit};
+
+fn status() -> GatewayStatus {
+    GatewayStatus {
+        connected: true,
+        loads: Vec::new(),
+        tallies: Vec::new(),
+        sessions: Vec::new(),
+        rejected: vec![7],
+        limits: Vec::new(),
+        departures: Vec::new(),
+    }
+}
+
+fn encode(status: GatewayStatus) -> Vec<u8> {
+    let message = ExchangeMessage::Status(Box::new(status));
+    bincode::serde::encode_to_vec(message, bincode::config::standard()).expect("the message should be encodable")
+}
+
+fn decode(bytes: &[u8]) -> Option<ExchangeMessage> {
+    bincode::serde::decode_from_slice(bytes, bincode::config::standard()).ok().map(|(message, _)| message)
+}
+
+#[test]
+fn status_without_its_last_fields_is_read_as_one_with_empty_ones() {
+    let bytes = encode(status());
+    // Each empty list at the end takes one byte.
+    for missing in 0..=2 {
+        let message = decode(&bytes[..bytes.len() - missing]);
+        assert_eq!(message, Some(ExchangeMessage::Status(Box::new(status()))), "{missing} missing");
+    }
+    assert_eq!(decode(&bytes[..bytes.len() - 3]), None, "earlier fields are not optional");
+}
+
+#[test]
+fn status_begins_with_the_fields_that_older_programs_read() {
+    let upstream = "upstream-1".parse().expect("the id should be valid");
+    let incarnation = UpstreamIncarnation { upstream, started_at_ms: 3 };
+    let limit =
+        UpstreamLimit { incarnation: incarnation.clone(), limit: Some(Rate::per_second(3.4)), age: Duration::ZERO };
+    let full = GatewayStatus { limits: vec![limit], departures: vec![(incarnation, Duration::ZERO)], ..status() };
+    let (short, long) = (encode(status()), encode(full.clone()));
+    assert_eq!(short[..short.len() - 2], long[..short.len() - 2]);
+    assert_eq!(decode(&long), Some(ExchangeMessage::Status(Box::new(full))));
+}
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -319,6 +319,9 @@
         gateway.metrics.record_departure(upstream.service.as_str());
         gateway.pools.close_idle(&upstream.address);
     }
+    if !decoded.leaving && decoded.stamped && status.is_success() {
+        gateway.traffic().record_staying(now, upstream);
+    }
     let delay = decoded.retry_after.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
     if delay.is_some_and(|delay| gateway.traffic().record_pause(now, upstream, delay)) {
         gateway.metrics.record_pause(upstream.service.as_str());
--- a/crates/bluebelld/src/gateway/control/status.rs
+++ b/crates/bluebelld/src/gateway/control/status.rs
@@ -1,7 +1,6 @@
-//! Periodic status messages between gateways: their load at each upstream, the rate limits
-//! that upstreams named to them, and during a roll-out their tallies and the
-//! releases of their sessions. Tallies and sessions are sent only when they have changed since the last message. A new
-//! connection makes the next message a full one.
+//! Periodic status messages between gateways: their load at each upstream, what upstreams said of themselves (rate limits
+//! and departures), and during a roll-out their tallies and the releases of their sessions. Tallies and sessions are sent
+//! only when they have changed since the last message. A new connection makes the next message a full one.
 
 use std::time::Duration;
 
@@ -16,6 +15,7 @@
         let mut traffic = self.gateway.traffic();
         traffic.apply_peer_loads(now, peer.clone(), &status.loads);
         traffic.apply_peer_limits(now, &peer, &status.limits);
+        traffic.apply_peer_departures(now, &peer, &status.departures);
         for pin in &status.sessions {
             traffic.sessions.learn(now.saturating_sub(pin.age), &pin.session, &pin.release);
         }
@@ -41,7 +41,8 @@
         } else {
             (Vec::new(), Vec::new())
         };
-        let (loads, limits) = (traffic.loads(&self.suspects), traffic.limits(now));
+        let loads = traffic.loads(&self.suspects);
+        let (limits, departures) = (traffic.limits(now), traffic.departures(now));
         drop(traffic);
         let is_changed = |row: &&ReleaseTally| !self.sent_status.tallies.contains(row);
         let status = GatewayStatus {
@@ -51,6 +52,7 @@
             sessions,
             rejected: self.rollouts.rejected_orders(),
             limits,
+            departures,
         };
         let sessions_from = if is_rolling_out { now } else { Duration::ZERO };
         let is_queued = self.members.broadcast(&ExchangeMessage::Status(Box::new(status)));
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -360,6 +360,13 @@
         is_first
     }
 
+    /// Records a success of an upstream that doesn't announce its departure.
+    pub fn record_staying(&mut self, now: Duration, upstream: &Upstream) {
+        if let Some(state) = self.incarnation_mut(upstream) {
+            state.departure.contradict(now);
+        }
+    }
+
     /// Records that an upstream asked for a pause. Returns whether one begins.
     pub fn record_pause(&mut self, now: Duration, upstream: &Upstream, delay: Duration) -> bool {
         let Some(state) = self.incarnation_mut(upstream) else { return false };
@@ -424,20 +431,41 @@
     /// Applies the rate limits that a peer reports.
     pub fn apply_peer_limits(&mut self, now: Duration, peer: &InstanceId, limits: &[UpstreamLimit]) {
         for UpstreamLimit { incarnation, limit, age } in limits {
-            let started_at_ms = incarnation.started_at_ms;
-            let state = self
-                .upstreams
-                .entry(incarnation.upstream.clone())
-                .or_insert_with(|| UpstreamState { started_at_ms, ..UpstreamState::default() });
-            // A report on another incarnation says nothing about the known one.
-            if state.started_at_ms == started_at_ms {
-                let change = state.limit.record_report(now, LimitReport { limit: *limit, age: *age });
-                state.limit.assign(now, &incarnation.upstream, &self.fleet);
-                log_limit(&incarnation.upstream, state, change, peer.as_str());
+            let Some(state) = reported(&mut self.upstreams, incarnation) else { continue };
+            let change = state.limit.record_report(now, LimitReport { limit: *limit, age: *age });
+            state.limit.assign(now, &incarnation.upstream, &self.fleet);
+            log_limit(&incarnation.upstream, state, change, peer.as_str());
+        }
+    }
+
+    /// Applies the departures that were announced to a peer.
+    pub fn apply_peer_departures(
+        &mut self,
+        now: Duration,
+        peer: &InstanceId,
+        departures: &[(UpstreamIncarnation, Duration)],
+    ) {
+        for (incarnation, age) in departures {
+            let Some(state) = reported(&mut self.upstreams, incarnation) else { continue };
+            if state.departure.report(now, *age) {
+                log::info!(
+                    upstream = incarnation.upstream.as_str(), born = incarnation.started_at_ms, source = peer.as_str();
+                    "upstream announced its departure to a peer and is a last resort"
+                );
             }
         }
     }
 
+    /// Departures that upstreams announced to this gateway lately, for its peers.
+    #[must_use]
+    pub fn departures(&self, now: Duration) -> Vec<(UpstreamIncarnation, Duration)> {
+        let row = |(id, state): (&UpstreamId, &UpstreamState)| {
+            let age = state.departure.age_for_peers(now)?;
+            Some((UpstreamIncarnation { upstream: id.clone(), started_at_ms: state.started_at_ms }, age))
+        };
+        self.upstreams.iter().filter_map(row).collect()
+    }
+
     /// Rate limits that upstreams named to this gateway, for its peers.
     #[must_use]
     pub fn limits(&self, now: Duration) -> Vec<UpstreamLimit> {
@@ -559,6 +587,18 @@
     }
 }
 
+// State of an incarnation of which a peer reports; none if another one is known here, of which that says nothing.
+fn reported<'a>(
+    upstreams: &'a mut IndexMap<UpstreamId, UpstreamState>,
+    incarnation: &UpstreamIncarnation,
+) -> Option<&'a mut UpstreamState> {
+    let started_at_ms = incarnation.started_at_ms;
+    let state = upstreams
+        .entry(incarnation.upstream.clone())
+        .or_insert_with(|| UpstreamState { started_at_ms, ..UpstreamState::default() });
+    (state.started_at_ms == started_at_ms).then_some(state)
+}
+
 fn log_limit(id: &UpstreamId, state: &UpstreamState, change: LimitChange, source: &str) {
     let message = match change {
         LimitChange::None => return,
--- a/crates/bluebelld/tests/gateway/leaving.rs
+++ b/crates/bluebelld/tests/gateway/leaving.rs
@@ -107,3 +107,25 @@
         assert_eq!(arrivals(upstream, start, 2000..60_000), 0, "requests reached {} after its drain", upstream.id);
     }
 }
+
+#[tokio::test]
+async fn departure_announced_to_one_gateway_is_known_to_the_others() {
+    let site = Site::start(2).await;
+    site.wait_for_peer_connections().await;
+    site.ledger.iter().for_each(|upstream| upstream.set_default_fault(Some(Fault::Slow(SLOW))));
+    let leaving = &site.ledger[0];
+    leaving.set_leaving(true);
+    until_announced(&site, "/look/1").await;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let told = Instant::now();
+    let asks = (0..100u32).map(|number| async move {
+        tokio::time::sleep(Duration::from_millis(10) * number).await;
+        number
+    });
+    let gateway = &site.gateways[1];
+    let answers = futures_util::future::join_all(asks.map(|number| async move {
+        gateway.ask(&Ask::new("/look/1", &format!("told-{}", number.await))).await.status
+    }));
+    assert!(answers.await.iter().all(|status| *status == 200));
+    assert_eq!(arrivals(leaving, told, 0..60_000), 0, "requests reached the upstream through a gateway that was told");
+}
