Leave the last room under rate limits to urgent requests

Where all upstreams of a service are at their limits, requests were refused as they came, whatever their rank.

--- a/crates/bluebell-core/src/rate_limit/mod.rs
+++ b/crates/bluebell-core/src/rate_limit/mod.rs
@@ -10,11 +10,13 @@
 
 mod fleet;
 mod returns;
+mod urgency;
 
 use std::time::Duration;
 
 pub use fleet::{Fleet, Share};
 pub use returns::ReturnQueue;
+pub use urgency::UrgencyOrder;
 
 use crate::{ids::UpstreamId, units::Rate};
 
@@ -155,6 +157,12 @@
         self.limit().is_none() || self.room(now) >= 1.0
     }
 
+    /// Number of requests that may be sent at once; none if there is no limit.
+    #[must_use]
+    pub fn available(&self, now: Duration) -> Option<usize> {
+        self.limit().map(|_| self.room(now).max(0.0) as usize)
+    }
+
     /// Counts a request that is about to be sent.
     pub fn take(&mut self, now: Duration) {
         if self.limit().is_some() {
--- a/crates/bluebell-core/tests/rate_limit.rs
+++ b/crates/bluebell-core/tests/rate_limit.rs
@@ -5,7 +5,7 @@
 
 use bluebell_core::{
     ids::{InstanceId, UpstreamId},
-    rate_limit::{Fleet, LimitChange, LimitReport, RateLimit, ReturnQueue},
+    rate_limit::{Fleet, LimitChange, LimitReport, RateLimit, ReturnQueue, UrgencyOrder},
     units::Rate,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -282,3 +282,45 @@
     assert_eq!(queue.schedule(at(30.0), at(0.1), Rate::per_second(4.0)), at(0.1));
     assert!(queue.schedule(at(30.0), at(0.1), Rate::default()) <= at(5.0));
 }
+
+/// Requests of ranks 0 and 3 served in 100 s by one upstream at 10 a second, of which so many arrive a second: in the order of
+/// urgency, or as they come.
+fn served_by_rank(urgent: f64, other: f64, ordered: bool) -> [usize; 2] {
+    let (mut limit, mut order) = (RateLimit::default(), UrgencyOrder::default());
+    limit.record_answer(at(1.0), at(0.5), Some(Rate::per_second(10.0)));
+    limit.assign(at(1.0), &upstream(), &fleet(0, 1));
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut served = [0, 0];
+    for step in 0..10_000 {
+        let now = at(1.0) + STEP * step;
+        for (index, rank, rate) in [(1, 3, other), (0, 0, urgent)] {
+            if !rng.random_bool(rate * STEP.as_secs_f64()) {
+                continue;
+            }
+            if !limit.has_room(now) {
+                order.record_refused(now, rank);
+            } else if !ordered || order.admits(now, rank, limit.available(now).unwrap_or_default()) {
+                limit.take(now);
+                order.record_sent(now, rank);
+                served[index] += 1;
+            }
+        }
+    }
+    served
+}
+
+#[test]
+fn urgent_requests_come_first_under_limits_and_others_keep_a_part() {
+    for load in [20.0, 5.0] {
+        let [as_they_come, _] = served_by_rank(load, 20.0, false);
+        let [urgent, other] = served_by_rank(load, 20.0, true);
+        assert!(
+            2 * urgent >= 3 * as_they_come,
+            "{load} a second: {urgent} urgent requests, {as_they_come} without order"
+        );
+        assert!(other >= 50, "{load} a second: only {other} other requests beside {urgent} urgent ones");
+        assert!(urgent + other >= 950, "{load} a second: room was wasted");
+    }
+    let [urgent, other] = served_by_rank(0.0, 20.0, true);
+    assert!(urgent == 0 && other >= 950, "no urgent ones: {other} other requests");
+}
--- a/crates/bluebelld/src/gateway/front/choose.rs
+++ b/crates/bluebelld/src/gateway/front/choose.rs
@@ -72,6 +72,9 @@
     let mut traffic = gateway.traffic();
     let session = job.caller.session.as_ref();
     let pool = pool(gateway, &routing, &traffic, job, tried, options);
+    if !traffic.admits_rank(now, &job.service, job.rank, &pool) {
+        return None;
+    }
     let candidates: Vec<&Upstream> = pool.iter().map(|upstream| upstream.as_ref()).collect();
     let model = options.model.or(job.caller.model.as_ref());
     let weight = job.token_weight(model);
@@ -82,6 +85,7 @@
     let zone = gateway.settings.instance.zone.as_str();
     let chosen = traffic.choose(now, zone, &criteria, &candidates)?.id.clone();
     let chosen = pool.into_iter().find(|upstream| upstream.id == chosen)?;
+    traffic.record_rank(now, &job.service, job.rank);
     session.into_iter().for_each(|session| traffic.sessions.set(now, session, &chosen.release));
     Some(chosen)
 }
@@ -109,9 +113,15 @@
     let mut pool = eligible_upstreams(gateway, &routing, &traffic, job);
     pool.retain(|upstream| options.excluded != Some(&upstream.id));
     history.wait = traffic.first_wait(now, &pool);
+    let is_left_to_others = !traffic.admits_rank(now, &job.service, job.rank, &pool);
     let limited = history.wait.as_ref().filter(|wait| wait.cause == WaitCause::RateLimit);
-    history.return_in = limited.map(|wait| traffic.schedule_return(now, &job.service, wait.left, &pool));
+    if limited.is_some() {
+        traffic.record_limited(now, &job.service, job.rank);
+    }
+    let first = limited.map(|wait| wait.left).or(is_left_to_others.then_some(Duration::ZERO));
+    history.return_in = first.map(|first| traffic.schedule_return(now, &job.service, first, &pool));
     let reason = match (&history.wait, pool.is_empty()) {
+        _ if is_left_to_others => "the room under their rate limits is left to more urgent requests",
         (Some(wait), _) if wait.cause == WaitCause::RateLimit => "all are at their rate limits or asked for a pause",
         (Some(_), _) => "all asked for a pause",
         (None, false) if traffic.has_limited(&pool) => "their rate limits are left to other gateways",
--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -11,7 +11,7 @@
         PeerLoad, PeerLoads, Report, RequestProfile, pick,
     },
     poison::{InFlightTracker, Suspects},
-    rate_limit::{Fleet, LimitChange, LimitReport, RateLimit, ReturnQueue},
+    rate_limit::{Fleet, LimitChange, LimitReport, RateLimit, ReturnQueue, UrgencyOrder},
     retry::{RetryLimit, RetryWindow},
     units::{Rate, Tokens},
     upstreams::{Upstream, UpstreamIncarnation},
@@ -104,6 +104,8 @@
     // The gateways that share the upstreams' rate limits.
     fleet: Fleet,
     returns: IndexMap<ServiceId, ReturnQueue>,
+    // The order among requests to services whose upstreams are all limited.
+    urgency: IndexMap<ServiceId, UrgencyOrder>,
 }
 
 /// An answer to be counted in the tally of its release.
@@ -395,6 +397,28 @@
         among.into_iter().filter_map(wait).min_by_key(|wait| wait.left)
     }
 
+    /// Whether a request of a rank may be sent to one of the given upstreams, and need not leave it to more urgent ones.
+    #[must_use]
+    pub fn admits_rank(&self, now: Duration, service: &ServiceId, rank: u8, among: &[Arc<Upstream>]) -> bool {
+        let Some(order) = self.urgency.get(service) else { return true };
+        // Without a limit, there is room for any number.
+        let available = |upstream: &Arc<Upstream>| self.incarnation(upstream)?.limit.available(now);
+        let room = among.iter().try_fold(0_usize, |sum, upstream| Some(sum + available(upstream)?));
+        room.is_none_or(|room| order.admits(now, rank, room))
+    }
+
+    /// Records that a request of a rank is refused because of the rate limits of upstreams.
+    pub fn record_limited(&mut self, now: Duration, service: &ServiceId, rank: u8) {
+        self.urgency.entry(service.clone()).or_default().record_refused(now, rank);
+    }
+
+    /// Records that a request of a rank is sent to an upstream of a service.
+    pub fn record_rank(&mut self, now: Duration, service: &ServiceId, rank: u8) {
+        if let Some(order) = self.urgency.get_mut(service) {
+            order.record_sent(now, rank);
+        }
+    }
+
     /// Whether any of the given upstreams has a rate limit.
     #[must_use]
     pub fn has_limited(&self, among: &[Arc<Upstream>]) -> bool {
--- a/crates/bluebelld/tests/gateway/limits.rs
+++ b/crates/bluebelld/tests/gateway/limits.rs
@@ -126,3 +126,24 @@
     let answers = load(&site, "/look/", "high", Duration::from_millis(12), Duration::from_millis(500)).await;
     assert!(answers.iter().all(|answer| answer.status == 200));
 }
+
+#[tokio::test]
+async fn room_under_limits_is_left_to_urgent_requests_when_all_upstreams_are_limited() {
+    let site = Site::start(1).await;
+    site.put_declarations(2, |config| {
+        // The route `/book/` is the more urgent one.
+        config["routes"][2]["priority"] = serde_json::json!(0);
+        config["routes"][3]["priority"] = serde_json::json!(5);
+    });
+    site.ledger.iter().for_each(|upstream| upstream.set_limit(Some("6")));
+    let (interval, time) = (Duration::from_millis(50), Duration::from_millis(1000));
+    load(&site, "/look/", "told", interval, time).await;
+    let time = Duration::from_millis(8000);
+    // Each route alone asks for 20 a second where there is room for 12.
+    let (urgent, other) =
+        tokio::join!(load(&site, "/book/", "urgent", interval, time), load(&site, "/look/", "other", interval, time));
+    let served = |answers: &[Answer]| answers.iter().filter(|answer| answer.status == 200).count();
+    let (urgent, other) = (served(&urgent), served(&other));
+    assert!(urgent > 5 * other, "{urgent} urgent and {other} other requests were served");
+    assert!(other > 0, "less urgent requests were starved");
+}
