--- a/crates/bluebell-soak/src/plan.rs
+++ b/crates/bluebell-soak/src/plan.rs
@@ -258,6 +258,11 @@
                 _ => random.random_range(Duration::from_millis(500)..MAX_FAULT_DURATION),
             };
             let at = self.fault_phase.mul_f64(random.random_range(0.0..0.9));
+            // The end of one limit would end the other one, too.
+            let is_limited = |fault: &ScheduledFault| matches!(fault.kind, FaultKind::LimitUpstream(limited, _) if limited == upstream);
+            if matches!(kind, FaultKind::LimitUpstream(..)) && self.faults.iter().any(is_limited) {
+                continue;
+            }
             self.faults.push(ScheduledFault { at, duration, kind });
         }
     }
