Don't put a refusal down to urgent requests where there is no room

Callers were told to come back by the queue of a rate limit (2.5 s), and operators that room was left to more urgent requests, where no upstream was registered any more or none had room. Cause: less urgent requests were compared with the order among requests also when there was nothing to leave. Found by reading the change again; ruled out: the choice itself, which has no upstream then. Without room the order is not asked. limits::refusal_without_any_upstream_...: failed before (return_ms 2496), passes.

--- a/crates/bluebelld/src/gateway/traffic.rs
+++ b/crates/bluebelld/src/gateway/traffic.rs
@@ -404,7 +404,8 @@
         // Without a limit, there is room for any number.
         let available = |upstream: &Arc<Upstream>| self.incarnation(upstream)?.limit.available(now);
         let room = among.iter().try_fold(0_usize, |sum, upstream| Some(sum + available(upstream)?));
-        room.is_none_or(|room| order.admits(now, rank, room))
+        // Where there is no room, none is left to others.
+        room.is_none_or(|room| room == 0 || order.admits(now, rank, room))
     }
 
     /// Records that a request of a rank is refused because of the rate limits of upstreams.
--- a/crates/bluebelld/tests/gateway/limits.rs
+++ b/crates/bluebelld/tests/gateway/limits.rs
@@ -147,3 +147,20 @@
     assert!(urgent > 5 * other, "{urgent} urgent and {other} other requests were served");
     assert!(other > 0, "less urgent requests were starved");
 }
+
+#[tokio::test]
+async fn refusal_without_any_upstream_is_not_put_down_to_more_urgent_requests() {
+    let site = Site::start(1).await;
+    site.put_declarations(2, |config| config["routes"][2]["priority"] = serde_json::json!(0));
+    site.ledger.iter().for_each(|upstream| upstream.set_limit(Some("1")));
+    let (interval, time) = (Duration::from_millis(50), Duration::from_millis(1500));
+    load(&site, "/book/", "urgent", interval, time).await;
+    site.ledger.iter().for_each(|upstream| _ = site.store.delete("servers", &upstream.id));
+    sleep(Duration::from_millis(2500)).await;
+    assert_eq!(site.gateways[0].ask(&Ask::new("/look/1", "without")).await.status, 503);
+    let logged = || async { site.gateways[0].process.log().lines().any(|line| line.contains("\"without\"")) };
+    super::until("the refusal's log line", logged).await;
+    let log = site.gateways[0].process.log();
+    let line = log.lines().find(|line| line.contains("\"without\"")).unwrap_or_default();
+    assert!(line.contains("none is known"), "{line}");
+}
