Clamp rates that peers send

Cause: a rate decoded from a status skipped the bounds that the header's parser applies, so a faulty peer could hand on NaN or a negative limit. Read, not seen in a run. Rates are now bounded where they are decoded; the encoding is the same. older_programs::rate_of_a_peer_is_clamped: failed with NaN before, passes.

--- a/crates/bluebell-core/src/units.rs
+++ b/crates/bluebell-core/src/units.rs
@@ -166,8 +166,15 @@
 
 /// A rate of requests per second, written `3.4`.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd, Default, Serialize, Deserialize)]
+#[serde(from = "f64")]
 pub struct Rate(f64);
 
+impl From<f64> for Rate {
+    fn from(number: f64) -> Self {
+        Self::per_second(number)
+    }
+}
+
 impl Rate {
     /// Maximum rate; higher ones are clamped to it.
     const MAX: f64 = 1e6;
--- a/crates/bluebell-wire/tests/older_programs.rs
+++ b/crates/bluebell-wire/tests/older_programs.rs
@@ -48,3 +48,13 @@
     assert_eq!(short[..short.len() - 2], long[..short.len() - 2]);
     assert_eq!(decode(&long), Some(ExchangeMessage::Status(Box::new(full))));
 }
+
+#[test]
+fn rate_of_a_peer_is_clamped() {
+    for (sent, read) in [(f64::NAN, 0.0), (-1.0, 0.0), (f64::INFINITY, 1e6), (3.4, 3.4)] {
+        let bytes = bincode::serde::encode_to_vec(sent, bincode::config::standard()).expect("it should be encodable");
+        let rate: (Rate, usize) =
+            bincode::serde::decode_from_slice(&bytes, bincode::config::standard()).expect("it should be readable");
+        assert_eq!(rate.0.value(), read, "{sent}");
+    }
+}
