--- a/crates/bluebell-standins/src/site/answers.rs
+++ b/crates/bluebell-standins/src/site/answers.rs
@@ -5,8 +5,9 @@
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
 use super::{
+    fault::Fault,
     http1::{self, Request},
-    upstream::{Fault, RESPONSE_STAMP},
+    upstream::RESPONSE_STAMP,
 };
 
 /// Sends nothing for a while.
--- a/crates/bluebell-standins/src/site/raw.rs
+++ b/crates/bluebell-standins/src/site/raw.rs
@@ -9,7 +9,7 @@
 
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 
-use super::{http1::Request, upstream::Fault};
+use super::{fault::Fault, http1::Request};
 
 /// Text in a raw answer that stands for the id of the request.
 pub const REQUEST_ID: &str = "{request-id}";
