Review case 2: request bodies have no common memory limit

A gateway collects each request's body up to the declared limit (front/admit.rs, admit) and keeps it until the answer (Job::body); nothing bounds all bodies together, as BufferBudget does for answers. 16 users that send 4,000,000 bytes each within half a second take a gateway over the 110 MB of a front machine. The platform kills it, and requests from kept connections that were running at sound runners are lost.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod runner;
 mod site;
 mod store;
+mod uploads;
 
 use std::path::Path;
 
@@ -23,6 +24,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match case.as_str() {
         "power" => power::run(root, record, trouble),
+        "uploads" => uploads::run(root, record, trouble),
         _ => Verdict::CouldNotRun,
     };
     println!("{case}, trouble {trouble}: {verdict:?}");
