--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -21,6 +21,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Address at which the other gateways reach it, if a proxy stands between.
     pub announced: Option<SocketAddr>,
+    /// Most descriptors that the process may have, if they are limited.
+    pub descriptors: Option<u32>,
 }
 
 /// A gateway process; it is killed when dropped.
@@ -122,8 +124,20 @@
     let path = folder.join(format!("{name}.yaml"));
     fs::write(&path, settings)?;
     let log = File::create(folder.join(format!("{name}-{start}.log")))?;
-    let child = Command::new(root.join("target/release/bluebelld"))
-        .arg("gateway")
+    let program = root.join("target/release/bluebelld");
+    let mut command = match place.descriptors {
+        Some(count) => {
+            let mut command = Command::new("bash");
+            command.arg("-c").arg(format!("ulimit -n {count}; exec \"$0\" gateway")).arg(program);
+            command
+        }
+        None => {
+            let mut command = Command::new(program);
+            command.arg("gateway");
+            command
+        }
+    };
+    let child = command
         .current_dir(root)
         .env_clear()
         .env("BLUEBELLSTACK_CONFIG", &path)
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,6 +2,7 @@
 
 mod gateway;
 mod http;
+mod idle;
 mod json;
 mod power;
 mod runner;
@@ -25,6 +26,7 @@
     let verdict = match case.as_str() {
         "power" => power::run(root, record, trouble),
         "uploads" => uploads::run(root, record, trouble),
+        "idle" => idle::run(root, record, trouble),
         _ => Verdict::CouldNotRun,
     };
     println!("{case}, trouble {trouble}: {verdict:?}");
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -106,7 +106,12 @@
 impl Site {
     /// Starts the store. Address 0 is its own, the next ones are the gateways', the last one is the runners'.
     pub fn start(root: &Path, record: &Path) -> Option<Self> {
-        let ips = gateway::addresses(4)?;
+        Self::start_with(root, record, 2)
+    }
+
+    /// The same for a number of gateways.
+    pub fn start_with(root: &Path, record: &Path, gateways: u8) -> Option<Self> {
+        let ips = gateway::addresses(gateways + 2)?;
         let store = Store::new();
         let store_address = store.listen(SocketAddr::from((ips[0], 0))).ok()?;
         store.put("op", "config", &config(1, &[KEY, OTHER_KEY]));
@@ -115,7 +120,7 @@
     }
 
     pub fn runner(&self, service: &str, id: &str, port: u16, work: Duration) -> Option<Runner> {
-        let address = SocketAddr::from((self.ips[3], port));
+        let address = SocketAddr::from((*self.ips.last()?, port));
         let runner = Runner::start(&self.store, service, id, address, work).ok()?;
         self.record.line(&format!("runner {id} of {service} starts at {address}"));
         Some(runner)
@@ -128,6 +133,7 @@
             store: self.store_address,
             seeds: vec![SocketAddr::from((self.ips[1], CONTROL_PORT)), SocketAddr::from((self.ips[2], CONTROL_PORT))],
             announced: None,
+            descriptors: None,
         }
     }
 
