--- a/review/standins/src/runner.rs
+++ b/review/standins/src/runner.rs
@@ -27,8 +27,8 @@
     // Increases with each start and stop; connections of an earlier life are closed.
     life: u64,
     is_up: bool,
-    // Whether it runs requests and gives no answer.
-    is_silent: bool,
+    // Whether it gives no answer to a part of the requests that it runs.
+    is_grey: bool,
     connections: Vec<TcpStream>,
     runs: Vec<Run>,
 }
@@ -50,7 +50,7 @@
             id: id.to_owned(),
             life: 0,
             is_up: false,
-            is_silent: false,
+            is_grey: false,
             connections: Vec::new(),
             runs: Vec::new(),
         };
@@ -101,9 +101,9 @@
         }
     }
 
-    /// From now on it gives no answer to the requests that it gets, or answers again.
-    pub fn set_silent(&self, is_silent: bool) {
-        self.lock().is_silent = is_silent;
+    /// From now on it gives no answer to two in five of the requests that it runs, or to all again.
+    pub fn set_grey(&self, is_grey: bool) {
+        self.lock().is_grey = is_grey;
     }
 
     pub fn runs(&self) -> Vec<Run> {
@@ -132,7 +132,7 @@
         let mut buffer = Vec::new();
         while let Some(request) = read_request(&mut stream, &mut buffer)? {
             let request_id = request.header("request-id").to_owned();
-            let id = {
+            let (id, hangs) = {
                 let mut state = self.lock();
                 if state.life != life {
                     return Ok(());
@@ -146,10 +146,10 @@
                     continue;
                 }
                 state.runs.push(Run { at: Instant::now(), request: request_id.clone() });
-                id
+                (id, state.is_grey && state.runs.len() % 5 < 2)
             };
             thread::sleep(self.work);
-            if self.lock().is_silent {
+            if hangs {
                 // Waits until the caller closes the connection.
                 let _ = stream.read(&mut [0; 1]);
                 return Ok(());
