Let a gateway go on when the deadline of a silent call passes without another upstream

Cause: Call::attempt tries to replace a silent attempt after half of the time left. Without another upstream the try ends without waiting, and at the deadline the limit is zero, so no turn of the loop waits for anything and the attempt's own timer can't fire on the only thread.

Ruled out: a lock held over a wait (the process would be idle), work that grows with the requests (no rise before the deadline).

Change: silence() never returns after the deadline, when only the attempt itself can end; two tries to replace a call are at least 100 ms apart, the interval at which the retry budget is checked as well.

--- a/crates/bluebelld/src/gateway/front/buffered.rs
+++ b/crates/bluebelld/src/gateway/front/buffered.rs
@@ -13,7 +13,7 @@
     choose::{SendOptions, next_upstream},
     record::record_answer,
     reply::{final_refusal, forward_buffered},
-    silence::{SilenceLimit, silence},
+    silence::{RETRY_CHECK_INTERVAL, SilenceLimit, silence},
     takeover::{InFlightSince, KeptState, PendingAttempt, Replacement, replace},
 };
 use crate::gateway::{
@@ -159,7 +159,9 @@
         let ran = history.maybe_ran + u32::from(!is_counted);
         if self.job.route.repeat.may_repeat() && ran < self.job.route.attempts {
             let left = self.job.time_left(self.gateway);
-            return SilenceLimit::Fixed((self.job.route.target * HEAD_TIMEOUT_FACTOR).min(left / 2));
+            let limit = (self.job.route.target * HEAD_TIMEOUT_FACTOR).min(left / 2);
+            // Half of the time left shrinks to nothing towards the deadline.
+            return SilenceLimit::Fixed(if is_counted { limit.max(RETRY_CHECK_INTERVAL) } else { limit });
         }
         SilenceLimit::Deadline
     }
--- a/crates/bluebelld/src/gateway/front/silence.rs
+++ b/crates/bluebelld/src/gateway/front/silence.rs
@@ -8,8 +8,9 @@
 
 use crate::gateway::{job::Job, state::Gateway};
 
-/// Interval at which an attempt whose upstream is silent checks whether the request may be retried.
-const RETRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which an attempt whose upstream is silent checks whether the request may be retried, and shortest time
+/// between two tries to replace it.
+pub const RETRY_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time for which an upstream may be silent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -23,6 +24,7 @@
 }
 
 /// Waits until an attempt that was started at `since` has been silent for too long and the request may be retried.
+/// Never returns after the request's deadline, when only the attempt itself can end.
 pub async fn silence(gateway: &Gateway, job: &Job, upstream: &UpstreamId, since: Duration, limit: SilenceLimit) {
     loop {
         let now = gateway.now();
@@ -31,6 +33,9 @@
             SilenceLimit::Fixed(time) => (since + time).saturating_sub(now),
             SilenceLimit::Alive(time) => gateway.traffic().remaining_wait(now, upstream, since, time),
         };
+        if job.time_left(gateway).is_zero() {
+            return std::future::pending().await;
+        }
         if left.is_zero() && job.may_be_retried(gateway) {
             return;
         }
--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod restores;
 mod resumed_streams;
 mod rollouts;
+mod silent;
 mod site;
 mod stops;
 mod streams;
