Use the registration that was written last of those at an address, not the one read last

Cause: Upstreams::put removed any other record at the address of the registration that it got.

Ruled out: entries missed at the start (all eight are in the log), refusals for a wrong id (the upstreams saw no arrivals).

Change: records keep their row's version, and the latest listed registration at an address is in use; across a restore of the store the later start decides. A superseded entry is no sign that the upstream at its address restarted, retracts no crash report, and doesn't count among registrations that lapsed together. The lines of entries have the address.

--- a/crates/bluebell-core/src/upstreams.rs
+++ b/crates/bluebell-core/src/upstreams.rs
@@ -5,13 +5,20 @@
 //! unreachable, registrations lapse although the upstreams are running, and reappear shortly after. If many
 //! registrations disappear at once, their upstreams therefore stay in use for a grace period. It is shorter than the
 //! shortest drain, so that an upstream that did leave gets its last request before it stops accepting work.
+//!
+//! An upstream that crashed stays registered for some seconds, and its successor registers itself under another id at the
+//! same address. Of several registrations at an address, the one that was written last is in use. That doesn't depend on
+//! the order in which they are read: a snapshot has them in the order of their ids.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{ReleaseId, ServiceId, UpstreamId, ZoneId};
+use crate::{
+    ids::{ReleaseId, ServiceId, UpstreamId, ZoneId},
+    store_version::era,
+};
 
 /// Time that an upstream stays in use after its registration lapsed together with many others. The platform restores
 /// such registrations within about two seconds, and a drain may be as short as two seconds.
@@ -76,37 +83,103 @@
 #[derive(Debug, Clone)]
 struct Record {
     upstream: Arc<Upstream>,
+    // Version of the row that the registration was read from.
+    version: u64,
     removed_at: Option<Duration>,
     seen: Duration,
 }
 
+impl Record {
+    fn claim(&self) -> Claim {
+        Claim {
+            is_listed: self.removed_at.is_none(),
+            version: self.version,
+            started_at_ms: self.upstream.started_at_ms,
+        }
+    }
+}
+
+// What decides which of several registrations at an address is in use.
+#[derive(Debug, Clone, Copy)]
+struct Claim {
+    is_listed: bool,
+    version: u64,
+    started_at_ms: u64,
+}
+
+impl Claim {
+    // Whether this registration is in use rather than the other one. Versions from before and after a restore of the
+    // store don't compare.
+    fn supersedes(self, other: Self) -> bool {
+        if self.is_listed != other.is_listed {
+            return self.is_listed;
+        }
+        if era(self.version) == era(other.version) {
+            return self.version > other.version;
+        }
+        (self.started_at_ms, self.version) > (other.started_at_ms, other.version)
+    }
+}
+
 /// Registry of upstreams, including those whose registration disappeared recently.
 #[derive(Debug, Default)]
 pub struct Upstreams {
     records: IndexMap<UpstreamId, Record>,
+    // The upstream in use at each address.
+    holders: IndexMap<SocketAddr, UpstreamId>,
 }
 
 impl Upstreams {
-    /// Adds or replaces a registration.
-    pub fn put(&mut self, now: Duration, upstream: Upstream) {
-        // The latest registration of an address replaces any other upstream at that address.
-        self.records.retain(|id, record| record.upstream.address != upstream.address || *id == upstream.id);
-        self.records.insert(upstream.id.clone(), Record { upstream: Arc::new(upstream), removed_at: None, seen: now });
+    /// Adds or replaces a registration that was read from a row with the given version.
+    pub fn put(&mut self, now: Duration, version: u64, upstream: Upstream) {
+        let (id, address) = (upstream.id.clone(), upstream.address);
+        let record = Record { upstream: Arc::new(upstream), version, removed_at: None, seen: now };
+        let replaced = self.records.insert(id, record);
+        let moved_from = replaced.map(|replaced| replaced.upstream.address).filter(|before| *before != address);
+        moved_from.into_iter().chain([address]).for_each(|address| self.elect(address));
     }
 
     /// Records that a registration disappeared or became unreadable.
     pub fn remove(&mut self, now: Duration, id: &UpstreamId) {
         if let Some(record) = self.records.get_mut(id) {
             record.removed_at.get_or_insert(now);
+            let address = record.upstream.address;
+            self.elect(address);
         }
     }
 
     /// Removes upstreams whose registration disappeared longer ago than the grace period. Returns whether there were
     /// any.
     pub fn expire(&mut self, now: Duration) -> bool {
-        let before = self.records.len();
-        self.records.retain(|_, record| record.removed_at.is_none_or(|removed_at| now < removed_at + LAPSE_GRACE));
-        before != self.records.len()
+        let is_over = |record: &Record| record.removed_at.is_some_and(|removed_at| now >= removed_at + LAPSE_GRACE);
+        let expired: Vec<SocketAddr> =
+            self.records.values().filter(|record| is_over(record)).map(|record| record.upstream.address).collect();
+        self.records.retain(|_, record| !is_over(record));
+        expired.iter().for_each(|address| self.elect(*address));
+        !expired.is_empty()
+    }
+
+    // Determines the upstream in use at an address.
+    fn elect(&mut self, address: SocketAddr) {
+        let all = self.records.values().filter(|record| record.upstream.address == address);
+        match all.reduce(|best, record| if record.claim().supersedes(best.claim()) { record } else { best }) {
+            Some(holder) => drop(self.holders.insert(address, holder.upstream.id.clone())),
+            None => drop(self.holders.swap_remove(&address)),
+        }
+    }
+
+    // Records of the upstreams in use at their addresses.
+    fn holders(&self) -> impl Iterator<Item = &Record> {
+        self.records.values().filter(|record| self.holders.get(&record.upstream.address) == Some(&record.upstream.id))
+    }
+
+    /// Whether a registration from a row with the given version is superseded by another one at its address.
+    #[must_use]
+    pub fn is_superseded(&self, version: u64, upstream: &Upstream) -> bool {
+        let holder = self.holders.get(&upstream.address).filter(|holder| **holder != upstream.id);
+        let holder = holder.and_then(|holder| self.records.get(holder));
+        let own = Claim { is_listed: true, version, started_at_ms: upstream.started_at_ms };
+        holder.is_some_and(|holder| !own.supersedes(holder.claim()))
     }
 
     /// Whether any upstream without a registration is still kept.
@@ -119,7 +192,7 @@
     #[must_use]
     pub fn open(&self, now: Duration) -> IndexMap<ServiceId, Vec<Arc<Upstream>>> {
         let mut open: IndexMap<ServiceId, Vec<Arc<Upstream>>> = IndexMap::new();
-        for record in self.records.values().filter(|record| record.upstream.phase == Phase::Ready) {
+        for record in self.holders().filter(|record| record.upstream.phase == Phase::Ready) {
             let is_open = match record.removed_at {
                 None => true,
                 Some(removed_at) => now < removed_at + LAPSE_GRACE && self.lapsed_together(record, removed_at),
@@ -139,8 +212,8 @@
         let same_service = |record: &&Record| record.upstream.service == own.upstream.service;
         let removed_together =
             |record: &&Record| record.removed_at.is_some_and(|other| other.abs_diff(removed_at) < LAPSE_WINDOW);
-        let all = self.records.values().filter(same_service).count();
-        let lapsed = self.records.values().filter(same_service).filter(removed_together).count();
+        let all = self.holders().filter(same_service).count();
+        let lapsed = self.holders().filter(same_service).filter(removed_together).count();
         lapsed >= MIN_LAPSE_COUNT && lapsed as f64 >= MIN_LAPSE_FRACTION * all as f64
     }
 
--- a/crates/bluebell-core/tests/gateways/gateway.rs
+++ b/crates/bluebell-core/tests/gateways/gateway.rs
@@ -160,12 +160,14 @@
         match (row.origin, row.key.as_str()) {
             (Origin::Upstreams, key) => match parse_registration(row) {
                 Some(upstream) => {
-                    let addresses = |id: &UpstreamId| self.upstreams.get(id).map(|one| one.address);
-                    self.in_flight.registration_updated(now, &upstream, addresses);
-                    if self.crashes.retract(&upstream.incarnation()) {
-                        self.update_suspects();
+                    if !self.upstreams.is_superseded(row.version, &upstream) {
+                        let addresses = |id: &UpstreamId| self.upstreams.get(id).map(|one| one.address);
+                        self.in_flight.registration_updated(now, &upstream, addresses);
+                        if self.crashes.retract(&upstream.incarnation()) {
+                            self.update_suspects();
+                        }
                     }
-                    self.upstreams.put(now, upstream);
+                    self.upstreams.put(now, row.version, upstream);
                 }
                 None => {
                     let id: UpstreamId = key.parse().expect("a valid id");
--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -101,14 +101,15 @@
             Ok(upstream) => {
                 log::info!(
                     upstream = id.as_str(), service = upstream.service.as_str(), release = upstream.release.as_str(),
-                    leaving = upstream.phase == Phase::Leaving, row = number(row.version), source = source;
+                    address = upstream.address.to_string().as_str(), leaving = upstream.phase == Phase::Leaving,
+                    row = number(row.version), source = source;
                     "upstream's registry entry was added or changed"
                 );
                 self.undeclared.shift_remove(&id);
                 if self.is_declared(&upstream.service) {
-                    self.put_upstream(now, upstream);
+                    self.put_upstream(now, row.version, upstream);
                 } else {
-                    self.set_aside(now, upstream, row.version);
+                    self.set_aside(now, row.version, upstream);
                 }
             }
             Err(error) => {
@@ -127,34 +128,41 @@
         declared.is_some_and(|declared| declared.services.contains_key(service) || is_target(declared))
     }
 
-    fn put_upstream(&mut self, now: Duration, upstream: Upstream) {
-        let addresses = |id: &UpstreamId| self.upstreams.get(id).map(|one| one.address);
-        self.gateway.traffic().in_flight.registration_updated(now, &upstream, addresses);
-        self.retract(&upstream.incarnation());
-        self.upstreams.put(now, upstream);
+    fn put_upstream(&mut self, now: Duration, version: u64, upstream: Upstream) {
+        if self.upstreams.is_superseded(version, &upstream) {
+            log::info!(
+                upstream = upstream.id.as_str(), address = upstream.address.to_string().as_str(), row = number(version);
+                "registry entry is superseded by a later one at its address"
+            );
+        } else {
+            let addresses = |id: &UpstreamId| self.upstreams.get(id).map(|one| one.address);
+            self.gateway.traffic().in_flight.registration_updated(now, &upstream, addresses);
+            self.retract(&upstream.incarnation());
+        }
+        self.upstreams.put(now, version, upstream);
     }
 
     // Keeps a registration for a service that is not declared apart from the upstreams in use, one of which may have
     // the same address.
-    fn set_aside(&mut self, now: Duration, upstream: Upstream, row: u64) {
+    fn set_aside(&mut self, now: Duration, version: u64, upstream: Upstream) {
         if self.declared.is_some() {
             log::warn!(
-                upstream = upstream.id.as_str(), service = upstream.service.as_str(), row = row;
+                upstream = upstream.id.as_str(), service = upstream.service.as_str(), row = number(version);
                 "upstream of a service that is not declared is not used"
             );
         }
         self.remove_upstream(now, &upstream.id);
-        self.undeclared.insert(upstream.id.clone(), upstream);
+        self.undeclared.insert(upstream.id.clone(), (version, upstream));
     }
 
     // Uses the registrations whose services are declared by now.
     fn use_declared(&mut self) {
         let now = self.gateway.now();
-        for (id, upstream) in std::mem::take(&mut self.undeclared) {
+        for (id, (version, upstream)) in std::mem::take(&mut self.undeclared) {
             if self.is_declared(&upstream.service) {
-                self.put_upstream(now, upstream);
+                self.put_upstream(now, version, upstream);
             } else {
-                self.undeclared.insert(id, upstream);
+                self.undeclared.insert(id, (version, upstream));
             }
         }
     }
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -44,7 +44,7 @@
     pub(super) declared: Option<Arc<Declared>>,
     pub(super) upstreams: Upstreams,
     // Registrations for services that are not declared; they are not used.
-    pub(super) undeclared: IndexMap<UpstreamId, Upstream>,
+    pub(super) undeclared: IndexMap<UpstreamId, (u64, Upstream)>,
     pub(super) members: Members,
     pub(super) rollouts: Rollouts,
     pub(super) crashes: Crashes,
--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod poison;
 mod poison_parts;
 mod refusals;
+mod restarted;
 mod restores;
 mod resumed_streams;
 mod rollouts;
