Complete a roll-out only if the new release has shown to be good

Cause: the failures of each kind of work were compared with the higher of its own rate and that of all work. Lookups, which fail in 0.14 of the cases with any release, and a route that always ends with 504 so hid the failures of bookings (0 of some 200 at the old release, 4 of 34 at the new one). Completing needed no proof, only no rejection so far.

Evidence: the counts that the log now has at each stage.

Change: all work counts for a kind only by its significant excess; a test for releases that are bad for a tenth of their requests on the sum of the evidence of all kinds; completing needs 30 answers and no suspicion, a suspect release is reverted at 0.975 of its time. The last stage starts earlier by the time in which 0.6 of the allowed slack is used, and needs 8 answers instead of 20, as small services can't give more in time; exposure is checked in the simulation.

--- a/crates/bluebell-core/src/canary/analysis.rs
+++ b/crates/bluebell-core/src/canary/analysis.rs
@@ -24,8 +24,19 @@
 const MAX_BAD_RATE: f64 = 0.9;
 /// Assumed ratio of the failure rates of a bad and a good release.
 const BAD_RATE_FACTOR: f64 = 3.0;
+/// Share of its answers that a partly bad release is assumed to fail, besides those that a good one fails.
+const PARTLY_BAD_SHARE: f64 = 0.1;
+/// Log likelihood ratio over all work from which a release is suspected of being partly bad.
+const SUSPICION_THRESHOLD: f64 = 1.0;
+/// The same for a single kind of work: more than one failure within some fifteen answers where failures are rare.
+const KIND_SUSPICION_THRESHOLD: f64 = 2.0;
 /// Answers of each release that a window must contain before the releases are compared.
 const MIN_WINDOW_ANSWERS: u64 = 3;
+/// Standard deviations by which the failures of the old release in a window must exceed the usual number to count as
+/// trouble of both releases.
+const SIGNIFICANT_DEVIATIONS: f64 = 2.0;
+/// Name of all kinds of work together.
+const ALL_WORK: &str = "all";
 
 /// Number of bad answers and of all answers.
 type Counts = (u64, u64);
@@ -37,49 +48,107 @@
     rate + 2.0 * (rate * (1.0 - rate) / answers).sqrt()
 }
 
+// Failure rates of a good release and of a bad one.
+#[derive(Debug, Clone, Copy)]
+struct Rates {
+    good: f64,
+    bad: f64,
+}
+
+impl Rates {
+    // Rates of a release that is bad as a whole.
+    fn of_bad(good: f64) -> Self {
+        Self { good, bad: (good * BAD_RATE_FACTOR).clamp(MIN_BAD_RATE, MAX_BAD_RATE) }
+    }
+
+    // Rates of a release that is bad for a share of its requests.
+    fn of_partly_bad(good: f64) -> Self {
+        Self { good, bad: good + PARTLY_BAD_SHARE * (1.0 - good) }
+    }
+
+    // Log likelihood ratio of new answers.
+    fn step(self, (bad, answers): Counts) -> f64 {
+        let passed = answers.saturating_sub(bad) as f64;
+        bad as f64 * (self.bad / self.good).ln() + passed * ((1.0 - self.bad) / (1.0 - self.good)).ln()
+    }
+}
+
+// Failure rate of a good release that the counts of the old one show: an upper bound, since a rate that a few answers show
+// too low would reject a release that fails no more than the old one.
+fn good_rate((bad, answers): Counts) -> f64 {
+    rate_upper_bound(bad as f64 + 0.5, answers as f64 + 5.0).max(MIN_GOOD_RATE)
+}
+
+// What the old release shows in the current window in a kind of work.
+#[derive(Debug, Clone, Copy, Default)]
+struct Concurrent {
+    // Upper bound of the rate in this kind of work.
+    rate: f64,
+    // Significant excess over the usual rate in this kind of work.
+    excess: f64,
+    // The same over all work, where trouble of both releases may show first.
+    common_excess: f64,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Window {
+    failures: Concurrent,
+    slow: Concurrent,
+}
+
+impl Concurrent {
+    // Rate of a good release for the test of a release that is bad as a whole.
+    fn good_rate(&self, usual: f64) -> f64 {
+        (usual.min(MAX_GOOD_RATE) + self.common_excess).max(self.rate).min(MAX_BAD_RATE)
+    }
+
+    // The same for the test of a release that is bad for a share of its requests. A few answers of the old release don't
+    // mask it.
+    fn partial_good_rate(&self, usual: f64) -> f64 {
+        (usual + self.excess.max(self.common_excess)).min(MAX_BAD_RATE)
+    }
+}
+
 #[derive(Debug, Clone, Default)]
 struct CusumTests {
     failing: f64,
+    partly_failing: f64,
     slow: f64,
     last: Tally,
+    // Log likelihood ratio that the last evaluation added to `partly_failing`.
+    partial_step: f64,
 }
 
 impl CusumTests {
-    // Adds new answers of the new release to a cumulative sum of log likelihood ratios. The rate of a good release is
-    // taken from the old one: its rate overall, or `concurrent_rate` over the same window, whichever is higher.
-    fn add(sum: f64, old: Counts, concurrent_rate: f64, fresh: Counts) -> f64 {
-        // An upper bound, since a rate that a few answers show too low would reject a release that fails no more than
-        // the old one.
-        let overall_rate = rate_upper_bound(old.0 as f64 + 0.5, old.1 as f64 + 5.0).clamp(MIN_GOOD_RATE, MAX_GOOD_RATE);
-        let good = overall_rate.max(concurrent_rate).min(MAX_BAD_RATE);
-        let bad = (good * BAD_RATE_FACTOR).clamp(MIN_BAD_RATE, MAX_BAD_RATE);
-        let passed = fresh.1.saturating_sub(fresh.0) as f64;
-        let step = fresh.0 as f64 * (bad / good).ln() + passed * ((1.0 - bad) / (1.0 - good)).ln();
-        (sum + step).max(0.0)
-    }
-
-    fn update(&mut self, (old, new): &(Tally, Tally), concurrent: &[Tally], by_pace: bool) -> Option<(Finding, f64)> {
+    fn update(&mut self, (old, new): &(Tally, Tally), window: &Window, by_pace: bool) -> Option<(Finding, f64)> {
         let fresh = new.since(&self.last);
         self.last = *new;
-        let highest = |counts: fn(&Tally) -> Counts| {
-            let rates =
-                concurrent.iter().map(counts).map(|(bad, answers)| rate_upper_bound(bad as f64, answers as f64));
-            rates.fold(0.0, f64::max)
-        };
-        let failures = |tally: &Tally| (tally.failures, tally.answers);
-        self.failing = Self::add(self.failing, failures(old), highest(failures), failures(&fresh));
+        let usual = good_rate(failures(old));
+        let rates = Rates::of_bad(window.failures.good_rate(usual));
+        self.failing = (self.failing + rates.step(failures(&fresh))).max(0.0);
+        let rates = Rates::of_partly_bad(window.failures.partial_good_rate(usual));
+        self.partial_step = rates.step(failures(&fresh));
+        self.partly_failing = (self.partly_failing + self.partial_step).max(0.0);
         if self.failing >= REJECTION_THRESHOLD {
             return Some((Finding::Failing, self.failing));
         }
         if !by_pace {
             return None;
         }
-        let slow = |tally: &Tally| (tally.slow, tally.answers);
-        self.slow = Self::add(self.slow, slow(old), highest(slow), slow(&fresh));
+        let rates = Rates::of_bad(window.slow.good_rate(good_rate(slow(old))));
+        self.slow = (self.slow + rates.step(slow(&fresh))).max(0.0);
         (self.slow >= REJECTION_THRESHOLD).then_some((Finding::Slow, self.slow))
     }
 }
 
+fn failures(tally: &Tally) -> Counts {
+    (tally.failures, tally.answers)
+}
+
+fn slow(tally: &Tally) -> Counts {
+    (tally.slow, tally.answers)
+}
+
 /// The fault that a release was rejected for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Finding {
@@ -110,6 +179,8 @@
 #[derive(Debug, Default)]
 pub struct Analysis {
     tests: IndexMap<String, CusumTests>,
+    // Evidence of a partial failure over all kinds of work.
+    partly_failing: f64,
     slowdown: SlowdownEstimator,
     // Counts at the last evaluation, and counts since the start of the current window.
     last: Tallies,
@@ -130,20 +201,26 @@
             new,
         };
         let concurrent = sum(&self.window);
-        let kinds = tallies.iter().map(|(work, pair)| (work.as_str(), pair));
-        for (work, pair) in std::iter::once(("all", &total)).chain(kinds) {
-            // Trouble of both releases may show in all work before it shows in this kind, or only in this kind, so both
-            // counts of the old release are passed.
-            let olds = [Some(&concurrent), self.window.get(work)]
-                .into_iter()
-                .flatten()
-                .map(|(old, _)| *old)
-                .collect::<Vec<_>>();
-            let tests = self.tests.entry(work.to_owned()).or_default();
-            if let Some((finding, evidence)) = tests.update(pair, &olds, by_pace) {
+        let window = self.window_of(tallies, &concurrent.0, |_| true);
+        let tests = self.tests.entry(ALL_WORK.to_owned()).or_default();
+        if let Some((finding, evidence)) = tests.update(&total, &window, by_pace) {
+            return Some(rejection(finding, ALL_WORK, evidence, total));
+        }
+        let common = (window.failures.excess, window.slow.excess);
+        let mut partial_step = 0.0;
+        for (work, pair) in tallies {
+            let old = self.window.get(work).map(|(old, _)| *old).unwrap_or_default();
+            let mut window = self.window_of(tallies, &old, |kind| kind == work);
+            (window.failures.common_excess, window.slow.common_excess) = common;
+            let tests = self.tests.entry(work.clone()).or_default();
+            if let Some((finding, evidence)) = tests.update(pair, &window, by_pace) {
                 return Some(rejection(finding, work, evidence, *pair));
             }
+            partial_step += tests.partial_step;
         }
+        // Kinds of work fail at different rates, so a partial failure shows in the sum of their evidence, and not in the
+        // sum of their counts.
+        self.partly_failing = (self.partly_failing + partial_step).max(0.0);
         if concurrent.0.answers.min(concurrent.1.answers) >= MIN_WINDOW_ANSWERS {
             self.slowdown.record(&std::mem::take(&mut self.window));
         }
@@ -151,6 +228,47 @@
         Some(rejection(Finding::Slower, "all", deviations, total))
     }
 
+    /// Log likelihood ratio, over all work, of a release that is bad for a share of its requests.
+    #[must_use]
+    pub fn suspicion(&self) -> f64 {
+        self.partly_failing
+    }
+
+    /// Whether the release may be bad for a share of its requests, without enough evidence to reject it.
+    #[must_use]
+    pub fn is_suspect(&self) -> bool {
+        let mut kinds = self.tests.iter().filter(|(work, _)| *work != ALL_WORK);
+        self.partly_failing >= SUSPICION_THRESHOLD
+            || kinds.any(|(_, tests)| tests.partly_failing >= KIND_SUSPICION_THRESHOLD)
+    }
+
+    // What the current window shows of the old release, given its counts in some kinds of work.
+    fn window_of(&self, tallies: &Tallies, old: &Tally, is_included: impl Fn(&str) -> bool) -> Window {
+        let concurrent = |counts: fn(&Tally) -> Counts| {
+            let (bad, answers) = counts(old);
+            let excess = self.excess(tallies, counts, &is_included);
+            Concurrent { rate: rate_upper_bound(bad as f64, answers as f64), excess, common_excess: 0.0 }
+        };
+        Window { failures: concurrent(failures), slow: concurrent(slow) }
+    }
+
+    // Rate in the current window beyond what is usual for the kinds of work; 0 unless it is significant.
+    fn excess(&self, tallies: &Tallies, counts: fn(&Tally) -> Counts, is_included: impl Fn(&str) -> bool) -> f64 {
+        let (mut observed, mut expected, mut variance, mut answers) = (0.0, 0.0, 0.0, 0.0);
+        for (work, (old, _)) in self.window.iter().filter(|(work, _)| is_included(work)) {
+            let (bad, count) = counts(old);
+            let (all_bad, all) = tallies.get(work).map(|(old, _)| counts(old)).unwrap_or_default();
+            let usual = all_bad as f64 / (all as f64).max(1.0);
+            observed += bad as f64;
+            expected += usual * count as f64;
+            variance += usual * (1.0 - usual) * count as f64;
+            answers += count as f64;
+        }
+        // A single failure among a few answers is no trouble.
+        let is_significant = observed > expected + SIGNIFICANT_DEVIATIONS * (variance + 1.0).sqrt();
+        if is_significant { rate_upper_bound(observed, answers) - expected / answers } else { 0.0 }
+    }
+
     // Adds the counts since the last evaluation to the window, which starts with the first answers of the new release.
     fn extend_window(&mut self, tallies: &Tallies) {
         if sum(&self.window).1.answers == 0 {
--- a/crates/bluebell-core/src/canary/mod.rs
+++ b/crates/bluebell-core/src/canary/mod.rs
@@ -5,6 +5,9 @@
 //! from overwriting each other. Every gateway evaluates the release by the counts of all gateways, and stops sending
 //! requests to a rejected release at once, before the stored stage changes.
 //!
+//! Completing a roll-out can't be undone, as the old release is stopped then. It needs a number of answers of the new
+//! release that show no sign of a partial failure; a release that is still suspect at the end of its time is reverted.
+//!
 //! The pace of an answer is its response time divided by the time expected for its size.
 
 mod analysis;
@@ -15,5 +18,5 @@
 
 pub use analysis::{Analysis, Finding, Rejection};
 pub use split::{SessionPins, Split};
-pub use stage::{Order, SETTLE_TIME, Schedule, Stage, StageRow, Verdict, next_stage};
+pub use stage::{Order, Rate, SETTLE_TIME, Schedule, Stage, StageRow, Verdict, next_stage};
 pub use tally::{AggregatedTallies, Moments, PaceBaseline, Tallies, Tally};
--- a/crates/bluebell-core/src/canary/stage.rs
+++ b/crates/bluebell-core/src/canary/stage.rs
@@ -11,13 +11,22 @@
 /// Fraction of the exposure allowed that is left for the full stage, in which the new release gets all requests. The
 /// exposure of both stages together stays within the allowed one, so even a bad release that is never detected does.
 const FULL_EXPOSURE_FRACTION: f64 = 0.5;
+/// Fraction of the requests allowed on top of the exposure that is used for an earlier start of the full stage.
+const SLACK_FRACTION: f64 = 0.6;
+/// Fraction of the roll-out's time limit before which the full stage never starts.
+const MIN_FULL_AT: f64 = 0.5;
 /// Fraction of the roll-out's time limit after which it is declared complete; the rest is left for the write to reach
 /// all gateways.
 const COMPLETE_AT: f64 = 0.97;
+/// Fraction of the roll-out's time limit after which a release that is still suspect is reverted.
+const GIVE_UP_AT: f64 = 0.975;
 /// Time between an order and the first requests for its release, in which gateways exchange their session pins.
 pub const SETTLE_TIME: Duration = Duration::from_millis(700);
 /// Answers of the new release that are needed before its share is raised.
-const MIN_ANSWERS: u64 = 20;
+const MIN_ANSWERS: u64 = 8;
+/// Answers of the new release that are needed before the roll-out is completed, which can't be undone: a release that
+/// fails a tenth of its requests passes for a good one in about one of ten cases.
+const MIN_PROVING_ANSWERS: u64 = 30;
 
 /// An operator's order to roll out a release.
 #[derive(Debug, Clone, PartialEq)]
@@ -37,8 +46,10 @@
 pub struct Schedule {
     /// Share of the requests that goes to the new release in the canary stage.
     pub canary: f64,
-    // Fraction of the time limit at which the full stage may start.
+    // Fraction of the time limit at which the full stage may start, without the slack.
     full_at: f64,
+    // Requests that may go to the new release besides its share.
+    slack: f64,
 }
 
 impl Schedule {
@@ -47,10 +58,28 @@
     #[must_use]
     pub fn for_exposure(exposure: f64) -> Self {
         let full_stage = (FULL_EXPOSURE_FRACTION * exposure).clamp(0.02, 0.5);
-        Self { canary: CANARY_EXPOSURE_FRACTION * exposure, full_at: 1.0 - full_stage }
+        Self { canary: CANARY_EXPOSURE_FRACTION * exposure, full_at: 1.0 - full_stage, slack: 0.0 }
+    }
+
+    /// Allows this many requests on top of the share. Where requests are few, they make most of the evidence.
+    #[must_use]
+    pub fn with_slack(self, requests: f64) -> Self {
+        Self { slack: requests, ..self }
+    }
+
+    // Fraction of the time limit at which the full stage may start. It starts earlier by the time in which the slack is
+    // used up.
+    fn full_at(&self, order: &Order, rate: Rate) -> f64 {
+        let requests = rate.0 * order.within.as_secs_f64();
+        let earlier = if requests > 0.0 { SLACK_FRACTION * self.slack / requests } else { 0.0 };
+        (self.full_at - earlier).max(MIN_FULL_AT.min(self.full_at))
     }
 }
 
+/// Requests per second.
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
+pub struct Rate(pub f64);
+
 /// Stage of a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Stage {
@@ -103,19 +132,25 @@
         return Some(Stage::Reverted);
     }
     let elapsed = now.saturating_sub(row.began).as_secs_f64() / order.within.as_secs_f64().max(0.001);
-    let has_enough_answers = verdict.answers >= MIN_ANSWERS;
+    let full_at = schedule.full_at(order, verdict.rate);
+    let is_proved = verdict.answers >= MIN_PROVING_ANSWERS && !verdict.is_suspect;
     match row.stage {
-        Stage::Canary if elapsed >= schedule.full_at && has_enough_answers => Some(Stage::Full),
-        Stage::Full if elapsed >= COMPLETE_AT => Some(Stage::Completed),
+        Stage::Canary if elapsed >= full_at && verdict.answers >= MIN_ANSWERS => Some(Stage::Full),
+        Stage::Full if elapsed >= COMPLETE_AT && is_proved => Some(Stage::Completed),
+        Stage::Full if elapsed >= GIVE_UP_AT && verdict.is_suspect => Some(Stage::Reverted),
         _ => None,
     }
 }
 
 /// Result of evaluating a release so far.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Verdict {
     /// Whether the release was rejected.
     pub rejected: bool,
+    /// Whether it may be bad, without enough evidence to reject it.
+    pub is_suspect: bool,
     /// Number of its answers that were counted.
     pub answers: u64,
+    /// Rate of the answers of its service, of all releases.
+    pub rate: Rate,
 }
--- a/crates/bluebell-core/src/canary/tally.rs
+++ b/crates/bluebell-core/src/canary/tally.rs
@@ -143,6 +143,12 @@
         &self.totals
     }
 
+    /// Number of answers of both releases.
+    #[must_use]
+    pub fn all_answers(&self) -> u64 {
+        self.totals.values().map(|(old, new)| old.answers + new.answers).sum()
+    }
+
     /// Number of answers of the new release.
     #[must_use]
     pub fn answers(&self) -> u64 {
--- a/crates/bluebell-core/tests/canary.rs
+++ b/crates/bluebell-core/tests/canary.rs
@@ -5,8 +5,8 @@
 
 use bluebell_core::{
     canary::{
-        AggregatedTallies, Analysis, Order, PaceBaseline, Rejection, Schedule, SessionPins, Split, Stage, StageRow,
-        Tallies, Tally, Verdict, next_stage,
+        AggregatedTallies, Analysis, Order, PaceBaseline, Rate, Rejection, Schedule, SessionPins, Split, Stage,
+        StageRow, Tallies, Tally, Verdict, next_stage,
     },
     ids::ReleaseId,
 };
@@ -34,7 +34,7 @@
 }
 
 fn verdict(rejected: bool, answers: u64) -> Verdict {
-    Verdict { rejected, answers }
+    Verdict { rejected, answers, ..Verdict::default() }
 }
 
 fn release(name: &str) -> ReleaseId {
@@ -249,6 +249,103 @@
     }
 }
 
+/// Kinds of work of a small service: share of its requests, and failure rate with any release. One fails often, and one
+/// always, as its requests take longer than they may.
+const SMALL_KINDS: [(&str, f64, f64); 3] = [("booking", 0.66, 0.004), ("lookup", 0.29, 0.14), ("overlong", 0.05, 1.0)];
+/// Requests per second of the small service.
+const SMALL_RATE: f64 = 24.0;
+/// Time from a request to the evaluation of its answer, in evaluations.
+const REPORT_DELAY: usize = 2;
+
+struct SmallRollout {
+    stage: Stage,
+    requests: f64,
+    exposed: f64,
+}
+
+/// Simulates a roll-out of a small service whose new release fails a share of its requests, until its time is over.
+fn simulate_small(within: Duration, fails: f64, seed: u64) -> SmallRollout {
+    let schedule = Schedule::for_exposure(EXPOSURE.0).with_slack(EXPOSURE.1);
+    let order = Order { within, ..order() };
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut history: Vec<Tallies> = Vec::new();
+    let mut tallies = Tallies::new();
+    let mut analysis = Analysis::default();
+    let mut rollout = SmallRollout { stage: Stage::Canary, requests: 0.0, exposed: 0.0 };
+    let mut is_rejected = false;
+    for evaluation in 0..within.as_millis() as usize / EVALUATION_MS {
+        let split = Split::of(&order, Some(rollout.stage), is_rejected, &schedule);
+        let due = SMALL_RATE * EVALUATION_MS as f64 / 1000.0;
+        let count = due as usize + usize::from(random.random_bool(due.fract()));
+        for _ in 0..count {
+            let mut at = random.random_range(0.0..1.0);
+            let kind = SMALL_KINDS.iter().find(|kind| {
+                at -= kind.1;
+                at < 0.0
+            });
+            let kind = kind.unwrap_or(&SMALL_KINDS[0]);
+            let is_new = split.admits(&random.random_range(0..u64::MAX).to_string(), None, &release("v2"));
+            rollout.requests += 1.0;
+            rollout.exposed += f64::from(u8::from(is_new));
+            let has_failed = random.random_bool(kind.2) || is_new && random.random_bool(fails);
+            let pair = tallies.entry(kind.0.to_owned()).or_default();
+            let tally = if is_new { &mut pair.1 } else { &mut pair.0 };
+            tally.answers += 1;
+            tally.failures += u64::from(has_failed);
+        }
+        history.push(tallies.clone());
+        let Some(known) = evaluation.checked_sub(REPORT_DELAY).map(|index| &history[index]) else { continue };
+        is_rejected |= analysis.evaluate(known, true).is_some();
+        let elapsed = Duration::from_millis(((evaluation + 1) * EVALUATION_MS) as u64);
+        let count = |of: fn(&(Tally, Tally)) -> u64| known.values().map(of).sum::<u64>();
+        let verdict = Verdict {
+            rejected: is_rejected,
+            is_suspect: analysis.is_suspect(),
+            answers: count(|(_, new)| new.answers),
+            rate: Rate(count(|(old, new)| old.answers + new.answers) as f64 / elapsed.as_secs_f64()),
+        };
+        let now = row(rollout.stage).began + elapsed;
+        rollout.stage = next_stage(&order, &row(rollout.stage), now, &schedule, verdict).unwrap_or(rollout.stage);
+    }
+    rollout
+}
+
+/// Times of the roll-outs of the small service.
+const SMALL_TIMES: [Duration; 3] = [Duration::from_secs(12), Duration::from_secs(16), Duration::from_secs(24)];
+/// Simulated roll-outs of each kind.
+const SMALL_SEEDS: u64 = 1000;
+
+fn count_completed(within: Duration, fails: f64) -> u64 {
+    let completed = (0..SMALL_SEEDS).filter(|seed| {
+        let rollout = simulate_small(within, fails, *seed);
+        let allowed = EXPOSURE.0 * rollout.requests + EXPOSURE.1;
+        assert!(rollout.exposed <= allowed, "seed {seed}, {within:?}: {} of {allowed} requests", rollout.exposed);
+        rollout.stage == Stage::Completed
+    });
+    completed.count() as u64
+}
+
+// Guards against a bad release that is completed after a few answers, as those of the old one fail as often in another
+// kind of work.
+#[test]
+fn release_that_fails_a_part_of_its_requests_is_not_completed() {
+    for within in SMALL_TIMES {
+        for (fails, allowed) in [(0.5, 0), (0.3, SMALL_SEEDS / 50), (0.2, SMALL_SEEDS / 10)] {
+            let completed = count_completed(within, fails);
+            assert!(completed <= allowed, "{completed} of {SMALL_SEEDS} completed: {within:?}, fails {fails}");
+        }
+    }
+}
+
+// Guards against evidence that is asked for and that good releases of small services can't give in time.
+#[test]
+fn good_release_of_a_small_service_is_completed_in_time() {
+    for within in SMALL_TIMES {
+        let completed = count_completed(within, 0.0);
+        assert!(completed >= SMALL_SEEDS * 95 / 100, "{completed} of {SMALL_SEEDS} completed within {within:?}");
+    }
+}
+
 #[test]
 fn slow_releases_stay_within_the_exposure_allowed() {
     assert_rejected_within_exposure(&ReleaseBehaviour { slower: 8.0, ..GOOD });
--- a/crates/bluebell-core/tests/gateways/gateway.rs
+++ b/crates/bluebell-core/tests/gateways/gateway.rs
@@ -113,7 +113,7 @@
             own_tallies: (Tally::default(), Tally::default()),
             tallies: AggregatedTallies::default(),
             analysis: Analysis::default(),
-            verdict: Verdict { rejected: false, answers: 0 },
+            verdict: Verdict::default(),
             latest_rows: IndexMap::new(),
             known_crashes: IndexMap::new(),
         }
@@ -183,7 +183,7 @@
                 self.order = Some(Order { service: service(), to, within, version: row.version });
                 (self.tallies, self.analysis) = (AggregatedTallies::default(), Analysis::default());
                 self.own_tallies = (Tally::default(), Tally::default());
-                self.verdict = Verdict { rejected: false, answers: 0 };
+                self.verdict = Verdict::default();
             }
             (Origin::Fleet, STAGE_KEY) => {
                 let content = row.value.as_ref().expect("a stage is never deleted");
--- a/crates/bluebelld/src/gateway/control/drive.rs
+++ b/crates/bluebelld/src/gateway/control/drive.rs
@@ -43,7 +43,7 @@
                 .get(&stage_key(&rollout.order.service))
                 .and_then(|stored| stored.row.as_ref())
                 .map(|row| row.stage);
-            rejected |= rollout.evaluate(&all, stage < Some(Stage::Full));
+            rejected |= rollout.evaluate(now, &all, stage < Some(Stage::Full));
         }
         if rejected {
             self.publish();
@@ -84,6 +84,7 @@
                     .or_else(|| self.rollouts.is_damaged(&rollout.order).then_some(row.stage)),
             };
             let Some(stage) = next else { continue };
+            rollout.log_advance(stage);
             let began = row.map_or(clock.saturating_sub(now.saturating_sub(rollout.ordered_at)), |row| row.began);
             let to = rollout.order.to.clone();
             let row = StageRow { order: rollout.order.version, to, stage, began, holder: own_id.clone() };
--- a/crates/bluebelld/src/gateway/control/rollouts.rs
+++ b/crates/bluebelld/src/gateway/control/rollouts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bluebell_core::{
-    canary::{AggregatedTallies, Analysis, Order, Schedule, Split, StageRow, Verdict},
+    canary::{AggregatedTallies, Analysis, Order, Rate, Schedule, Split, Stage, StageRow, Verdict},
     ids::{InstanceId, ServiceId},
     replica::Row,
     store_version::{era, number},
@@ -15,6 +15,9 @@
 /// Prefix of the keys of stage rows.
 pub const KEY_PREFIX: &str = "stage/";
 
+/// Shortest time over which the rate of a service's answers is measured.
+const MIN_RATE_PERIOD: Duration = Duration::from_secs(1);
+
 /// A roll-out ordered by an operator.
 #[derive(Debug)]
 pub(super) struct Rollout {
@@ -54,12 +57,11 @@
 
 impl Rollouts {
     pub(super) fn put_order(&mut self, key: &str, order: Order, now: Duration) {
-        let verdict = Verdict { rejected: false, answers: 0 };
         let rollout = Rollout {
             order,
             analysis: Analysis::default(),
             tallies: AggregatedTallies::default(),
-            verdict,
+            verdict: Verdict::default(),
             ordered_at: now,
             last_write: None,
         };
@@ -172,17 +174,21 @@
 impl Rollout {
     /// Evaluates the release on the tallies of all gateways; `by_pace` is explained at [`Analysis::evaluate`]. Returns
     /// whether this call rejects it.
-    pub(super) fn evaluate(&mut self, all: &[(&InstanceId, &[ReleaseTally])], by_pace: bool) -> bool {
+    pub(super) fn evaluate(&mut self, now: Duration, all: &[(&InstanceId, &[ReleaseTally])], by_pace: bool) -> bool {
         for (gateway, rows) in all {
             for row in rows.iter().filter(|row| row.order == self.order.version) {
                 self.tallies.record(gateway, &row.work, row.release == self.order.to, &row.tally);
             }
         }
         self.verdict.answers = self.tallies.answers();
+        let elapsed = now.saturating_sub(self.ordered_at).max(MIN_RATE_PERIOD).as_secs_f64();
+        self.verdict.rate = Rate(self.tallies.all_answers() as f64 / elapsed);
         if self.verdict.rejected {
             return false;
         }
-        let Some(rejection) = self.analysis.evaluate(self.tallies.totals(), by_pace) else { return false };
+        let rejection = self.analysis.evaluate(self.tallies.totals(), by_pace);
+        self.verdict.is_suspect = self.analysis.is_suspect();
+        let Some(rejection) = rejection else { return false };
         self.verdict.rejected = true;
         let (old, new) = (&rejection.old, &rejection.new);
         log::warn!(
@@ -196,4 +202,18 @@
         );
         true
     }
+
+    /// Logs what a change to another stage is based on.
+    pub(super) fn log_advance(&self, stage: Stage) {
+        let totals = self.tallies.totals().values();
+        let failures = totals.fold((0, 0), |sum, (old, new)| (sum.0 + old.failures, sum.1 + new.failures));
+        log::info!(
+            service = self.order.service.as_str(), to = self.order.to.as_str(), order = number(self.order.version),
+            rejected = self.verdict.rejected, suspicion = format!("{:.2}", self.analysis.suspicion()).as_str(),
+            answers = self.verdict.answers, failures = failures.1,
+            old_answers = self.tallies.all_answers() - self.verdict.answers, old_failures = failures.0,
+            rate = format!("{:.1}", self.verdict.rate.0).as_str();
+            "roll-out goes to stage {stage:?}"
+        );
+    }
 }
--- a/crates/bluebelld/src/gateway/settings.rs
+++ b/crates/bluebelld/src/gateway/settings.rs
@@ -41,6 +41,9 @@
     pub session_seconds: Duration,
     /// Largest share of a service's requests that may go to a new release before it has proved to be good.
     pub exposure: f64,
+    /// Requests that may go to it besides that share.
+    #[serde(default)]
+    pub exposure_slack: f64,
     /// Keys with which processes authenticate each other.
     pub keys: KeySettings,
     /// Minimum log level: error, warn, info, debug or trace.
@@ -124,6 +127,7 @@
         let reason = "must be at least 0";
         ensure!(self.retry.ratio >= 0.0, ConfigValueSnafu { path, key: "retry.ratio", reason });
         ensure!(self.retry.slack >= 0.0, ConfigValueSnafu { path, key: "retry.slack", reason });
+        ensure!(self.exposure_slack >= 0.0, ConfigValueSnafu { path, key: "exposure_slack", reason });
         let reason = "must be above 0 and at most 1";
         let is_valid = self.exposure > 0.0 && self.exposure <= 1.0;
         ensure!(is_valid, ConfigValueSnafu { path, key: "exposure", reason });
--- a/crates/bluebelld/src/gateway/state.rs
+++ b/crates/bluebelld/src/gateway/state.rs
@@ -79,7 +79,7 @@
             buffer_budget: BufferBudget::default(),
             metrics: GatewayMetrics::new()?,
             retry_limit: settings.retry_limit(),
-            schedule: Schedule::for_exposure(settings.exposure),
+            schedule: Schedule::for_exposure(settings.exposure).with_slack(settings.exposure_slack),
             synced: watch::Sender::new(false),
             leaving: watch::Sender::new(false),
             give_up_at: OnceLock::new(),
