--- a/crates/bluebell-core/src/canary/mod.rs
+++ b/crates/bluebell-core/src/canary/mod.rs
@@ -11,12 +11,14 @@
 //! The pace of an answer is its response time divided by the time expected for its size.
 
 mod analysis;
+mod cusum;
 mod pace;
 mod split;
 mod stage;
 mod tally;
 
-pub use analysis::{Analysis, Finding, Rejection};
+pub use analysis::{Analysis, Rejection};
+pub use cusum::Finding;
 pub use split::{SessionPins, Split};
 pub use stage::{Order, Rate, SETTLE_TIME, Schedule, Stage, StageRow, Verdict, next_stage};
 pub use tally::{AggregatedTallies, Moments, PaceBaseline, Tallies, Tally};
--- a/crates/bluebell-core/src/canary/stage.rs
+++ b/crates/bluebell-core/src/canary/stage.rs
@@ -24,8 +24,8 @@
 pub const SETTLE_TIME: Duration = Duration::from_millis(700);
 /// Answers of the new release that are needed before its share is raised.
 const MIN_ANSWERS: u64 = 8;
-/// Answers of the new release that are needed before the roll-out is completed, which can't be undone: a release that
-/// fails a tenth of its requests passes for a good one in about one of ten cases.
+/// Answers of the new release that are needed before the roll-out is completed, which can't be undone. Few releases that
+/// fail a fifth of their requests give so many answers without a sign of it.
 const MIN_PROVING_ANSWERS: u64 = 30;
 
 /// An operator's order to roll out a release.
