Use the units' Rate for the service's rate, and mark the registration in use in its record

The canary had a newtype for requests per second beside units::Rate, and the registry kept a map from addresses to ids that its records hold already and that each publication looked up once a record.

Change: units::Rate; a flag in the record, set where the map was. No change of behaviour.

--- a/crates/bluebell-core/src/canary/mod.rs
+++ b/crates/bluebell-core/src/canary/mod.rs
@@ -20,5 +20,5 @@
 pub use analysis::{Analysis, Rejection};
 pub use cusum::Finding;
 pub use split::{SessionPins, Split};
-pub use stage::{Order, Rate, SETTLE_TIME, Schedule, Stage, StageRow, Verdict, next_stage};
+pub use stage::{Order, SETTLE_TIME, Schedule, Stage, StageRow, Verdict, next_stage};
 pub use tally::{AggregatedTallies, Moments, PaceBaseline, Tallies, Tally};
--- a/crates/bluebell-core/src/canary/stage.rs
+++ b/crates/bluebell-core/src/canary/stage.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{InstanceId, ReleaseId, ServiceId};
+use crate::{
+    ids::{InstanceId, ReleaseId, ServiceId},
+    units::Rate,
+};
 
 /// Share of the requests that goes to the new release in the canary stage, as a fraction of the exposure allowed.
 const CANARY_EXPOSURE_FRACTION: f64 = 0.42;
@@ -70,16 +73,12 @@
     // Fraction of the time limit at which the full stage may start. It starts earlier by the time in which the slack is
     // used up.
     fn full_at(&self, order: &Order, rate: Rate) -> f64 {
-        let requests = rate.0 * order.within.as_secs_f64();
+        let requests = rate.value() * order.within.as_secs_f64();
         let earlier = if requests > 0.0 { SLACK_FRACTION * self.slack / requests } else { 0.0 };
         (self.full_at - earlier).max(MIN_FULL_AT.min(self.full_at))
     }
 }
 
-/// Requests per second.
-#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
-pub struct Rate(pub f64);
-
 /// Stage of a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Stage {
--- a/crates/bluebell-core/src/upstreams.rs
+++ b/crates/bluebell-core/src/upstreams.rs
@@ -87,6 +87,8 @@
     version: u64,
     removed_at: Option<Duration>,
     seen: Duration,
+    // Whether it is the one in use of the registrations at its address.
+    in_use: bool,
 }
 
 impl Record {
@@ -125,15 +127,13 @@
 #[derive(Debug, Default)]
 pub struct Upstreams {
     records: IndexMap<UpstreamId, Record>,
-    // The upstream in use at each address.
-    holders: IndexMap<SocketAddr, UpstreamId>,
 }
 
 impl Upstreams {
     /// Adds or replaces a registration that was read from a row with the given version.
     pub fn put(&mut self, now: Duration, version: u64, upstream: Upstream) {
         let (id, address) = (upstream.id.clone(), upstream.address);
-        let record = Record { upstream: Arc::new(upstream), version, removed_at: None, seen: now };
+        let record = Record { upstream: Arc::new(upstream), version, removed_at: None, seen: now, in_use: false };
         let replaced = self.records.insert(id, record);
         let moved_from = replaced.map(|replaced| replaced.upstream.address).filter(|before| *before != address);
         moved_from.into_iter().chain([address]).for_each(|address| self.elect(address));
@@ -159,27 +159,26 @@
         !expired.is_empty()
     }
 
-    // Determines the upstream in use at an address.
+    // Determines which of the registrations at an address is in use.
     fn elect(&mut self, address: SocketAddr) {
         let all = self.records.values().filter(|record| record.upstream.address == address);
-        match all.reduce(|best, record| if record.claim().supersedes(best.claim()) { record } else { best }) {
-            Some(holder) => drop(self.holders.insert(address, holder.upstream.id.clone())),
-            None => drop(self.holders.swap_remove(&address)),
+        let elected = all.reduce(|best, record| if record.claim().supersedes(best.claim()) { record } else { best });
+        let Some(elected) = elected.map(|record| Arc::clone(&record.upstream)) else { return };
+        for record in self.records.values_mut().filter(|record| record.upstream.address == address) {
+            record.in_use = Arc::ptr_eq(&record.upstream, &elected);
         }
     }
 
-    // Records of the upstreams in use at their addresses.
-    fn holders(&self) -> impl Iterator<Item = &Record> {
-        self.records.values().filter(|record| self.holders.get(&record.upstream.address) == Some(&record.upstream.id))
+    fn in_use(&self) -> impl Iterator<Item = &Record> {
+        self.records.values().filter(|record| record.in_use)
     }
 
     /// Whether a registration from a row with the given version is superseded by another one at its address.
     #[must_use]
     pub fn is_superseded(&self, version: u64, upstream: &Upstream) -> bool {
-        let holder = self.holders.get(&upstream.address).filter(|holder| **holder != upstream.id);
-        let holder = holder.and_then(|holder| self.records.get(holder));
         let own = Claim { is_listed: true, version, started_at_ms: upstream.started_at_ms };
-        holder.is_some_and(|holder| !own.supersedes(holder.claim()))
+        let is_other = |other: &Upstream| other.address == upstream.address && other.id != upstream.id;
+        self.in_use().any(|other| is_other(&other.upstream) && !own.supersedes(other.claim()))
     }
 
     /// Whether any upstream without a registration is still kept.
@@ -192,7 +191,7 @@
     #[must_use]
     pub fn open(&self, now: Duration) -> IndexMap<ServiceId, Vec<Arc<Upstream>>> {
         let mut open: IndexMap<ServiceId, Vec<Arc<Upstream>>> = IndexMap::new();
-        for record in self.holders().filter(|record| record.upstream.phase == Phase::Ready) {
+        for record in self.in_use().filter(|record| record.upstream.phase == Phase::Ready) {
             let is_open = match record.removed_at {
                 None => true,
                 Some(removed_at) => now < removed_at + LAPSE_GRACE && self.lapsed_together(record, removed_at),
@@ -212,8 +211,8 @@
         let same_service = |record: &&Record| record.upstream.service == own.upstream.service;
         let removed_together =
             |record: &&Record| record.removed_at.is_some_and(|other| other.abs_diff(removed_at) < LAPSE_WINDOW);
-        let all = self.holders().filter(same_service).count();
-        let lapsed = self.holders().filter(same_service).filter(removed_together).count();
+        let all = self.in_use().filter(same_service).count();
+        let lapsed = self.in_use().filter(same_service).filter(removed_together).count();
         lapsed >= MIN_LAPSE_COUNT && lapsed as f64 >= MIN_LAPSE_FRACTION * all as f64
     }
 
--- a/crates/bluebell-core/tests/canary.rs
+++ b/crates/bluebell-core/tests/canary.rs
@@ -5,10 +5,11 @@
 
 use bluebell_core::{
     canary::{
-        AggregatedTallies, Analysis, Order, PaceBaseline, Rate, Rejection, Schedule, SessionPins, Split, Stage,
-        StageRow, Tallies, Tally, Verdict, next_stage,
+        AggregatedTallies, Analysis, Order, PaceBaseline, Rejection, Schedule, SessionPins, Split, Stage, StageRow,
+        Tallies, Tally, Verdict, next_stage,
     },
     ids::ReleaseId,
+    units::Rate,
 };
 use indexmap::IndexMap;
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -302,7 +303,7 @@
             rejected: is_rejected,
             is_suspect: analysis.is_suspect(),
             answers: count(|(_, new)| new.answers),
-            rate: Rate(count(|(old, new)| old.answers + new.answers) as f64 / elapsed.as_secs_f64()),
+            rate: Rate::per_second(count(|(old, new)| old.answers + new.answers) as f64 / elapsed.as_secs_f64()),
         };
         let now = row(rollout.stage).began + elapsed;
         rollout.stage = next_stage(&order, &row(rollout.stage), now, &schedule, verdict).unwrap_or(rollout.stage);
--- a/crates/bluebelld/src/gateway/control/rollouts.rs
+++ b/crates/bluebelld/src/gateway/control/rollouts.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use bluebell_core::{
-    canary::{AggregatedTallies, Analysis, Order, Rate, Schedule, Split, Stage, StageRow, Verdict},
+    canary::{AggregatedTallies, Analysis, Order, Schedule, Split, Stage, StageRow, Verdict},
     ids::{InstanceId, ServiceId},
     replica::Row,
     store_version::{era, number},
+    units::Rate,
 };
 use bluebell_platform::describe_json;
 use bluebell_wire::messages::ReleaseTally;
@@ -182,7 +183,7 @@
         }
         self.verdict.answers = self.tallies.answers();
         let elapsed = now.saturating_sub(self.ordered_at).max(MIN_RATE_PERIOD).as_secs_f64();
-        self.verdict.rate = Rate(self.tallies.all_answers() as f64 / elapsed);
+        self.verdict.rate = Rate::per_second(self.tallies.all_answers() as f64 / elapsed);
         if self.verdict.rejected {
             return false;
         }
@@ -212,7 +213,7 @@
             rejected = self.verdict.rejected, suspicion = format!("{:.2}", self.analysis.suspicion()).as_str(),
             answers = self.verdict.answers, failures = failures.1,
             old_answers = self.tallies.all_answers() - self.verdict.answers, old_failures = failures.0,
-            rate = format!("{:.1}", self.verdict.rate.0).as_str();
+            rate = format!("{:.1}", self.verdict.rate.value()).as_str();
             "roll-out goes to stage {stage:?}"
         );
     }
