--- a/crates/bluebell-core/src/ingress.rs
+++ b/crates/bluebell-core/src/ingress.rs
@@ -8,7 +8,7 @@
 use crate::{
     ids::{ModelId, OrgId, RouteId, ServiceId},
     routing::rendezvous,
-    units::Tokens,
+    units::{Rate, Tokens},
 };
 
 /// Whether requests of a route may be executed more than once.
@@ -135,6 +135,17 @@
     pub connections: u32,
     /// Engine properties, if the service runs models.
     pub engine: Option<Engine>,
+    /// How its upstreams behave after a start, if they take fewer requests then.
+    pub cold: Option<ColdStart>,
+}
+
+/// Behaviour of a service's upstreams after a start during traffic.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// Time for which an upstream is cold.
+    pub period: Duration,
+    /// Rate at which a cold upstream takes requests, from all gateways together.
+    pub rate: Rate,
 }
 
 /// An organisation that sends requests.
@@ -151,14 +162,31 @@
 pub struct Limits {
     /// Maximum size of a request body in bytes.
     pub body: usize,
+    /// Maximum size of a request head in bytes.
+    pub head: usize,
+    /// Maximum time from the first byte of a request head to its end.
+    pub head_time: Duration,
+    /// Maximum time for which a connection may be open without a request.
+    pub idle_time: Duration,
 }
 
 /// Default maximum size of a request body in bytes.
 const DEFAULT_BODY_BYTES: usize = 4 << 20;
+/// Default maximum size of a request head in bytes.
+const DEFAULT_HEAD_BYTES: usize = 16 << 10;
+/// Default maximum time for a request head.
+const DEFAULT_HEAD_TIME: Duration = Duration::from_secs(3);
+/// Default maximum idle time of a connection.
+const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(15);
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { body: DEFAULT_BODY_BYTES }
+        Self {
+            body: DEFAULT_BODY_BYTES,
+            head: DEFAULT_HEAD_BYTES,
+            head_time: DEFAULT_HEAD_TIME,
+            idle_time: DEFAULT_IDLE_TIME,
+        }
     }
 }
 
--- a/crates/bluebell-core/src/placing/load.rs
+++ b/crates/bluebell-core/src/placing/load.rs
@@ -3,13 +3,13 @@
 
 use std::time::Duration;
 
-use crate::units::Tokens;
+use crate::units::{Slowdown, Tokens};
 
 /// Half-life of the weight of reports about the load of other callers.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(700);
 
 /// Load that an upstream reports about itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Report {
     /// Requests being processed.
     pub running: u32,
@@ -17,6 +17,8 @@
     pub waiting: u32,
     /// Maximum number of requests processed concurrently.
     pub slots: u32,
+    /// How much longer than usual work takes on its machine at this moment, if it says so.
+    pub slowdown: Option<Slowdown>,
 }
 
 /// Estimated load of one upstream.
--- a/crates/bluebell-core/src/units.rs
+++ b/crates/bluebell-core/src/units.rs
@@ -297,3 +297,25 @@
         humantime::parse_duration(&text).map_err(serde::de::Error::custom)
     }
 }
+
+/// How much longer than usual work takes on a machine; 1 is as usual.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+pub struct Slowdown(f64);
+
+impl Slowdown {
+    /// Range of plausible values; others are clamped to it.
+    const RANGE: std::ops::RangeInclusive<f64> = 0.05..=50.0;
+
+    /// Converts a percentage, of which 100 is as usual. None if it is not a positive number.
+    #[must_use]
+    pub fn from_percent(percent: f64) -> Option<Self> {
+        let is_valid = percent.is_finite() && percent > 0.0;
+        is_valid.then(|| Self((percent / 100.0).clamp(*Self::RANGE.start(), *Self::RANGE.end())))
+    }
+
+    /// The factor by which work takes longer.
+    #[must_use]
+    pub fn factor(self) -> f64 {
+        self.0
+    }
+}
--- a/crates/bluebell-core/tests/placing.rs
+++ b/crates/bluebell-core/tests/placing.rs
@@ -245,7 +245,7 @@
     let mut load = Load::default();
     let now = Duration::from_secs(1);
     load.start_request(Tokens(100));
-    load.apply_report(now, Report { running: 11, waiting: 0, slots: 64 });
+    load.apply_report(now, Report { running: 11, waiting: 0, slots: 64, slowdown: None });
     assert!((load.requests(now) - 11.0).abs() < 0.01);
     assert!(load.requests(now + Duration::from_secs(10)) < 1.1);
     load.finish_request();
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -271,7 +271,7 @@
     let decoded = headers::decode_response(&head.headers);
     record_announcements(gateway, job, &plan.upstream, sent_at, head.status, &decoded);
     if let Some(report) = decoded.load {
-        gateway.traffic().apply_report(gateway.now(), &plan.upstream.id, report);
+        gateway.traffic().apply_report(gateway.now(), &plan.upstream, report);
     }
     // Without the id of this request, a refusal may be an earlier one that the upstream wrote once more.
     if decoded.request.as_deref() != Some(job.caller.request.as_str()) {
--- a/crates/bluebelld/src/gateway/settings.rs
+++ b/crates/bluebelld/src/gateway/settings.rs
@@ -44,6 +44,12 @@
     /// Requests that may go to it besides that share.
     #[serde(default)]
     pub exposure_slack: f64,
+    /// Tolerance of the rate at which cold upstreams get requests. Without it, cold upstreams have no rate limit.
+    #[serde(default)]
+    pub cold: Option<ColdTolerance>,
+    /// Size of the machine that the gateway runs on. Without it, the limits that depend on it have defaults.
+    #[serde(default)]
+    pub machine: Option<Machine>,
     /// Keys with which processes authenticate each other.
     pub keys: KeySettings,
     /// Minimum log level: error, warn, info, debug or trace.
@@ -85,6 +91,26 @@
     }
 }
 
+/// Tolerance of the rate at which an upstream that has started recently gets requests, from all gateways together.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdTolerance {
+    /// Factor by which the declared rate may be exceeded.
+    pub over: f64,
+    /// Requests in one second that are allowed in addition.
+    pub slack: f64,
+}
+
+/// Size of the machine that a gateway runs on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Machine {
+    /// Memory that the process may use, in MB.
+    pub memory_mb: u64,
+    /// File descriptors that the process may have open.
+    pub descriptors: u64,
+}
+
 /// Retry budget.
 #[serde_as]
 #[derive(Debug, Clone, Deserialize)]
@@ -128,6 +154,18 @@
         ensure!(self.retry.ratio >= 0.0, ConfigValueSnafu { path, key: "retry.ratio", reason });
         ensure!(self.retry.slack >= 0.0, ConfigValueSnafu { path, key: "retry.slack", reason });
         ensure!(self.exposure_slack >= 0.0, ConfigValueSnafu { path, key: "exposure_slack", reason });
+        if let Some(cold) = self.cold {
+            let is_valid = cold.over.is_finite() && cold.over >= 1.0;
+            ensure!(is_valid, ConfigValueSnafu { path, key: "cold.over", reason: "must be at least 1" });
+            let is_valid = cold.slack.is_finite() && cold.slack >= 0.0;
+            ensure!(is_valid, ConfigValueSnafu { path, key: "cold.slack", reason });
+        }
+        if let Some(machine) = self.machine {
+            let reason = "must be at least 32";
+            ensure!(machine.memory_mb >= 32, ConfigValueSnafu { path, key: "machine.memory_mb", reason });
+            let reason = "must be at least 256";
+            ensure!(machine.descriptors >= 256, ConfigValueSnafu { path, key: "machine.descriptors", reason });
+        }
         let reason = "must be above 0 and at most 1";
         let is_valid = self.exposure > 0.0 && self.exposure <= 1.0;
         ensure!(is_valid, ConfigValueSnafu { path, key: "exposure", reason });
--- a/crates/bluebelld/src/gateway/traffic/mod.rs
+++ b/crates/bluebelld/src/gateway/traffic/mod.rs
@@ -20,7 +20,7 @@
     upstreams::{Upstream, UpstreamIncarnation},
 };
 use bluebell_wire::messages::{ReleaseTally, SessionRelease, UpstreamLoad};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use upstream_state::UpstreamState;
 pub use upstream_state::{UpstreamWait, WaitCause};
 
@@ -46,6 +46,8 @@
     // The gateways that share the upstreams' rate limits.
     fleet: Fleet,
     returns: IndexMap<ServiceId, ReturnQueue>,
+    // Services of which an upstream has reported the speed of its machine.
+    speed_reporters: IndexSet<ServiceId>,
     // The order among requests to services whose upstreams are all limited.
     urgency: IndexMap<ServiceId, UrgencyOrder>,
 }
@@ -286,9 +288,20 @@
         self.incarnation(upstream).map_or(Admission::Open, |state| state.admission_of_chosen(now))
     }
 
+    /// Whether an upstream of a service has reported the speed of its machine. If so, the speeds of the service's
+    /// upstreams differ and change.
+    #[must_use]
+    pub fn reports_speed(&self, service: &ServiceId) -> bool {
+        self.speed_reporters.contains(service)
+    }
+
     /// Applies an upstream's report of its own load.
-    pub fn apply_report(&mut self, now: Duration, id: &UpstreamId, report: Report) {
-        if let Some(state) = self.upstreams.get_mut(id) {
+    pub fn apply_report(&mut self, now: Duration, upstream: &Upstream, report: Report) {
+        if report.slowdown.is_some() && !self.reports_speed(&upstream.service) {
+            log::info!(service = upstream.service.as_str(); "upstreams report the speed of their machines");
+            self.speed_reporters.insert(upstream.service.clone());
+        }
+        if let Some(state) = self.upstreams.get_mut(&upstream.id) {
             state.load.apply_report(now, report);
         }
     }
