Give engine time a price that rises smoothly, and organisations shares of it

Cause: the room for the largest model had two states, so beyond a backlog all but the most urgent requests got the smallest model alone, and a fifth of the value was lost at 1.4 times the usual load though 98 of 100 answers were in time.

Change: for services whose upstreams report the speed of their machines, the confidence below which an answer is escalated falls smoothly with the time that prompts wait, earlier for less urgent ranks and for organisations that use more than an equal share of the engine time. Organisations in excess are sent behind others of their rank.

--- a/crates/bluebell-core/src/cascade.rs
+++ b/crates/bluebell-core/src/cascade/mod.rs
@@ -4,9 +4,19 @@
 //! of its answer decides, before the caller has received any of it, whether a larger model should answer instead.
 //! Escalation goes straight to the largest model: a request that is too hard for the smallest model is mostly too hard
 //! for the middle one, and each escalation costs both a model run and a part of the retry budget.
+//!
+//! Answers a load that exceeds what the engines can do with the largest model: engine time has a price, see
+//! [`EnginePrice`], and the confidence below which an answer is escalated falls with it. So engine time goes to the
+//! requests that gain most from it, and to urgent ones first.
+
+mod price;
+mod shares;
 
 use std::time::Duration;
 
+pub use price::EnginePrice;
+pub use shares::EngineShares;
+
 /// Confidence, in per cent, below which an urgent request is escalated. With the engines in use, an answer above 70 is
 /// good and one below 30 is not, and a larger model's run costs little compared with the value of an urgent answer.
 const URGENT_CONFIDENCE: u8 = 66;
@@ -45,6 +55,8 @@
     pub rank: u8,
     /// Whether the largest model can run without delaying other requests; see [`has_room`].
     pub has_room: bool,
+    /// Price of engine time for the request.
+    pub price: EnginePrice,
 }
 
 /// Index of the model that should answer instead, if any.
@@ -52,8 +64,9 @@
 pub fn escalate(head: &AnswerHead) -> Option<usize> {
     let confidence = head.confidence?;
     let largest = head.model_count.checked_sub(1)?;
-    let min_confidence = if head.rank == 0 { URGENT_CONFIDENCE } else { OTHER_CONFIDENCE };
-    if head.model >= largest || head.attempts_left == 0 || confidence >= min_confidence || !head.has_room {
+    let base = if head.rank == 0 { URGENT_CONFIDENCE } else { OTHER_CONFIDENCE };
+    let is_good_enough = f64::from(confidence) >= f64::from(base) * head.price.willingness(head.rank);
+    if head.model >= largest || head.attempts_left == 0 || is_good_enough || !head.has_room {
         return None;
     }
     let has_time = head.time_left.as_secs_f64() >= MIN_TIME_LEFT_FRACTION * head.time_limit.as_secs_f64();
--- a/crates/bluebell-core/tests/cascade.rs
+++ b/crates/bluebell-core/tests/cascade.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use bluebell_core::cascade::{AnswerHead, escalate, first_model, has_room};
+use bluebell_core::cascade::{AnswerHead, EnginePrice, escalate, first_model, has_room};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 const HEAD: AnswerHead = AnswerHead {
@@ -15,6 +15,7 @@
     attempts_left: 2,
     rank: 1,
     has_room: true,
+    price: EnginePrice::FREE,
 };
 
 #[test]
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -178,12 +178,12 @@
     }
 }
 
-fn build_request(job: &Job, plan: &AttemptPlan, time_left: Duration) -> Request<Full<Bytes>> {
+fn build_request(job: &Job, plan: &AttemptPlan, time_left: Duration, rank: u8) -> Request<Full<Bytes>> {
     let forward = Forward {
         time_left,
         upstream: &plan.upstream.id,
         organisation: job.organisation.as_ref(),
-        rank: job.rank,
+        rank,
         model: plan.model.as_ref(),
         last_event: plan.last_event,
     };
@@ -242,7 +242,8 @@
         plan.record_in_flight(Some(sent_at));
         connection.expect_head();
         let time_left = job.deadline.saturating_sub(gateway.now());
-        let sending = connection.sender.try_send_request(build_request(job, plan, time_left));
+        let rank = gateway.traffic().upstream_rank(sent_at, &job.service, job.rank, job.organisation.as_ref());
+        let sending = connection.sender.try_send_request(build_request(job, plan, time_left, rank));
         let Ok(result) = timeout(time_left, sending).await else {
             job.record_overdue(gateway, plan.model.as_ref(), &plan.upstream.release);
             let reason = "no answer before the deadline".to_owned();
--- a/crates/bluebelld/src/gateway/job.rs
+++ b/crates/bluebelld/src/gateway/job.rs
@@ -57,6 +57,10 @@
 /// Maximum number of shared prompt parts of a request that are tracked.
 const MAX_SHARED_PARTS: usize = 16;
 
+/// Engine time of a generated token, in prompt tokens. An engine generates tokens one step at a time, and processes a
+/// prompt in large chunks.
+const OUTPUT_TOKEN_WORK: f64 = 10.0;
+
 /// Fingerprints of the prompt parts that a request may share with other requests: all but the last.
 #[must_use]
 pub fn shared_parts(service: &ServiceId, parts: &[Part]) -> Vec<Fingerprint> {
@@ -94,6 +98,14 @@
         self.engine.as_ref().zip(model).map_or(1.0, |(engine, model)| engine.weight(model))
     }
 
+    /// Engine time of a run with a model, in prompt tokens of the mean of the models.
+    #[must_use]
+    pub fn engine_work(&self, model: Option<&ModelId>) -> f64 {
+        let model = model.or(self.caller.model.as_ref());
+        let tokens = self.caller.prompt.0 as f64 + OUTPUT_TOKEN_WORK * self.caller.output.0 as f64;
+        tokens * self.token_weight(model)
+    }
+
     /// Time left until the deadline.
     #[must_use]
     pub fn time_left(&self, gateway: &Gateway) -> Duration {
--- a/crates/bluebelld/src/gateway/traffic/mod.rs
+++ b/crates/bluebelld/src/gateway/traffic/mod.rs
@@ -2,12 +2,14 @@
 //! tallies by release.
 
 mod announcements;
+mod shares;
 mod upstream_state;
 
 use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
     canary::{PaceBaseline, SessionPins, Split, Tally},
+    cascade::EngineShares,
     ids::{InstanceId, ModelId, ReleaseId, ServiceId, SessionId, UpstreamId},
     placing::{
         Admission, Candidate, HealthEvent, PREFILL_TOKENS_PER_MS, Part, PeerLoad, PeerLoads, Report, RequestProfile,
@@ -48,6 +50,8 @@
     returns: IndexMap<ServiceId, ReturnQueue>,
     // Services of which an upstream has reported the speed of its machine.
     speed_reporters: IndexSet<ServiceId>,
+    // Use of the engines by organisation.
+    shares: IndexMap<ServiceId, EngineShares>,
     // The order among requests to services whose upstreams are all limited.
     urgency: IndexMap<ServiceId, UrgencyOrder>,
 }
