Keep requests out of zones that the operator has evacuated

Gateways ignored the row op/evacuate/ZONE, so requests went on to the zone's upstreams until they were gone.

The control thread keeps the set of evacuated zones and leaves their upstreams out of the published routing state. An attempt checks the set again once its connection is open, so requests chosen before the order are sent elsewhere, and so are resumed streams. The last known rows stay in force without the store. A gateway is ready only once it has read all of the operator's rows, from the store or a peer, as single rows forwarded before may lack the order. When no zone is left, requests are refused at once as not run.

The check after a connection has opened has no test of its own.

--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -56,7 +56,7 @@
 /// How far a request that did not run got.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SendProgress {
-    /// It was not sent, as the upstream asked for a pause or left meanwhile.
+    /// It was not sent, as the upstream asked for a pause, left or is in a zone that was evacuated meanwhile.
     Withheld,
     /// The upstream could not be reached.
     Unreachable,
@@ -232,7 +232,11 @@
 ) -> Result<UpstreamResponse, Failure> {
     let mut connection = connect(gateway, job, plan).await?;
     let (response, sent_at) = loop {
-        // The upstream's state may have changed while the connection was opened.
+        // The upstream's state may have changed while the connection was opened, and its zone may have been evacuated.
+        if gateway.routing.load().evacuated.contains(&plan.upstream.zone) {
+            let reason = "the upstream's zone was evacuated before the request was sent".to_owned();
+            return Err(Failure::NotRun { reason, retry_after: None, progress: SendProgress::Withheld });
+        }
         if gateway.traffic().admission_of_chosen(gateway.now(), &plan.upstream) == Admission::Closed {
             let reason = "the upstream asked for a pause or left before the request was sent".to_owned();
             return Err(Failure::NotRun { reason, retry_after: None, progress: SendProgress::Withheld });
--- a/crates/bluebelld/src/gateway/control/mod.rs
+++ b/crates/bluebelld/src/gateway/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod crashes;
 mod drive;
+mod evacuations;
 mod event;
 mod feeds;
 mod links;
--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -4,7 +4,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
-    ids::{InstanceId, ServiceId, UpstreamId},
+    ids::{InstanceId, ServiceId, UpstreamId, ZoneId},
     ingress::Declared,
     replica::{Origin, Row},
     store_version::number,
@@ -37,6 +37,16 @@
     }
 
     pub(super) fn apply_operator_row(&mut self, row: &Row, source: &str) {
+        if let Some(zone) = operator::evacuated_zone(&row.key) {
+            match zone {
+                Ok(zone) => self.apply_evacuation(&zone, row, source),
+                // An upstream can't register such a zone either.
+                Err(error) => {
+                    log::warn!(row = number(row.version), source = source; "evacuation of no valid zone: {error}");
+                }
+            }
+            return;
+        }
         let Some(content) = &row.value else {
             if operator::is_order(&row.key) {
                 self.rollouts.remove_order(&row.key);
@@ -85,6 +95,19 @@
         }
     }
 
+    fn apply_evacuation(&mut self, zone: &ZoneId, row: &Row, source: &str) {
+        let is_ordered = row.value.is_some();
+        if !self.evacuations.set(zone, is_ordered) {
+            return;
+        }
+        let affected = self.upstreams.listed().filter(|upstream| upstream.zone == *zone).count();
+        log::info!(
+            evacuated = zone.as_str(), row = number(row.version), source = source, upstreams = affected;
+            "evacuation of a zone {}", if is_ordered { "ordered" } else { "ended" }
+        );
+        self.gateway.metrics.set_evacuated(self.evacuations.zones().len());
+    }
+
     fn apply_upstream_row(&mut self, row: &Row, source: &str) {
         let now = self.gateway.now();
         let Ok(id) = row.key.parse::<UpstreamId>() else {
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -14,6 +14,7 @@
 use tokio::{sync::mpsc, task::spawn_local, time::MissedTickBehavior};
 
 use super::{
+    evacuations::Evacuations,
     event::{Event, EventSender},
     feeds,
     members::Members,
@@ -46,6 +47,7 @@
     // Registrations for services that are not declared; they are not used.
     pub(super) undeclared: IndexMap<UpstreamId, (u64, Upstream)>,
     pub(super) members: Members,
+    pub(super) evacuations: Evacuations,
     pub(super) rollouts: Rollouts,
     pub(super) crashes: Crashes,
     pub(super) suspects: Arc<Suspects>,
@@ -90,6 +92,7 @@
             upstreams: Upstreams::default(),
             undeclared: IndexMap::new(),
             members,
+            evacuations: Evacuations::default(),
             rollouts: Rollouts::default(),
             crashes: Crashes::default(),
             suspects: Arc::default(),
@@ -275,9 +278,13 @@
         let now = self.gateway.now();
         let peers = self.peer_statuses.values().filter(|status| status.has_store).map(|status| status.received_at);
         let last_contact = peers.chain(self.store.last_response.filter(|_| !self.store.lost)).max();
+        let mut open = self.upstreams.open(now);
+        let left_out = self.evacuations.remove_from(&mut open);
         let routing = RoutingState {
             declared: self.declared.clone(),
-            open: self.upstreams.open(now),
+            open,
+            left_out,
+            evacuated: self.evacuations.zones(),
             splits: self.rollouts.splits(&self.gateway.schedule),
             suspects: Arc::clone(&self.suspects),
             gateways: self.members.count(),
@@ -290,6 +297,12 @@
         self.gateway.routing.store(Arc::new(routing));
     }
 
+    // Whether all rows of an origin were read, here or by a peer. Single rows that a peer forwards before may lack orders
+    // that are in force, such as the evacuation of a zone.
+    fn knows_all(&self, origin: Origin) -> bool {
+        self.replica.snapshots().any(|(known, _)| known == origin)
+    }
+
     // Lets the traffic thread accept requests once enough is known.
     fn check_startup(&mut self, now: Duration) {
         if *self.gateway.synced.borrow() {
@@ -297,7 +310,7 @@
         }
         self.publish_changes();
         let routing = self.gateway.routing.load();
-        if routing.declared.is_none() || routing.open.is_empty() {
+        if routing.declared.is_none() || routing.open.is_empty() || !self.knows_all(Origin::Operator) {
             return;
         }
         let since = *self.startup.routable_since.get_or_insert(now);
--- a/crates/bluebelld/src/gateway/front/choose.rs
+++ b/crates/bluebelld/src/gateway/front/choose.rs
@@ -126,6 +126,7 @@
         (Some(_), _) => "all asked for a pause",
         (None, false) if traffic.has_limited(&pool) => "their rate limits are left to other gateways",
         (None, false) => "all are leaving",
+        (None, true) if routing.left_out.contains_key(&job.service) => "all that might are in evacuated zones",
         (None, true) => "none is known",
     };
     history.reason = reason.to_owned();
--- a/crates/bluebelld/src/gateway/metrics.rs
+++ b/crates/bluebelld/src/gateway/metrics.rs
@@ -31,6 +31,7 @@
     retry_budget: Gauge<f64>,
     declared_version: Gauge<u64>,
     upstreams: Gauge<u64>,
+    evacuated: Gauge<u64>,
     peers: Gauge<u64>,
     store_contact_age: Gauge<f64>,
 }
@@ -70,6 +71,7 @@
                 .build(),
             declared_version: gauge("bluebell_declared_version", "Version of the declarations in force"),
             upstreams: gauge("bluebell_upstreams", "Upstreams that take new work"),
+            evacuated: gauge("bluebell_evacuated_zones", "Zones whose upstreams get no new requests"),
             peers: gauge("bluebell_peers", "Gateways that share the retry budget, this one included"),
             store_contact_age: meter
                 .f64_gauge("bluebell_beliefs_age")
@@ -149,6 +151,11 @@
         self.upstreams.record(count as u64, &[KeyValue::new("service", service.to_string())]);
     }
 
+    /// Sets the number of evacuated zones.
+    pub fn set_evacuated(&self, zones: usize) {
+        self.evacuated.record(zones as u64, &[]);
+    }
+
     /// Sets the number of gateways that share the retry budget, and the time since the last contact with the store.
     pub fn set_peers_and_contact_age(&self, gateways: usize, contact_age: Duration) {
         self.peers.record(gateways as u64, &[]);
--- a/crates/bluebelld/src/gateway/routing_state.rs
+++ b/crates/bluebelld/src/gateway/routing_state.rs
@@ -3,8 +3,14 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bluebell_core::{canary::Split, ids::ServiceId, ingress::Declared, poison::Suspects, upstreams::Upstream};
-use indexmap::IndexMap;
+use bluebell_core::{
+    canary::Split,
+    ids::{ServiceId, ZoneId},
+    ingress::Declared,
+    poison::Suspects,
+    upstreams::Upstream,
+};
+use indexmap::{IndexMap, IndexSet};
 
 /// Time without contact to the store, directly or by way of peers, after which the declarations known here may be out
 /// of date: what they lack may have been declared since.
@@ -15,8 +21,12 @@
 pub struct RoutingState {
     /// The operators' declarations, or `None` until they were first read.
     pub declared: Option<Arc<Declared>>,
-    /// Upstreams that accept new requests, by service.
+    /// Upstreams that accept new requests, by service, without those of evacuated zones.
     pub open: IndexMap<ServiceId, Vec<Arc<Upstream>>>,
+    /// Number of upstreams that would accept new requests but are in evacuated zones, by service.
+    pub left_out: IndexMap<ServiceId, usize>,
+    /// Evacuated zones.
+    pub evacuated: Arc<IndexSet<ZoneId>>,
     /// How requests are split among the releases of each service; services without a roll-out have no entry.
     pub splits: IndexMap<ServiceId, Split>,
     /// Requests suspected of crashing upstreams.
--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod cut_heads;
 mod endless;
+mod evacuations;
 mod explain;
 mod kept_answers;
 mod leaving;
--- a/crates/bluebelld/tests/gateway/site.rs
+++ b/crates/bluebelld/tests/gateway/site.rs
@@ -62,6 +62,8 @@
     pub gateways: Vec<Gateway>,
     pub chat: Vec<SiteUpstream>,
     pub ledger: Vec<SiteUpstream>,
+    /// Lines that are added to the settings of gateways started from now on.
+    pub settings: String,
     directory: PathBuf,
     host: String,
 }
@@ -71,17 +73,22 @@
     pub async fn start(gateway_count: usize) -> Self {
         let mut site = Self::start_without_gateways().await;
         site.put_declarations(1, |_| {});
+        site.start_gateways(gateway_count).await;
+        site
+    }
+
+    /// Starts this many gateways and waits until each serves requests.
+    pub async fn start_gateways(&mut self, gateway_count: usize) {
         for number in 0..gateway_count {
-            site.add_gateway(number).await;
+            self.add_gateway(number).await;
         }
-        for gateway in &site.gateways {
+        for gateway in &self.gateways {
             until("a gateway to be ready", || gateway.is_ready()).await;
             until("a gateway to serve requests", || async {
                 gateway.ask(&Ask::new("/look/x", "warm-up")).await.status == 200
             })
             .await;
         }
-        site
     }
 
     /// Starts a site with registered upstreams, but without declarations and gateways.
@@ -97,6 +104,7 @@
             gateways: Vec::new(),
             chat: Vec::new(),
             ledger: Vec::new(),
+            settings: String::new(),
             directory,
             host,
         };
@@ -173,7 +181,8 @@
              session_seconds: 5\n\
              exposure: 0.3\n\
              keys: {{ active: k, known: {{ k: 000102030405060708090a0b0c0d0e0f }} }}\n\
-             log: info\n"
+             log: info\n{}",
+            self.settings
         );
         let path = self.directory.join(format!("{name}.yaml"));
         std::fs::write(&path, settings).expect("the settings file should be writable");
