Keep to the rate that cold upstreams accept, over all gateways

An upstream that has started during traffic, or whose zone is taken back after an evacuation, accepts only a declared rate, and its registration may not say so yet. Gateways sent it as much as to others.

bluebell_core::cold_start holds the time until which an upstream is cold and a token bucket with this gateway's share. As many gateways own a share as their buckets leave the sum within the declared tolerance. A gateway owns none until the others can have heard of it, counts gateways that are gone for ten minutes, and without contact keeps to its share at all such upstreams. Admission, waiting time and refusal use the paths of rate limits; a request whose connection opens late takes another token. Without the setting cold nothing changes.

--- a/crates/bluebell-core/src/lib.rs
+++ b/crates/bluebell-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod canary;
 pub mod cascade;
 pub mod clock;
+pub mod cold_start;
 pub mod dissemination;
 pub mod events;
 pub mod gate;
--- a/crates/bluebell-core/src/rate_limit/fleet.rs
+++ b/crates/bluebell-core/src/rate_limit/fleet.rs
@@ -53,8 +53,21 @@
     /// for the same upstream, which saves the choice if nothing has changed.
     #[must_use]
     pub fn share(&self, upstream: &UpstreamId, rotation: u64, limit: Rate, known: &Share) -> Share {
+        self.share_among(upstream, rotation, limit, limit.value() as usize, known)
+    }
+
+    /// As [`Fleet::share`], but with the given number of owners, as far as there are as many gateways.
+    #[must_use]
+    pub fn share_among(
+        &self,
+        upstream: &UpstreamId,
+        rotation: u64,
+        limit: Rate,
+        owners: usize,
+        known: &Share,
+    ) -> Share {
         let Some(own) = &self.own else { return Share::default() };
-        let owners = (limit.value() as usize).clamp(1, self.others.len() + 1);
+        let owners = owners.clamp(1, self.others.len() + 1);
         let is_known = (known.owners, known.rotation, known.revision) == (owners, rotation, self.revision);
         let is_owner = if is_known { known.is_owner } else { self.is_owner(own, upstream, rotation, owners) };
         let rate = if is_owner { limit.value() / owners as f64 } else { 0.0 };
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -230,6 +230,7 @@
     plan: &AttemptPlan,
     mut guard: AttemptGuard,
 ) -> Result<UpstreamResponse, Failure> {
+    let chosen_at = gateway.now();
     let mut connection = connect(gateway, job, plan).await?;
     let (response, sent_at) = loop {
         // The upstream's state may have changed while the connection was opened, and its zone may have been evacuated.
@@ -242,6 +243,10 @@
             return Err(Failure::NotRun { reason, retry_after: None, progress: SendProgress::Withheld });
         }
         let sent_at = gateway.now();
+        if !gateway.traffic().confirm_cold(sent_at, &plan.upstream, chosen_at) {
+            let reason = "the upstream is cold and at its limit".to_owned();
+            return Err(Failure::NotRun { reason, retry_after: None, progress: SendProgress::Withheld });
+        }
         guard.mark_sent();
         plan.record_in_flight(Some(sent_at));
         connection.expect_head();
--- a/crates/bluebelld/src/gateway/control/mod.rs
+++ b/crates/bluebelld/src/gateway/control/mod.rs
@@ -1,11 +1,13 @@
 //! The control thread. It alone owns the replica of the store's rows and the state derived from it, handles one event
 //! at a time, and publishes the routing state for the traffic thread.
 
+mod cold_starts;
 mod crashes;
 mod drive;
 mod evacuations;
 mod event;
 mod feeds;
+mod incarnations;
 mod links;
 mod members;
 mod peer_status;
--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -105,6 +105,9 @@
             evacuated = zone.as_str(), row = number(row.version), source = source, upstreams = affected;
             "evacuation of a zone {}", if is_ordered { "ordered" } else { "ended" }
         );
+        if !is_ordered {
+            self.take_back(self.gateway.now(), zone);
+        }
         self.gateway.metrics.set_evacuated(self.evacuations.zones().len());
     }
 
@@ -161,6 +164,7 @@
             let addresses = |id: &UpstreamId| self.upstreams.get(id).map(|one| one.address);
             self.gateway.traffic().in_flight.registration_updated(now, &upstream, addresses);
             self.retract(&upstream.incarnation());
+            self.record_registration(now, &upstream);
         }
         self.upstreams.put(now, version, upstream);
     }
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -17,6 +17,7 @@
     evacuations::Evacuations,
     event::{Event, EventSender},
     feeds,
+    incarnations::SeenIncarnations,
     members::Members,
     peer_status::{PeerStatus, SentStatus},
     recency,
@@ -48,6 +49,7 @@
     pub(super) undeclared: IndexMap<UpstreamId, (u64, Upstream)>,
     pub(super) members: Members,
     pub(super) evacuations: Evacuations,
+    pub(super) incarnations: SeenIncarnations,
     pub(super) rollouts: Rollouts,
     pub(super) crashes: Crashes,
     pub(super) suspects: Arc<Suspects>,
@@ -68,6 +70,8 @@
     has_fleet_rows: bool,
     // When declarations and upstreams were first known.
     routable_since: Option<Duration>,
+    // When requests were first accepted.
+    pub(super) synced_at: Option<Duration>,
 }
 
 /// State of the contact with the store.
@@ -93,6 +97,7 @@
             undeclared: IndexMap::new(),
             members,
             evacuations: Evacuations::default(),
+            incarnations: SeenIncarnations::default(),
             rollouts: Rollouts::default(),
             crashes: Crashes::default(),
             suspects: Arc::default(),
@@ -224,6 +229,7 @@
         self.process_crashes();
         let own = &self.gateway.settings.instance.id;
         self.gateway.traffic().assign_limits(now, own, self.members.ids());
+        self.assign_cold(now);
         self.broadcast_status(now);
         self.drive_rollouts(now);
         self.sync_reports(now);
@@ -299,7 +305,7 @@
 
     // Whether all rows of an origin were read, here or by a peer. Single rows that a peer forwards before may lack orders
     // that are in force, such as the evacuation of a zone.
-    fn knows_all(&self, origin: Origin) -> bool {
+    pub(super) fn knows_all(&self, origin: Origin) -> bool {
         self.replica.snapshots().any(|(known, _)| known == origin)
     }
 
@@ -316,6 +322,7 @@
         let since = *self.startup.routable_since.get_or_insert(now);
         if self.startup.has_fleet_rows || now >= since + FLEET_ROWS_TIMEOUT {
             log::info!(fleet = self.startup.has_fleet_rows; "declarations and upstreams are known");
+            self.startup.synced_at = Some(now);
             self.gateway.synced.send_replace(true);
         }
     }
--- a/crates/bluebelld/src/gateway/front/choose.rs
+++ b/crates/bluebelld/src/gateway/front/choose.rs
@@ -114,7 +114,7 @@
     pool.retain(|upstream| options.excluded != Some(&upstream.id));
     history.wait = traffic.first_wait(now, &pool);
     let is_left_to_others = !traffic.admits_rank(now, &job.service, job.rank, &pool);
-    let limited = history.wait.as_ref().filter(|wait| wait.cause == WaitCause::RateLimit);
+    let limited = history.wait.as_ref().filter(|wait| wait.cause != WaitCause::Pause);
     if limited.is_some() {
         traffic.record_limited(now, &job.service, job.rank);
     }
@@ -123,8 +123,9 @@
     let reason = match (&history.wait, pool.is_empty()) {
         _ if is_left_to_others => "the room under their rate limits is left to more urgent requests",
         (Some(wait), _) if wait.cause == WaitCause::RateLimit => "all are at their rate limits or asked for a pause",
+        (Some(wait), _) if wait.cause == WaitCause::Cold => "all are cold and at their limits, or asked for a pause",
         (Some(_), _) => "all asked for a pause",
-        (None, false) if traffic.has_limited(&pool) => "their rate limits are left to other gateways",
+        (None, false) if traffic.has_limited(now, &pool) => "their rate limits are left to other gateways",
         (None, false) => "all are leaving",
         (None, true) if routing.left_out.contains_key(&job.service) => "all that might are in evacuated zones",
         (None, true) => "none is known",
--- a/crates/bluebelld/src/gateway/front/reply.rs
+++ b/crates/bluebelld/src/gateway/front/reply.rs
@@ -80,6 +80,7 @@
         paused = wait.map_or("", |wait| wait.upstream.as_str()),
         pause_ms = wait.map_or(0, |wait| wait.left.as_millis() as u64),
         limited = wait.is_some_and(|wait| wait.cause == WaitCause::RateLimit),
+        cold = wait.is_some_and(|wait| wait.cause == WaitCause::Cold),
         return_ms = history.return_in.unwrap_or_default().as_millis() as u64,
         status = refusal.status().as_u16();
         "given up: {refusal}"
--- a/crates/bluebelld/src/gateway/metrics.rs
+++ b/crates/bluebelld/src/gateway/metrics.rs
@@ -32,6 +32,7 @@
     declared_version: Gauge<u64>,
     upstreams: Gauge<u64>,
     evacuated: Gauge<u64>,
+    cold: Gauge<u64>,
     peers: Gauge<u64>,
     store_contact_age: Gauge<f64>,
 }
@@ -72,6 +73,7 @@
             declared_version: gauge("bluebell_declared_version", "Version of the declarations in force"),
             upstreams: gauge("bluebell_upstreams", "Upstreams that take new work"),
             evacuated: gauge("bluebell_evacuated_zones", "Zones whose upstreams get no new requests"),
+            cold: gauge("bluebell_cold_upstreams", "Upstreams with a rate limit because they are cold"),
             peers: gauge("bluebell_peers", "Gateways that share the retry budget, this one included"),
             store_contact_age: meter
                 .f64_gauge("bluebell_beliefs_age")
@@ -156,6 +158,11 @@
         self.evacuated.record(zones as u64, &[]);
     }
 
+    /// Sets the number of upstreams that are taken for cold.
+    pub fn set_cold(&self, upstreams: usize) {
+        self.cold.record(upstreams as u64, &[]);
+    }
+
     /// Sets the number of gateways that share the retry budget, and the time since the last contact with the store.
     pub fn set_peers_and_contact_age(&self, gateways: usize, contact_age: Duration) {
         self.peers.record(gateways as u64, &[]);
--- a/crates/bluebelld/src/gateway/traffic/announcements.rs
+++ b/crates/bluebelld/src/gateway/traffic/announcements.rs
@@ -76,7 +76,7 @@
     pub fn admits_rank(&self, now: Duration, service: &ServiceId, rank: u8, among: &[Arc<Upstream>]) -> bool {
         let Some(order) = self.urgency.get(service) else { return true };
         // Without a limit, there is room for any number.
-        let available = |upstream: &Arc<Upstream>| self.incarnation(upstream)?.limit.available(now);
+        let available = |upstream: &Arc<Upstream>| self.incarnation(upstream)?.available(now);
         let room = among.iter().try_fold(0_usize, |sum, upstream| Some(sum + available(upstream)?));
         // Where there is no room, none is left to others.
         room.is_none_or(|room| room == 0 || order.admits(now, rank, room))
@@ -94,10 +94,10 @@
         }
     }
 
-    /// Whether any of the given upstreams has a rate limit.
+    /// Whether any of the given upstreams has a rate limit or is cold.
     #[must_use]
-    pub fn has_limited(&self, among: &[Arc<Upstream>]) -> bool {
-        among.iter().filter_map(|upstream| self.incarnation(upstream)).any(|state| state.limit.limit().is_some())
+    pub fn has_limited(&self, now: Duration, among: &[Arc<Upstream>]) -> bool {
+        among.iter().filter_map(|upstream| self.incarnation(upstream)).any(|state| state.is_limited(now))
     }
 
     /// Time after which a caller is to come back that was refused because of the rate limits of upstreams. `first` is the
@@ -109,8 +109,8 @@
         first: Duration,
         among: &[Arc<Upstream>],
     ) -> Duration {
-        let shares = among.iter().filter_map(|upstream| self.incarnation(upstream)).map(|state| state.limit.share());
-        let rate = Rate::per_second(shares.map(Rate::value).sum());
+        let shares = among.iter().filter_map(|upstream| self.incarnation(upstream)).map(|state| state.share(now));
+        let rate = Rate::per_second(shares.sum());
         self.returns.entry(service.clone()).or_default().schedule(now, first, rate)
     }
 
--- a/crates/bluebelld/src/gateway/traffic/mod.rs
+++ b/crates/bluebelld/src/gateway/traffic/mod.rs
@@ -2,12 +2,14 @@
 //! tallies by release.
 
 mod announcements;
+mod cold;
 mod upstream_state;
 
 use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
     canary::{PaceBaseline, SessionPins, Split, Tally},
+    cold_start::ColdFleet,
     ids::{InstanceId, ModelId, ReleaseId, ServiceId, SessionId, UpstreamId},
     placing::{
         Admission, Candidate, HealthEvent, PREFILL_TOKENS_PER_MS, Part, PeerLoad, PeerLoads, Report, RequestProfile,
@@ -45,6 +47,8 @@
     peers: PeerLoads,
     // The gateways that share the upstreams' rate limits.
     fleet: Fleet,
+    // The gateways that share the rates of cold upstreams.
+    cold_fleet: ColdFleet,
     returns: IndexMap<ServiceId, ReturnQueue>,
     // Services of which an upstream has reported the speed of its machine.
     speed_reporters: IndexSet<ServiceId>,
@@ -249,20 +253,23 @@
     }
 
     /// Removes upstreams that are not known any more and at which this gateway has no requests. Of those that announced
-    /// their departure, asked for a pause or named a rate limit, only this is kept for a while.
+    /// their departure, asked for a pause, named a rate limit or are cold, only this is kept for a while.
     pub fn retain(&mut self, now: Duration, is_known: impl Fn(&UpstreamId) -> bool) {
         self.upstreams.retain(|id, state| {
             if state.load.own_requests() > 0 || is_known(id) {
                 return true;
             }
-            let is_remembered =
-                state.departure.is_remembered(now) || state.health.is_paused(now) || state.limit.is_remembered(now);
+            let is_remembered = state.departure.is_remembered(now)
+                || state.health.is_paused(now)
+                || state.limit.is_remembered(now)
+                || state.cold.is_cold(now);
             if !is_remembered {
                 return false;
             }
             let (departure, started_at_ms) = (state.departure, state.started_at_ms);
             let (health, limit) = (std::mem::take(&mut state.health), std::mem::take(&mut state.limit));
-            *state = UpstreamState { departure, health, limit, started_at_ms, ..UpstreamState::default() };
+            let cold = std::mem::take(&mut state.cold);
+            *state = UpstreamState { departure, health, limit, cold, started_at_ms, ..UpstreamState::default() };
             true
         });
     }
@@ -396,7 +403,7 @@
             .collect();
         let position = pick(&profile, &candidates, &mut rand::rng())?;
         let chosen = pool.get(position).copied()?;
-        self.upstream(chosen).limit.take(now);
+        self.upstream(chosen).take(now);
         Some(chosen)
     }
 }
--- a/crates/bluebelld/src/gateway/traffic/upstream_state.rs
+++ b/crates/bluebelld/src/gateway/traffic/upstream_state.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bluebell_core::{
+    cold_start::ColdStart,
     ids::UpstreamId,
     placing::{Admission, Departure, Health, Liveness, Load, PartCache},
     rate_limit::RateLimit,
@@ -23,6 +24,8 @@
     pub liveness: Liveness,
     /// Rate limit that it named.
     pub limit: RateLimit,
+    /// Whether it is cold, and what it may get then.
+    pub cold: ColdStart,
     pub(super) started_at_ms: u64,
 }
 
@@ -30,7 +33,8 @@
     /// Whether the upstream may receive a new request. An ejected one may, if there is no healthy one.
     #[must_use]
     pub fn admission(&self, now: Duration) -> Admission {
-        if self.limit.has_room(now) { self.admission_of_chosen(now) } else { Admission::Closed }
+        let has_room = self.limit.has_room(now) && self.cold.has_room(now);
+        if has_room { self.admission_of_chosen(now) } else { Admission::Closed }
     }
 
     /// Whether a request for which the upstream was chosen may be sent.
@@ -42,10 +46,34 @@
     // Time until it takes a new request, and what it is that has to end first; none if it takes no more.
     pub(super) fn wait(&self, now: Duration) -> Option<(Duration, WaitCause)> {
         let pause = (self.health.pause_left(now), WaitCause::Pause);
-        let wait = pause.max((self.limit.wait(now)?, WaitCause::RateLimit));
+        let limit = (self.limit.wait(now)?, WaitCause::RateLimit);
+        let wait = pause.max(limit).max((self.cold.wait(now)?, WaitCause::Cold));
         (self.departure.admission(now + wait.0) != Admission::Closed).then_some(wait)
     }
 
+    // Counts a request that is about to be sent.
+    pub(super) fn take(&mut self, now: Duration) {
+        self.limit.take(now);
+        self.cold.take(now);
+    }
+
+    // Whether there is a limit on its requests at present.
+    pub(super) fn is_limited(&self, now: Duration) -> bool {
+        self.limit.limit().is_some() || self.cold.is_cold(now)
+    }
+
+    // Number of requests that may be sent at once; none if there is no limit.
+    pub(super) fn available(&self, now: Duration) -> Option<usize> {
+        self.limit.available(now).into_iter().chain(self.cold.available(now)).min()
+    }
+
+    // Rate at which this gateway may send, if there is a limit; zero if others send there.
+    pub(super) fn share(&self, now: Duration) -> f64 {
+        let limit = self.limit.limit().map(|_| self.limit.share().value());
+        let cold = self.cold.is_cold(now).then(|| self.cold.share().value());
+        limit.into_iter().chain(cold).reduce(f64::min).unwrap_or(0.0)
+    }
+
     pub(super) fn is_available(&self, now: Duration) -> bool {
         self.health.is_available(now) && self.admission(now) == Admission::Open
     }
@@ -58,6 +86,8 @@
     Pause,
     /// Its rate limit is used up.
     RateLimit,
+    /// It is cold, and what it may get then is used up.
+    Cold,
 }
 
 /// The upstream that is the first to take a request again.
--- a/crates/bluebelld/tests/gateway/evacuations.rs
+++ b/crates/bluebelld/tests/gateway/evacuations.rs
@@ -3,12 +3,13 @@
 use std::time::{Duration, Instant};
 
 use bluebell_standins::site::{Fault, StoreMode, server_entry};
+use futures_util::future::join_all;
 use serde_json::json;
 use tokio::time::sleep;
 
 use super::{
     caller::Ask,
-    site::{EVENT_COUNT, Site},
+    site::{EVENT_COUNT, Site, arrivals},
     until,
 };
 
@@ -57,7 +58,7 @@
     site.chat.iter().for_each(|engine| engine.set_default_fault(Some(paced.clone())));
     let ask = |id: &str| Ask::new("/talk/1", id).header("model", "small").header("token-count", "100,50");
     let asks: Vec<Ask> = (0..6).map(|number| ask(&format!("stream-{number}"))).collect();
-    let streams = futures_util::future::join_all(asks.iter().map(|ask| gateway.ask(ask)));
+    let streams = join_all(asks.iter().map(|ask| gateway.ask(ask)));
     let order = async {
         sleep(Duration::from_millis(500)).await;
         site.store.put("op", "evacuate/z1", &json!({}));
@@ -152,3 +153,101 @@
     })
     .await;
 }
+
+/// Rate that an upstream of `ledger` accepts while it is cold, and what is allowed in any second.
+const COLD_RATE: usize = 20;
+const COLD_BOUND: usize = 35;
+/// Time after which the gateways of a new site know each other long enough to own shares.
+const JOINED: Duration = Duration::from_millis(4000);
+
+async fn start_with_cold_upstreams(gateways: usize) -> Site {
+    let mut site = Site::start_without_gateways().await;
+    use_two_zones(&site);
+    site.put_declarations(1, |config| {
+        config["services"][1]["coldStartS"] = json!(3);
+        config["services"][1]["coldPerS"] = json!(COLD_RATE);
+    });
+    site.settings = "cold: { over: 1.5, slack: 5 }\n".to_owned();
+    site.start_gateways(gateways).await;
+    site.wait_for_peer_connections().await;
+    sleep(JOINED).await;
+    site
+}
+
+/// Sends 200 requests per second to the gateways in turn, and returns the statuses and the longest time of a refusal.
+async fn load(site: &Site, name: &str, time: Duration) -> (Vec<u16>, Duration) {
+    let count = time.as_millis() as u32 / 5;
+    let asks = (0..count).map(|number| async move {
+        sleep(Duration::from_millis(5) * number).await;
+        let gateway = &site.gateways[number as usize % site.gateways.len()];
+        let asked = Instant::now();
+        let status = gateway.ask(&Ask::new("/look/1", &format!("{name}-{number}"))).await.status;
+        (status, asked.elapsed())
+    });
+    let answers = join_all(asks).await;
+    let longest = answers.iter().filter(|(status, _)| *status != 200).map(|(_, took)| *took).max();
+    (answers.into_iter().map(|(status, _)| status).collect(), longest.unwrap_or_default())
+}
+
+/// Most requests that reached an upstream in any second of the period after `start`, given in milliseconds.
+fn most_in_a_second(upstream: &bluebell_standins::site::SiteUpstream, start: Instant, until: u64) -> usize {
+    (0..until - 1000).step_by(20).map(|from| arrivals(upstream, start, from..from + 1000)).max().unwrap_or(0)
+}
+
+// Guards against gateways that send as much as before to a zone whose upstreams are cold after its evacuation, although
+// their registrations don't say so.
+#[tokio::test]
+async fn zone_that_is_taken_back_gets_only_what_its_cold_upstreams_accept() {
+    let site = start_with_cold_upstreams(3).await;
+    site.store.put("op", "evacuate/z1", &json!({}));
+    for gateway in 0..3 {
+        wait_for_log(&site, gateway, "evacuation of a zone ordered").await;
+    }
+    let change = async {
+        sleep(Duration::from_millis(500)).await;
+        site.store.delete("op", "evacuate/z1");
+        Instant::now()
+    };
+    let ((statuses, _), taken_back) = tokio::join!(load(&site, "load", Duration::from_millis(5500)), change);
+    let cold = &site.ledger[0];
+    let most = most_in_a_second(cold, taken_back, 3000);
+    assert!(most <= COLD_BOUND, "the cold upstream got {most} requests in a second");
+    let whole = arrivals(cold, taken_back, 0..3000);
+    assert!(whole > COLD_RATE, "the cold upstream got only {whole} requests in 3 s");
+    let warm = arrivals(cold, taken_back, 3500..4500);
+    assert!(warm > COLD_BOUND, "the upstream got only {warm} requests in a second when it was warm");
+    assert!(statuses.iter().all(|status| *status == 200), "requests were not served though a warm zone was left");
+}
+
+// Guards against requests that wait, or are sent in spite of the limit, when all upstreams are cold at once, and against
+// gateways that exceed the bound since one of them is cut off or has just started.
+#[tokio::test]
+async fn requests_beyond_what_cold_upstreams_accept_are_refused_at_once_as_not_run() {
+    let mut site = start_with_cold_upstreams(3).await;
+    for zone in ["z1", "z2"] {
+        site.store.put("op", &format!("evacuate/{zone}"), &json!({}));
+        let line = format!("\"evacuated\":\"{zone}\"");
+        for gateway in 0..3 {
+            wait_for_log(&site, gateway, &line).await;
+        }
+    }
+    site.gateways[1].store_mode.send_replace(StoreMode::Silent);
+    site.add_gateway(3).await;
+    until("the new gateway to be ready", || site.gateways[3].is_ready()).await;
+    for zone in ["z1", "z2"] {
+        site.store.delete("op", &format!("evacuate/{zone}"));
+    }
+    let taken_back = Instant::now();
+    let (statuses, longest) = load(&site, "load", Duration::from_millis(2800)).await;
+    for upstream in &site.ledger {
+        let most = most_in_a_second(upstream, taken_back, 2800);
+        assert!((1..=COLD_BOUND).contains(&most), "{} got {most} requests in a second", upstream.id);
+    }
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    let refused = statuses.iter().filter(|status| **status == 503).count();
+    assert_eq!(served + refused, statuses.len(), "requests were neither served nor refused as not run");
+    assert!(served > COLD_RATE, "only {served} requests were served");
+    assert!(longest < Duration::from_secs(1), "a refusal came after {longest:?}");
+    let runs: usize = site.ledger.iter().flat_map(|one| one.runs()).filter(|run| run.began > taken_back).count();
+    assert_eq!(runs, served, "refused requests have run");
+}
