--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -14,8 +14,10 @@
 use tokio::{sync::mpsc, task::spawn_local, time::MissedTickBehavior};
 
 use super::{
+    evacuations::Evacuations,
     event::{Event, EventSender},
     feeds,
+    incarnations::SeenIncarnations,
     members::Members,
     peer_status::{PeerStatus, SentStatus},
     recency,
@@ -46,6 +48,8 @@
     // Registrations for services that are not declared; they are not used.
     pub(super) undeclared: IndexMap<UpstreamId, (u64, Upstream)>,
     pub(super) members: Members,
+    pub(super) evacuations: Evacuations,
+    pub(super) incarnations: SeenIncarnations,
     pub(super) rollouts: Rollouts,
     pub(super) crashes: Crashes,
     pub(super) suspects: Arc<Suspects>,
@@ -66,6 +70,8 @@
     has_fleet_rows: bool,
     // When declarations and upstreams were first known.
     routable_since: Option<Duration>,
+    // When requests were first accepted.
+    pub(super) synced_at: Option<Duration>,
 }
 
 /// State of the contact with the store.
@@ -90,6 +96,8 @@
             upstreams: Upstreams::default(),
             undeclared: IndexMap::new(),
             members,
+            evacuations: Evacuations::default(),
+            incarnations: SeenIncarnations::default(),
             rollouts: Rollouts::default(),
             crashes: Crashes::default(),
             suspects: Arc::default(),
@@ -221,6 +229,7 @@
         self.process_crashes();
         let own = &self.gateway.settings.instance.id;
         self.gateway.traffic().assign_limits(now, own, self.members.ids());
+        self.assign_cold(now);
         self.broadcast_status(now);
         self.drive_rollouts(now);
         self.sync_reports(now);
@@ -275,9 +284,13 @@
         let now = self.gateway.now();
         let peers = self.peer_statuses.values().filter(|status| status.has_store).map(|status| status.received_at);
         let last_contact = peers.chain(self.store.last_response.filter(|_| !self.store.lost)).max();
+        let mut open = self.upstreams.open(now);
+        let left_out = self.evacuations.remove_from(&mut open);
         let routing = RoutingState {
             declared: self.declared.clone(),
-            open: self.upstreams.open(now),
+            open,
+            left_out,
+            evacuated: self.evacuations.zones(),
             splits: self.rollouts.splits(&self.gateway.schedule),
             suspects: Arc::clone(&self.suspects),
             gateways: self.members.count(),
@@ -290,6 +303,12 @@
         self.gateway.routing.store(Arc::new(routing));
     }
 
+    // Whether all rows of an origin were read, here or by a peer. Single rows that a peer forwards before may lack orders
+    // that are in force, such as the evacuation of a zone.
+    pub(super) fn knows_all(&self, origin: Origin) -> bool {
+        self.replica.snapshots().any(|(known, _)| known == origin)
+    }
+
     // Lets the traffic thread accept requests once enough is known.
     fn check_startup(&mut self, now: Duration) {
         if *self.gateway.synced.borrow() {
@@ -297,12 +316,13 @@
         }
         self.publish_changes();
         let routing = self.gateway.routing.load();
-        if routing.declared.is_none() || routing.open.is_empty() {
+        if routing.declared.is_none() || routing.open.is_empty() || !self.knows_all(Origin::Operator) {
             return;
         }
         let since = *self.startup.routable_since.get_or_insert(now);
         if self.startup.has_fleet_rows || now >= since + FLEET_ROWS_TIMEOUT {
             log::info!(fleet = self.startup.has_fleet_rows; "declarations and upstreams are known");
+            self.startup.synced_at = Some(now);
             self.gateway.synced.send_replace(true);
         }
     }
