--- a/crates/bluebell-standins/src/process.rs
+++ b/crates/bluebell-standins/src/process.rs
@@ -124,6 +124,23 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Process id of the latest start.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Number of descriptors that the process has open.
+    ///
+    /// # Panics
+    /// If the process has ended or its descriptors cannot be listed.
+    #[must_use]
+    pub fn open_descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id()))
+            .expect("the process should have a list of descriptors")
+            .count()
+    }
+
     /// Peak resident memory of the process so far, in bytes.
     ///
     /// # Panics
--- a/crates/bluebelld/tests/gateway/site.rs
+++ b/crates/bluebelld/tests/gateway/site.rs
@@ -62,6 +62,8 @@
     pub gateways: Vec<Gateway>,
     pub chat: Vec<SiteUpstream>,
     pub ledger: Vec<SiteUpstream>,
+    /// Lines that are added to the settings of gateways started from now on.
+    pub more_settings: String,
     directory: PathBuf,
     host: String,
 }
@@ -97,6 +99,7 @@
             gateways: Vec::new(),
             chat: Vec::new(),
             ledger: Vec::new(),
+            more_settings: String::new(),
             directory,
             host,
         };
@@ -173,7 +176,8 @@
              session_seconds: 5\n\
              exposure: 0.3\n\
              keys: {{ active: k, known: {{ k: 000102030405060708090a0b0c0d0e0f }} }}\n\
-             log: info\n"
+             log: info\n{}",
+            self.more_settings
         );
         let path = self.directory.join(format!("{name}.yaml"));
         std::fs::write(&path, settings).expect("the settings file should be writable");
