--- a/crates/bluebelld/src/gateway/crash_detection.rs
+++ b/crates/bluebelld/src/gateway/crash_detection.rs
@@ -12,11 +12,14 @@
 /// Records that an upstream lost an answer. After a broken connection, probes whether the upstream still accepts
 /// connections.
 pub fn record_lost_answer(gateway: &Arc<Gateway>, upstream: &Arc<Upstream>, loss: ResponseLoss) {
-    let now = gateway.now();
-    let mut traffic = gateway.traffic();
-    traffic.record_health(now, &upstream.id, HealthEvent::Lost);
-    let should_probe = traffic.in_flight.record_loss(now, &upstream.incarnation(), loss);
-    drop(traffic);
+    gateway.traffic().record_health(gateway.now(), &upstream.id, HealthEvent::Lost);
+    record_unread_answer(gateway, upstream, loss);
+}
+
+/// Records likewise, but not in the upstream's health: its caller did not read the answer, and an upstream may cut off
+/// such an answer.
+pub fn record_unread_answer(gateway: &Arc<Gateway>, upstream: &Arc<Upstream>, loss: ResponseLoss) {
+    let should_probe = gateway.traffic().in_flight.record_loss(gateway.now(), &upstream.incarnation(), loss);
     if should_probe {
         tokio::spawn(probe(Arc::clone(gateway), Arc::clone(upstream)));
     } else {
--- a/crates/bluebelld/src/gateway/front/body_budget.rs
+++ b/crates/bluebelld/src/gateway/front/body_budget.rs
@@ -119,13 +119,10 @@
             return TooLongSnafu.fail();
         }
         if length > buffer.capacity() {
-            // The system provides the memory of a buffer as it is filled, so what is only announced takes none. Without a
-            // length, the buffer grows by half and counts as a whole.
+            // A buffer of the announced size isn't copied as it grows, and the copies would hold memory beyond the total.
             let capacity = if announced > 0 { announced } else { (length + length / 2).min(limit) };
-            charge.set(if announced > 0 { length } else { capacity })?;
-            buffer.reserve_exact(capacity.max(length) - buffer.len());
-        } else if announced > 0 {
-            charge.set(length)?;
+            charge.set(capacity)?;
+            buffer.reserve_exact(capacity - buffer.len());
         }
         buffer.extend_from_slice(&first);
         buffer.extend_from_slice(&data);
--- a/crates/bluebelld/src/gateway/front/relay.rs
+++ b/crates/bluebelld/src/gateway/front/relay.rs
@@ -41,6 +41,10 @@
 /// Number of events after which the pace of a stream is checked.
 const MIN_PACE_EVENTS: u64 = 3;
 
+/// Time for which a caller may leave data unread before a later loss of the answer is no longer held against the upstream,
+/// which may have cut it off for that.
+const UNREAD_PAUSE: Duration = Duration::from_secs(1);
+
 // What happens next to a stream.
 enum StreamEvent {
     Chunk(BodyChunk),
@@ -75,6 +79,10 @@
     counted_slow: bool,
     // When data last arrived on this stream, or its takeover last failed.
     idle_since: Duration,
+    // When data was last handed to the caller's connection.
+    handed_at: Option<Duration>,
+    // Whether the caller left data of the current response unread for a while.
+    was_unread: bool,
     upstream: Arc<Upstream>,
     model: Option<ModelId>,
     in_flight: InFlight,
@@ -107,6 +115,8 @@
             response_events: 0,
             counted_slow: false,
             idle_since,
+            handed_at: None,
+            was_unread: false,
             upstream,
             model,
             in_flight,
@@ -115,6 +125,12 @@
 
     /// Next complete events for the caller; an error cuts the caller's response off.
     pub async fn next_data(&mut self) -> Option<Result<Bytes, io::Error>> {
+        let now = self.gateway.now();
+        if self.handed_at.is_some_and(|at| now.saturating_sub(at) >= UNREAD_PAUSE) {
+            // The upstream was not silent, its data was not asked for.
+            self.idle_since = now;
+            self.was_unread = true;
+        }
         loop {
             if let Some(error) = self.splitter.fault()
                 && let Err(error) = self.resume(error.to_string(), ResponseLoss::Broken).await
@@ -131,6 +147,7 @@
                     Ok(batch) => {
                         // Beyond the total, the next chunk without a complete event breaks the stream off.
                         let _ = self.charge.set(self.splitter.buffered());
+                        self.handed_at = Some(self.idle_since);
                         return Some(Ok(batch.bytes.into()));
                     }
                     Err(error) => (error.to_string(), ResponseLoss::Broken),
@@ -297,7 +314,11 @@
     // Resumes the stream at another upstream, after closing the connection to the failed one.
     async fn resume(&mut self, reason: String, loss: ResponseLoss) -> Result<(), io::Error> {
         self.response = None;
-        crash_detection::record_lost_answer(&self.gateway, &self.upstream, loss);
+        if self.was_unread {
+            crash_detection::record_unread_answer(&self.gateway, &self.upstream, loss);
+        } else {
+            crash_detection::record_lost_answer(&self.gateway, &self.upstream, loss);
+        }
         self.reset_splitter();
         self.count_attempt();
         self.history.reason = reason;
@@ -353,6 +374,7 @@
         self.upstream = Arc::clone(&response.upstream);
         self.idle_since = self.gateway.now();
         (self.response_events, self.counted_slow, self.is_counted) = (0, false, false);
+        self.was_unread = false;
         self.response = Some(response);
     }
 
