Learn the speed of each upstream and use it where upstreams report theirs

Cause: placement takes all upstreams to be equally fast, keeps half of them for long prompts and sends requests with a common prompt part to one of them.

Change: placing::Capacity learns an upstream's speed relative to its service from the times to the first event and between events, and combines it with the slowdown that its machine reports, which counts less as it ages. The mean prefill time and the silence limit of prompts use the learnt rate; the silence limit never gets shorter. Other services are served as before.

--- a/crates/bluebell-core/src/placing/load.rs
+++ b/crates/bluebell-core/src/placing/load.rs
@@ -8,6 +8,10 @@
 /// Half-life of the weight of reports about the load of other callers.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(700);
 
+/// Half-life of the average number of requests. Shorter, single long streams would decide it; longer, requests would keep
+/// away from an upstream for seconds after it has become idle.
+const AVERAGE_HALF_LIFE: Duration = Duration::from_millis(2000);
+
 /// Load that an upstream reports about itself.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Report {
@@ -29,6 +33,8 @@
     other_requests: f64,
     other_pending_prefill: u64,
     reported_at: Duration,
+    average: f64,
+    averaged_at: Duration,
 }
 
 impl Load {
@@ -50,13 +56,15 @@
 
     /// Applies a load report of the upstream.
     pub fn apply_report(&mut self, now: Duration, report: Report) {
-        let total = report.running + report.waiting;
+        self.update_average(now);
+        let total = report.running.saturating_add(report.waiting);
         self.other_requests = f64::from(total.saturating_sub(self.own_requests));
         self.reported_at = now;
     }
 
     /// Applies the load that the other gateways together have at the upstream.
     pub fn apply_peer_load(&mut self, now: Duration, requests: u32, pending_prefill: Tokens) {
+        self.update_average(now);
         self.other_requests = f64::from(requests);
         self.other_pending_prefill = pending_prefill.0;
         self.reported_at = now;
@@ -86,6 +94,20 @@
         self.pending_prefill as f64 + self.other_pending_prefill as f64 * self.report_weight(now)
     }
 
+    /// Average number of requests of all callers over the last seconds.
+    #[must_use]
+    pub fn average(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.averaged_at).as_secs_f64();
+        let weight = 0.5f64.powf(age / AVERAGE_HALF_LIFE.as_secs_f64());
+        weight * self.average + (1.0 - weight) * self.requests(now)
+    }
+
+    // The estimate before a new report stands for the time since the one before it.
+    fn update_average(&mut self, now: Duration) {
+        self.average = self.average(now);
+        self.averaged_at = self.averaged_at.max(now);
+    }
+
     fn report_weight(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.reported_at).as_secs_f64();
         0.5f64.powf(age / REPORT_HALF_LIFE.as_secs_f64())
--- a/crates/bluebell-core/src/placing/mod.rs
+++ b/crates/bluebell-core/src/placing/mod.rs
@@ -1,5 +1,6 @@
 //! Selects the upstream for a request by load, cached prompt parts, health and availability zone.
 
+mod capacity;
 mod departure;
 mod health;
 mod liveness;
@@ -7,7 +8,9 @@
 mod parts;
 mod peer_loads;
 mod pick;
+mod uneven;
 
+pub use capacity::{Capacity, UsualSpeed};
 pub use departure::{Admission, Departure, LAST_RESORT_PERIOD};
 pub use health::{Health, HealthEvent, MAX_PAUSE};
 pub use liveness::{Liveness, prefill_allowance};
--- a/crates/bluebell-core/src/placing/pick.rs
+++ b/crates/bluebell-core/src/placing/pick.rs
@@ -4,6 +4,7 @@
 
 use rand::Rng;
 
+use super::uneven;
 use crate::routing::rendezvous;
 
 /// Properties of a request that determine its cost at an upstream.
@@ -17,6 +18,9 @@
     pub shared: f64,
     /// Cost of a token with the selected model, relative to the mean of the service's models.
     pub weight: f64,
+    /// Prompt tokens per millisecond of an upstream of usual speed, if the speeds of the service's upstreams are known.
+    /// Without it, all are taken to be equally fast.
+    pub rate: Option<f64>,
 }
 
 /// An upstream that is eligible for the request.
@@ -38,31 +42,37 @@
     pub other_zone: bool,
     /// Whether it started recently and is still slow.
     pub cold: bool,
+    /// Its speed at this moment, relative to the usual speed of the service; 1 without knowledge.
+    pub speed: f64,
+    /// Whether there is an idle connection to it.
+    pub has_connection: bool,
+    /// Average number of requests there over the last seconds, from all callers.
+    pub average: f64,
 }
 
 /// Approximate prefill speed of an engine, in tokens per millisecond; the engines in use reach 85 to 101.
 pub const PREFILL_TOKENS_PER_MS: f64 = 90.0;
 /// Slowdown that each concurrent request causes to a new one, in milliseconds.
-const CONCURRENT_REQUEST_MS: f64 = 3.0;
+pub(super) const CONCURRENT_REQUEST_MS: f64 = 3.0;
 /// Penalty in milliseconds for each unit by which the slot utilisation exceeds `FREE_UTILISATION`.
-const OVERLOAD_PENALTY_MS: f64 = 400.0;
+pub(super) const OVERLOAD_PENALTY_MS: f64 = 400.0;
 /// Slot utilisation up to which there is no penalty.
-const FREE_UTILISATION: f64 = 0.9;
+pub(super) const FREE_UTILISATION: f64 = 0.9;
 /// Penalty in milliseconds that is multiplied by the failure rate of the upstream.
-const FAILURE_PENALTY_MS: f64 = 600.0;
+pub(super) const FAILURE_PENALTY_MS: f64 = 600.0;
 /// Penalty in milliseconds for an upstream in another availability zone.
-const OTHER_ZONE_PENALTY_MS: f64 = 4.0;
+pub(super) const OTHER_ZONE_PENALTY_MS: f64 = 4.0;
 /// Penalty in milliseconds for an upstream that is still slow after its start.
-const COLD_PENALTY_MS: f64 = 40.0;
+pub(super) const COLD_PENALTY_MS: f64 = 40.0;
 /// Minimum fraction of the shared tokens assumed to be cached at the preferred upstream of the affinity key.
-const PREFERRED_CACHED_FRACTION: f64 = 0.8;
+pub(super) const PREFERRED_CACHED_FRACTION: f64 = 0.8;
 /// Cost factor for shared tokens that are not cached: besides prefill time, a second copy takes cache memory.
-const UNCACHED_SHARED_FACTOR: f64 = 1.5;
+pub(super) const UNCACHED_SHARED_FACTOR: f64 = 1.5;
 /// Weight of the delay that the prefill of this prompt causes to each request already running at the upstream.
-const PREFILL_DELAY_WEIGHT: f64 = 0.08;
+pub(super) const PREFILL_DELAY_WEIGHT: f64 = 0.08;
 /// Upper bound of the random jitter added to each cost, in milliseconds, so that gateways with the same information do
 /// not all choose the same upstream.
-const JITTER_MS: f64 = 2.0;
+pub(super) const JITTER_MS: f64 = 2.0;
 
 /// Prefill time in milliseconds from which a prompt counts as long: about the time of one chunk with the largest model.
 /// An engine alternates prefill chunks with decode steps, so during a long prefill its streams get only one token per
@@ -78,6 +88,9 @@
 
 /// Returns the index of the candidate with the lowest cost, or `None` if there are no candidates.
 pub fn pick(request: &RequestProfile, candidates: &[Candidate], random: &mut impl Rng) -> Option<usize> {
+    if let Some(rate) = request.rate {
+        return uneven::pick(request, rate, candidates, random);
+    }
     let partition = Partition::of(request, candidates);
     let preferred = request.key.as_deref().and_then(|key| {
         let best = |(_, candidate): &(usize, &Candidate)| rendezvous::score(key, &candidate.name);
--- /dev/null
+++ b/crates/bluebell-core/src/placing/uneven.rs
@@ -0,0 +1,71 @@
+//! Cost of an upstream for services whose upstreams differ in speed. All times are divided by the upstream's speed at the
+//! moment.
+//!
+//! There is no partition for long prompts: where a fast upstream has twice the capacity of a slow one, halves of the
+//! upstreams are not halves of the capacity. Instead of sending requests with a common prompt part to one upstream
+//! however much it gets, an upstream whose average load is above that of the others costs more, so that popular parts
+//! are cached at several.
+
+use rand::Rng;
+
+use super::pick::{
+    COLD_PENALTY_MS, CONCURRENT_REQUEST_MS, Candidate, FAILURE_PENALTY_MS, FREE_UTILISATION, JITTER_MS,
+    OTHER_ZONE_PENALTY_MS, OVERLOAD_PENALTY_MS, PREFERRED_CACHED_FRACTION, PREFILL_DELAY_WEIGHT, RequestProfile,
+    UNCACHED_SHARED_FACTOR,
+};
+use crate::routing::rendezvous;
+
+/// Lowest speed by which times are divided.
+const MIN_SPEED: f64 = 0.01;
+/// Lowest rate of a service by which tokens are divided, in tokens per millisecond.
+const MIN_RATE: f64 = 0.1;
+/// Cost in milliseconds of opening a connection.
+const CONNECT_MS: f64 = 12.0;
+/// Average load, relative to the mean of the candidates, up to which an upstream costs nothing more.
+const FREE_SHARE: f64 = 1.3;
+/// Cost in milliseconds of an average load that exceeds [`FREE_SHARE`] by one.
+const SHARE_PENALTY_MS: f64 = 80.0;
+/// Mean number of requests at an upstream below which the shares are not compared, as single requests decide them.
+const MIN_MEAN: f64 = 0.5;
+
+/// Returns the index of the candidate with the lowest cost, or `None` if there are no candidates.
+pub(super) fn pick(
+    request: &RequestProfile,
+    rate: f64,
+    candidates: &[Candidate],
+    random: &mut impl Rng,
+) -> Option<usize> {
+    let preferred = request.key.as_deref().and_then(|key| {
+        let best = |(_, candidate): &(usize, &Candidate)| rendezvous::score(key, &candidate.name);
+        candidates.iter().enumerate().max_by_key(best).map(|(position, _)| position)
+    });
+    let mean = candidates.iter().map(|candidate| candidate.average).sum::<f64>() / candidates.len().max(1) as f64;
+    let mean = mean.max(MIN_MEAN);
+    let mut best: Option<(usize, f64)> = None;
+    for (position, candidate) in candidates.iter().enumerate() {
+        let cost = cost(request, rate.max(MIN_RATE), candidate, preferred == Some(position))
+            + SHARE_PENALTY_MS * (candidate.average / mean - FREE_SHARE).max(0.0)
+            + random.random_range(0.0..JITTER_MS);
+        if best.is_none_or(|(_, lowest)| cost < lowest) {
+            best = Some((position, cost));
+        }
+    }
+    best.map(|(position, _)| position)
+}
+
+fn cost(request: &RequestProfile, rate: f64, candidate: &Candidate, is_preferred: bool) -> f64 {
+    let cached =
+        if is_preferred { candidate.cached.max(PREFERRED_CACHED_FRACTION * request.shared) } else { candidate.cached };
+    let uncached_shared = (request.shared - cached).max(0.0) * UNCACHED_SHARED_FACTOR;
+    let uncached_own = (request.prompt - request.shared).max(0.0);
+    let prompt = (uncached_shared + uncached_own) * request.weight / rate;
+    let waiting = candidate.pending_prefill / rate + prompt;
+    let concurrent = (CONCURRENT_REQUEST_MS + PREFILL_DELAY_WEIGHT * prompt) * candidate.requests;
+    let overload = (candidate.requests / candidate.slots.max(1.0) - FREE_UTILISATION).max(0.0);
+    let mut cost = (waiting + concurrent) / candidate.speed.max(MIN_SPEED)
+        + OVERLOAD_PENALTY_MS * overload
+        + FAILURE_PENALTY_MS * candidate.failure_rate;
+    cost += if candidate.other_zone { OTHER_ZONE_PENALTY_MS } else { 0.0 };
+    cost += if candidate.cold { COLD_PENALTY_MS } else { 0.0 };
+    cost + if candidate.has_connection { 0.0 } else { CONNECT_MS }
+}
--- a/crates/bluebell-core/tests/placing.rs
+++ b/crates/bluebell-core/tests/placing.rs
@@ -20,11 +20,14 @@
         failure_rate: 0.0,
         other_zone: false,
         cold: false,
+        speed: 1.0,
+        has_connection: false,
+        average: 0.0,
     }
 }
 
 fn work(prompt: f64) -> RequestProfile {
-    RequestProfile { key: None, prompt, shared: 0.0, weight: 1.0 }
+    RequestProfile { key: None, prompt, shared: 0.0, weight: 1.0, rate: None }
 }
 
 fn choose(work: &RequestProfile, candidates: &[Candidate]) -> usize {
--- a/crates/bluebelld/src/gateway/attempt_guard.rs
+++ b/crates/bluebelld/src/gateway/attempt_guard.rs
@@ -9,7 +9,7 @@
     upstreams::{Upstream, UpstreamIncarnation},
 };
 
-use super::{job::Job, state::Gateway};
+use super::{job::Job, state::Gateway, traffic::ChosenSpeed};
 
 /// Counts an attempt in its upstream's load until dropped, and then records its outcome.
 pub struct AttemptGuard {
@@ -23,6 +23,9 @@
     prefill: Tokens,
     // The part of `prefill` that still counts in the upstream's load.
     pending_prefill: Tokens,
+    // Prompt tokens that were pending at the upstream before this attempt.
+    queued: Tokens,
+    speed: Option<ChosenSpeed>,
 }
 
 impl AttemptGuard {
@@ -31,11 +34,14 @@
     pub fn start(gateway: &Arc<Gateway>, job: &Job, upstream: &Upstream, model: Option<&ModelId>) -> Self {
         let now = gateway.now();
         let mut traffic = gateway.traffic();
+        traffic.upstream(upstream);
+        let speed = traffic.speed(now, upstream);
         let state = traffic.upstream(upstream);
         let model = model.or(job.caller.model.as_ref());
         let cached = model.map_or(Tokens::default(), |model| state.parts.cached(model, &job.caller.parts));
         let tokens = job.caller.prompt.0.saturating_sub(cached.0) as f64;
         let prefill = Tokens((tokens * job.token_weight(model)) as u64);
+        let queued = Tokens(state.load.pending_prefill(now) as u64);
         state.load.start_request(prefill);
         if state.health.record_send(now) {
             log::info!(
@@ -54,6 +60,8 @@
             outcome: None,
             prefill,
             pending_prefill: prefill,
+            queued,
+            speed,
         }
     }
 
@@ -77,6 +85,18 @@
         self.prefill
     }
 
+    /// Prompt tokens that were pending at the upstream when it was chosen, weighted by model.
+    #[must_use]
+    pub fn queued(&self) -> Tokens {
+        self.queued
+    }
+
+    /// Speed of the upstream when it was chosen; none if its service doesn't report speeds.
+    #[must_use]
+    pub fn speed(&self) -> Option<ChosenSpeed> {
+        self.speed
+    }
+
     /// Records that the upstream has processed the prompt.
     pub fn finish_prefill(&mut self) {
         let pending = std::mem::take(&mut self.pending_prefill);
--- a/crates/bluebelld/src/gateway/front/choose.rs
+++ b/crates/bluebelld/src/gateway/front/choose.rs
@@ -1,6 +1,6 @@
 //! Selection of an upstream for an attempt, within the limits on attempts and the retry budget.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use bluebell_core::{
     ids::{ModelId, ReleaseId, SessionId, UpstreamId},
@@ -69,6 +69,9 @@
 fn choose(gateway: &Gateway, job: &Job, tried: &[UpstreamId], options: &SendOptions<'_>) -> Option<Arc<Upstream>> {
     let now = gateway.now();
     let routing = gateway.routing.load();
+    // The pool's lock is never held together with that of the traffic.
+    let reports_speed = gateway.traffic().reports_speed(&job.service);
+    let connected = if reports_speed { gateway.pools.idle_addresses(now) } else { HashSet::new() };
     let mut traffic = gateway.traffic();
     let session = job.caller.session.as_ref();
     let pool = pool(gateway, &routing, &traffic, job, tried, options);
@@ -80,8 +83,14 @@
     let weight = job.token_weight(model);
     let suspects = routing.suspects.as_ref();
     let separate_from = suspects.get(&job.fingerprint).map(|_| suspects);
-    let criteria =
-        SelectionCriteria { model, parts: &job.caller.parts, prompt: job.caller.prompt, weight, separate_from };
+    let criteria = SelectionCriteria {
+        model,
+        parts: &job.caller.parts,
+        prompt: job.caller.prompt,
+        weight,
+        connected: &connected,
+        separate_from,
+    };
     let zone = gateway.settings.instance.zone.as_str();
     let chosen = traffic.choose(now, zone, &criteria, &candidates)?.id.clone();
     let chosen = pool.into_iter().find(|upstream| upstream.id == chosen)?;
--- a/crates/bluebelld/src/gateway/front/record.rs
+++ b/crates/bluebelld/src/gateway/front/record.rs
@@ -34,6 +34,11 @@
         LimitStatement::Limit(rate) => rate.to_string(),
     };
     let now = gateway.now();
+    let speed = response.guard.speed();
+    let report_age = speed.and_then(|speed| speed.report_age);
+    if let Some(speed) = speed {
+        gateway.metrics.record_speed(job.service.as_str(), speed.speed);
+    }
     let pace = if failed { AnswerPace::Unknown } else { pace };
     let counted =
         CountedAnswer { service: &job.service, release: &response.upstream.release, kind: &kind, failed, pace };
@@ -57,6 +62,8 @@
         model = model,
         confidence = response.decoded.confidence.map_or(-1, i16::from),
         limit = limit.as_str(),
+        speed = speed.map_or(-1.0, |speed| speed.speed),
+        report_age_ms = report_age.map_or(-1, |age| age.as_millis() as i64),
         sends = sends + 1,
         took_ms = (now - job.arrived).as_millis() as u64,
         status = response.status.as_u16();
--- a/crates/bluebelld/src/gateway/front/relay.rs
+++ b/crates/bluebelld/src/gateway/front/relay.rs
@@ -29,7 +29,7 @@
         job::Job,
         response_buffer::BufferCharge,
         state::Gateway,
-        traffic::AnswerPace,
+        traffic::{AnswerPace, FirstEvent},
     },
     metrics::Outcome,
 };
@@ -71,6 +71,8 @@
     events: u64,
     // Events of the current upstream's response.
     response_events: u64,
+    // When the first events of the current response arrived, and how many.
+    first_events: Option<(Duration, u64)>,
     // Whether the current response was already counted as slow.
     counted_slow: bool,
     // When data last arrived on this stream, or its takeover last failed.
@@ -105,6 +107,7 @@
             is_counted: false,
             events: 0,
             response_events: 0,
+            first_events: None,
             counted_slow: false,
             idle_since,
             upstream,
@@ -188,7 +191,11 @@
             return STREAM_IDLE_TIMEOUT;
         }
         let is_unread = self.response_events == 0;
-        let allowance = if is_unread { prompt_allowance(&self.job, self.model.as_ref()) } else { Duration::ZERO };
+        let allowance = if is_unread {
+            prompt_allowance(&self.gateway, &self.job, self.model.as_ref(), &self.upstream)
+        } else {
+            Duration::ZERO
+        };
         let timeout = STREAM_IDLE_TIMEOUT + allowance;
         self.gateway.traffic().remaining_wait(now, &self.upstream.id, self.idle_since, timeout)
     }
@@ -254,6 +261,7 @@
         }
         self.events += batch.count;
         self.response_events += batch.count;
+        self.record_first_events(now, batch.count);
         self.check_pace();
         if let Some(response) = self.response.as_mut().filter(|_| batch.count > 0) {
             response.guard.finish_prefill();
@@ -262,6 +270,16 @@
         Ok(batch)
     }
 
+    fn record_first_events(&mut self, now: Duration, count: u64) {
+        let Some(response) = self.response.as_ref().filter(|_| count > 0 && self.first_events.is_none()) else {
+            return;
+        };
+        self.first_events = Some((now, count));
+        let took = now.saturating_sub(response.sent_at);
+        let event = FirstEvent { prefill: response.guard.prefill(), queued: response.guard.queued(), took };
+        self.gateway.traffic().record_first_event(now, &response.upstream, event);
+    }
+
     // A stream that is several times slower than usual is counted while it is still running, because the caller may
     // disconnect before its end.
     fn check_pace(&mut self) {
@@ -290,6 +308,12 @@
         } else {
             AnswerPace::Ratio(response.pace(self.gateway.now(), self.response_events))
         };
+        if let Some((first_at, count)) = self.first_events {
+            let kind = self.job.work_kind(response.model.as_ref());
+            let took = self.idle_since.saturating_sub(first_at);
+            let count = self.response_events.saturating_sub(count);
+            self.gateway.traffic().record_events(&response.upstream, &kind, count, took);
+        }
         record_answer(&self.gateway, &self.job, &response, pace, self.history.sends());
         response.finish(&self.gateway);
     }
@@ -353,6 +377,7 @@
         self.upstream = Arc::clone(&response.upstream);
         self.idle_since = self.gateway.now();
         (self.response_events, self.counted_slow, self.is_counted) = (0, false, false);
+        self.first_events = None;
         self.response = Some(response);
     }
 
--- a/crates/bluebelld/src/gateway/front/start.rs
+++ b/crates/bluebelld/src/gateway/front/start.rs
@@ -104,7 +104,7 @@
         let mut is_counted = false;
         loop {
             let attempt = pending.as_mut()?;
-            let limit = self.silence_limit(plan.model.as_ref(), history, is_counted);
+            let limit = self.silence_limit(plan, history, is_counted);
             tokio::select! {
                 biased;
                 result = attempt => return self.handle(result, history, is_counted).await,
@@ -183,10 +183,11 @@
         );
     }
 
-    fn silence_limit(self, model: Option<&ModelId>, history: &AttemptHistory, is_counted: bool) -> SilenceLimit {
+    fn silence_limit(self, plan: &AttemptPlan, history: &AttemptHistory, is_counted: bool) -> SilenceLimit {
         let may_follow = if is_counted { history.may_send(self.job) } else { history.may_send_after_loss(self.job) };
         if may_follow {
-            SilenceLimit::Alive(HEAD_IDLE_TIMEOUT + prompt_allowance(self.job, model))
+            let allowance = prompt_allowance(self.gateway, self.job, plan.model.as_ref(), &plan.upstream);
+            SilenceLimit::Alive(HEAD_IDLE_TIMEOUT + allowance)
         } else {
             SilenceLimit::Deadline
         }
@@ -218,8 +219,9 @@
     (!may_retry).then_some(reply)
 }
 
-/// Time for which an engine may be silent while it processes the request's prompt.
-pub fn prompt_allowance(job: &Job, model: Option<&ModelId>) -> Duration {
+/// Time for which an upstream may be silent while it processes the request's prompt.
+pub fn prompt_allowance(gateway: &Gateway, job: &Job, model: Option<&ModelId>, upstream: &Upstream) -> Duration {
     let model = model.or(job.caller.model.as_ref());
-    prefill_allowance(Tokens((job.caller.prompt.0 as f64 * job.token_weight(model)) as u64))
+    let rate = gateway.traffic().prefill_rate(gateway.now(), upstream);
+    prefill_allowance(Tokens((job.caller.prompt.0 as f64 * job.token_weight(model)) as u64), rate)
 }
--- a/crates/bluebelld/src/gateway/metrics.rs
+++ b/crates/bluebelld/src/gateway/metrics.rs
@@ -13,6 +13,9 @@
     metrics::{Exporter, Outcome, latency},
 };
 
+/// Upper bounds of the histogram of relative speeds.
+const SPEED_BOUNDARIES: [f64; 8] = [0.2, 0.4, 0.6, 0.8, 1.0, 1.25, 1.6, 2.5];
+
 /// Metric instruments of a gateway.
 pub struct GatewayMetrics {
     exporter: Exporter,
@@ -33,6 +36,7 @@
     upstreams: Gauge<u64>,
     peers: Gauge<u64>,
     store_contact_age: Gauge<f64>,
+    chosen_speed: Histogram<f64>,
 }
 
 impl GatewayMetrics {
@@ -76,6 +80,11 @@
                 .with_unit("s")
                 .with_description("Time since the store was last heard of")
                 .build(),
+            chosen_speed: meter
+                .f64_histogram("bluebell_chosen_speed")
+                .with_description("Speed of upstreams that answered, relative to the usual one of their service")
+                .with_boundaries(SPEED_BOUNDARIES.to_vec())
+                .build(),
             exporter,
         })
     }
@@ -93,6 +102,11 @@
         self.first_event_time.record(took.as_secs_f64(), &labels(organisation, route));
     }
 
+    /// Records the speed of an upstream that was chosen for a request, relative to the usual one of its service.
+    pub fn record_speed(&self, service: &str, speed: f64) {
+        self.chosen_speed.record(speed, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Counts a retry after a failed attempt.
     pub fn record_retry(&self) {
         self.retries.add(1, &[]);
--- a/crates/bluebelld/src/gateway/pool.rs
+++ b/crates/bluebelld/src/gateway/pool.rs
@@ -2,7 +2,7 @@
 //! for longer than the upstream keeps it open is not reused.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -189,6 +189,16 @@
         }
     }
 
+    /// Addresses to which there is an idle connection. Taken once for all candidates of a choice.
+    #[must_use]
+    pub fn idle_addresses(&self, now: Duration) -> HashSet<SocketAddr> {
+        let is_usable = |entry: &Idle| now < entry.expires && !entry.connection.sender.is_closed();
+        // Connections that were returned last are the most likely to be usable.
+        let idle = self.lock();
+        let usable = idle.iter().filter(|(_, kept)| kept.iter().rev().any(is_usable));
+        usable.map(|(address, _)| *address).collect()
+    }
+
     /// Closes the idle connections to an upstream.
     pub fn close_idle(&self, address: &SocketAddr) {
         self.lock().remove(address);
--- a/crates/bluebelld/src/gateway/traffic/mod.rs
+++ b/crates/bluebelld/src/gateway/traffic/mod.rs
@@ -2,16 +2,17 @@
 //! tallies by release.
 
 mod announcements;
+mod speeds;
 mod upstream_state;
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use bluebell_core::{
     canary::{PaceBaseline, SessionPins, Split, Tally},
     ids::{InstanceId, ModelId, ReleaseId, ServiceId, SessionId, UpstreamId},
     placing::{
         Admission, Candidate, HealthEvent, PREFILL_TOKENS_PER_MS, Part, PeerLoad, PeerLoads, Report, RequestProfile,
-        pick,
+        UsualSpeed, pick,
     },
     poison::{InFlightTracker, Suspects},
     rate_limit::{Fleet, ReturnQueue, UrgencyOrder},
@@ -20,9 +21,9 @@
     upstreams::{Upstream, UpstreamIncarnation},
 };
 use bluebell_wire::messages::{ReleaseTally, SessionRelease, UpstreamLoad};
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use upstream_state::UpstreamState;
-pub use upstream_state::{UpstreamWait, WaitCause};
+pub use upstream_state::{ChosenSpeed, FirstEvent, UpstreamWait, WaitCause};
 
 /// Key of a tally: service, release and kind of work.
 type TallyKey = (ServiceId, ReleaseId, String);
@@ -46,8 +47,8 @@
     // The gateways that share the upstreams' rate limits.
     fleet: Fleet,
     returns: IndexMap<ServiceId, ReturnQueue>,
-    // Services of which an upstream has reported the speed of its machine.
-    speed_reporters: IndexSet<ServiceId>,
+    // Usual speed of the services of which an upstream has reported the speed of its machine.
+    usual_speeds: IndexMap<ServiceId, UsualSpeed>,
     // The order among requests to services whose upstreams are all limited.
     urgency: IndexMap<ServiceId, UrgencyOrder>,
 }
@@ -90,6 +91,8 @@
     pub prompt: Tokens,
     /// Cost of a token with this model, relative to the mean of all models.
     pub weight: f64,
+    /// Addresses of upstreams to which there is an idle connection.
+    pub connected: &'a HashSet<SocketAddr>,
     /// Suspected requests from which to keep this one apart, if it is itself suspected of crashing upstreams.
     pub separate_from: Option<&'a Suspects>,
 }
@@ -292,17 +295,18 @@
     /// upstreams differ and change.
     #[must_use]
     pub fn reports_speed(&self, service: &ServiceId) -> bool {
-        self.speed_reporters.contains(service)
+        self.usual_speeds.contains_key(service)
     }
 
     /// Applies an upstream's report of its own load.
     pub fn apply_report(&mut self, now: Duration, upstream: &Upstream, report: Report) {
         if report.slowdown.is_some() && !self.reports_speed(&upstream.service) {
             log::info!(service = upstream.service.as_str(); "upstreams report the speed of their machines");
-            self.speed_reporters.insert(upstream.service.clone());
+            self.usual_speeds.insert(upstream.service.clone(), UsualSpeed::default());
         }
         if let Some(state) = self.upstreams.get_mut(&upstream.id) {
             state.load.apply_report(now, report);
+            report.slowdown.into_iter().for_each(|slowdown| state.capacity.record_report(now, slowdown));
         }
     }
 
@@ -323,14 +327,17 @@
     /// Mean time until the prompts pending at the available upstreams are processed.
     pub fn mean_prefill_time(&mut self, now: Duration, upstreams: &[Arc<Upstream>]) -> Duration {
         let mut pending = Vec::with_capacity(upstreams.len());
+        let usual_rate = upstreams.first().and_then(|upstream| self.usual_rate(upstream));
         for upstream in upstreams {
             let state = self.upstream(upstream);
             if state.is_available(now) {
-                pending.push(state.load.pending_prefill(now));
+                // Tokens that an upstream of usual speed processes in the same time.
+                let speed = if usual_rate.is_some() { state.capacity.speed(now) } else { 1.0 };
+                pending.push(state.load.pending_prefill(now) / speed);
             }
         }
         let mean = pending.iter().sum::<f64>() / pending.len().max(1) as f64;
-        Duration::from_secs_f64(mean / PREFILL_TOKENS_PER_MS / 1000.0)
+        Duration::from_secs_f64(mean / usual_rate.unwrap_or(PREFILL_TOKENS_PER_MS) / 1000.0)
     }
 
     /// Records what an attempt has shown about an upstream's health.
@@ -371,11 +378,14 @@
         let shared = criteria.parts.split_last().map_or(&[][..], |(_, shared)| shared);
         let shared_tokens: u64 = shared.iter().map(|part| part.tokens.0).sum();
         let key = shared.last().zip(criteria.model).map(|(part, model)| format!("{model}/{}", part.id));
+        let usual_rate = among.first().and_then(|upstream| self.usual_rate(upstream));
+        let knows_speed = usual_rate.is_some();
         let profile = RequestProfile {
             key,
             prompt: criteria.prompt.0 as f64,
             shared: shared_tokens as f64,
             weight: criteria.weight,
+            rate: usual_rate,
         };
         let candidates: Vec<Candidate> = pool
             .iter()
@@ -391,6 +401,9 @@
                     failure_rate: state.health.failure_rate(),
                     other_zone: upstream.zone.as_str() != zone,
                     cold: !upstream.cold.is_zero(),
+                    speed: if knows_speed { state.capacity.speed(now) } else { 1.0 },
+                    has_connection: knows_speed && criteria.connected.contains(&upstream.address),
+                    average: if knows_speed { state.load.average(now) } else { 0.0 },
                 }
             })
             .collect();
--- a/crates/bluebelld/src/gateway/traffic/upstream_state.rs
+++ b/crates/bluebelld/src/gateway/traffic/upstream_state.rs
@@ -4,8 +4,9 @@
 
 use bluebell_core::{
     ids::UpstreamId,
-    placing::{Admission, Departure, Health, Liveness, Load, PartCache},
+    placing::{Admission, Capacity, Departure, Health, Liveness, Load, PartCache},
     rate_limit::RateLimit,
+    units::Tokens,
 };
 
 /// State of one upstream.
@@ -13,6 +14,8 @@
 pub struct UpstreamState {
     /// Load, by this gateway and by its peers.
     pub load: Load,
+    /// Speed, as learnt from its answers and reports.
+    pub capacity: Capacity,
     /// Health, as seen by this gateway.
     pub health: Health,
     /// Its departure, as it announced it to this gateway.
@@ -70,3 +73,23 @@
     /// Time until then.
     pub left: Duration,
 }
+
+/// Speed of an upstream when it was chosen for a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ChosenSpeed {
+    /// Relative to the usual speed of the service.
+    pub speed: f64,
+    /// Age of the upstream's latest report; none if it has not reported yet.
+    pub report_age: Option<Duration>,
+}
+
+/// The first event of an answer.
+#[derive(Debug, Clone, Copy)]
+pub struct FirstEvent {
+    /// Weighted prompt tokens of the request that the upstream had not cached.
+    pub prefill: Tokens,
+    /// Weighted prompt tokens that were pending at the upstream when the request was sent.
+    pub queued: Tokens,
+    /// Time since the request was sent.
+    pub took: Duration,
+}
