Ramp up upstreams that started or recovered

Cause: an upstream that has just started or recovered looks idle, so all gateways send to it at once before its speed is known; a fixed slow start would leave a fast one idle.

Change: RampUp, a state of each upstream, limits a gateway's requests in progress there by a window that doubles per round of heads on pace, is halved by slow, failed, refused and silent requests, and ends when it is not the limit. The choice passes over upstreams with full windows while another one may take the request.

--- a/crates/bluebell-core/src/placing/mod.rs
+++ b/crates/bluebell-core/src/placing/mod.rs
@@ -7,6 +7,7 @@
 mod parts;
 mod peer_loads;
 mod pick;
+mod ramp_up;
 
 pub use departure::{Admission, Departure, LAST_RESORT_PERIOD};
 pub use health::{Health, HealthEvent, MAX_PAUSE};
@@ -15,3 +16,4 @@
 pub use parts::{Part, PartCache};
 pub use peer_loads::{PeerLoad, PeerLoads};
 pub use pick::{Candidate, PREFILL_TOKENS_PER_MS, RequestProfile, pick};
+pub use ramp_up::{EndReason, RampCause, RampChange, RampEnd, RampSample, RampSignal, RampUp, Window};
--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{
     ids::ModelId,
-    placing::{Admission, HealthEvent, PREFILL_TOKENS_PER_MS},
+    placing::{Admission, HealthEvent, PREFILL_TOKENS_PER_MS, RampSignal},
     poison::{AttemptOutcome, ResponseLoss},
     upstreams::Upstream,
 };
@@ -200,6 +200,7 @@
 /// # Errors
 /// When there is no valid answer to this request; the failure tells whether the request may have run.
 pub async fn send(gateway: &Arc<Gateway>, job: &Job, plan: &AttemptPlan) -> Result<UpstreamResponse, Failure> {
+    let started = gateway.now();
     let guard = AttemptGuard::start(gateway, job, &plan.upstream, plan.model.as_ref());
     let result = exchange(gateway, job, plan, guard).await;
     if result.is_err() {
@@ -221,9 +222,40 @@
     if let Some(event) = event {
         gateway.traffic().record_health(gateway.now(), &plan.upstream.id, event);
     }
+    record_ramp(gateway, job, plan, started, &result);
     result
 }
 
+// Records what the result shows about the ramp-up of an upstream. Answers that are no success say nothing about its pace.
+fn record_ramp(
+    gateway: &Gateway,
+    job: &Job,
+    plan: &AttemptPlan,
+    started: Duration,
+    result: &Result<UpstreamResponse, Failure>,
+) {
+    let now = gateway.now();
+    let mut traffic = gateway.traffic();
+    let begins = match result {
+        Ok(response) if response.status.is_success() => {
+            let kind = job.work_kind(plan.model.as_ref());
+            traffic.record_head_pace(now, &plan.upstream, &kind, response.sent_at, response.pace(now, 0))
+        }
+        Ok(response) if response.status.is_server_error() && response.status != StatusCode::GATEWAY_TIMEOUT => {
+            traffic.record_ramp(now, &plan.upstream, started, RampSignal::Failed)
+        }
+        Err(
+            Failure::NotRun { progress: SendProgress::Refused | SendProgress::Unreachable, .. }
+            | Failure::Unknown { loss: ResponseLoss::Broken, .. },
+        ) => traffic.record_ramp(now, &plan.upstream, started, RampSignal::Failed),
+        Ok(_) | Err(_) => return,
+    };
+    drop(traffic);
+    if begins {
+        gateway.metrics.record_ramp(plan.upstream.service.as_str());
+    }
+}
+
 async fn exchange(
     gateway: &Arc<Gateway>,
     job: &Job,
@@ -265,6 +297,7 @@
             }
         }
     };
+    guard.mark_head();
     connection.expect_body();
     gateway.traffic().record_activity(gateway.now(), &plan.upstream.id);
     let (head, body) = response.into_parts();
--- a/crates/bluebelld/src/gateway/attempt_guard.rs
+++ b/crates/bluebelld/src/gateway/attempt_guard.rs
@@ -1,9 +1,10 @@
 //! Bookkeeping of one attempt at an upstream: the load that it adds there, and its outcome.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
-    ids::{ModelId, UpstreamId},
+    ids::ModelId,
+    placing::RampSignal,
     poison::{AttemptOutcome, Fingerprint},
     units::Tokens,
     upstreams::{Upstream, UpstreamIncarnation},
@@ -11,15 +12,22 @@
 
 use super::{job::Job, state::Gateway};
 
+/// Time after which a request that ends without the head of an answer shows that the upstream is silent.
+const SILENT_AFTER: Duration = Duration::from_secs(2);
+
 /// Counts an attempt in its upstream's load until dropped, and then records its outcome.
 pub struct AttemptGuard {
     gateway: Arc<Gateway>,
-    id: UpstreamId,
+    upstream: Arc<Upstream>,
     incarnation: UpstreamIncarnation,
     // The request, and the parts of its prompt.
     causes: Vec<Fingerprint>,
     // None until the request is sent.
     outcome: Option<AttemptOutcome>,
+    // When the request was sent, until the head of the answer has arrived.
+    waits_since: Option<Duration>,
+    // Window of the upstream's ramp-up when it was chosen.
+    window: Option<u32>,
     prefill: Tokens,
     // The part of `prefill` that still counts in the upstream's load.
     pending_prefill: Tokens,
@@ -28,7 +36,7 @@
 impl AttemptGuard {
     /// Adds an attempt to the load of an upstream. `model` is the model chosen by the gateway; without it, the model
     /// that the caller named applies.
-    pub fn start(gateway: &Arc<Gateway>, job: &Job, upstream: &Upstream, model: Option<&ModelId>) -> Self {
+    pub fn start(gateway: &Arc<Gateway>, job: &Job, upstream: &Arc<Upstream>, model: Option<&ModelId>) -> Self {
         let now = gateway.now();
         let mut traffic = gateway.traffic();
         let state = traffic.upstream(upstream);
@@ -36,6 +44,8 @@
         let cached = model.map_or(Tokens::default(), |model| state.parts.cached(model, &job.caller.parts));
         let tokens = job.caller.prompt.0.saturating_sub(cached.0) as f64;
         let prefill = Tokens((tokens * job.token_weight(model)) as u64);
+        let window = state.ramp.window();
+        state.ramp.record_send(now);
         state.load.start_request(prefill);
         if state.health.record_send(now) {
             log::info!(
@@ -48,10 +58,12 @@
         }
         Self {
             gateway: Arc::clone(gateway),
-            id: upstream.id.clone(),
+            upstream: Arc::clone(upstream),
             incarnation: upstream.incarnation(),
             causes: job.causes().copied().collect(),
             outcome: None,
+            waits_since: None,
+            window,
             prefill,
             pending_prefill: prefill,
         }
@@ -64,6 +76,7 @@
             self.causes.iter().for_each(|cause| traffic.in_flight.start(&self.incarnation, *cause));
         }
         self.outcome = Some(AttemptOutcome::Unanswered);
+        self.waits_since = Some(self.gateway.now());
     }
 
     /// Sets an outcome other than unanswered.
@@ -71,6 +84,17 @@
         self.outcome = Some(outcome);
     }
 
+    /// Records that the head of the answer arrived.
+    pub fn mark_head(&mut self) {
+        self.waits_since = None;
+    }
+
+    /// Window of the upstream's ramp-up when it was chosen, in requests; none if it is not in ramp-up.
+    #[must_use]
+    pub fn window(&self) -> Option<u32> {
+        self.window
+    }
+
     /// Prompt tokens that the upstream had to process, weighted by model; tokens in its prompt cache don't count.
     #[must_use]
     pub fn prefill(&self) -> Tokens {
@@ -81,7 +105,7 @@
     pub fn finish_prefill(&mut self) {
         let pending = std::mem::take(&mut self.pending_prefill);
         if pending.0 > 0
-            && let Some(state) = self.gateway.traffic().existing_upstream(&self.id)
+            && let Some(state) = self.gateway.traffic().existing_upstream(&self.upstream.id)
         {
             state.load.finish_prefill(pending);
         }
@@ -92,12 +116,15 @@
     fn drop(&mut self) {
         self.finish_prefill();
         let mut traffic = self.gateway.traffic();
-        if let Some(state) = traffic.existing_upstream(&self.id) {
+        if let Some(state) = traffic.existing_upstream(&self.upstream.id) {
             state.load.finish_request();
             state.health.clear_trial();
         }
         let Some(outcome) = self.outcome else { return };
         let now = self.gateway.now();
+        if let Some(sent_at) = self.waits_since.filter(|sent_at| now >= *sent_at + SILENT_AFTER) {
+            traffic.record_ramp(now, &self.upstream, sent_at, RampSignal::Silent);
+        }
         for cause in &self.causes {
             traffic.in_flight.finish(now, &self.incarnation, *cause, outcome);
         }
--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -138,6 +138,11 @@
             let addresses = |id: &UpstreamId| self.upstreams.get(id).map(|one| one.address);
             self.gateway.traffic().in_flight.registration_updated(now, &upstream, addresses);
             self.retract(&upstream.incarnation());
+            let is_known =
+                self.upstreams.get(&upstream.id).is_some_and(|one| one.incarnation() == upstream.incarnation());
+            if !is_known && self.gateway.traffic().begin_ramp(now, &upstream) {
+                self.gateway.metrics.record_ramp(upstream.service.as_str());
+            }
         }
         self.upstreams.put(now, version, upstream);
     }
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -241,6 +241,9 @@
         for (service, left) in traffic.retries_left(now, &self.gateway.retry_limit, self.members.count()) {
             self.gateway.metrics.set_budget(&service, left);
         }
+        for (service, count) in traffic.ramping() {
+            self.gateway.metrics.set_ramping(&service, count);
+        }
     }
 
     /// Current time on the store's clock, if the store has responded yet.
--- a/crates/bluebelld/src/gateway/front/admit.rs
+++ b/crates/bluebelld/src/gateway/front/admit.rs
@@ -1,6 +1,6 @@
 //! Admission of a request: checks it against the declarations, and reads its body.
 
-use std::{sync::Arc, time::Duration};
+use std::{sync::Arc, sync::atomic::AtomicU32, time::Duration};
 
 use bluebell_core::{
     ingress::{Declared, Organisation, Route},
@@ -67,6 +67,7 @@
         parts,
         deadline: arrived + time_limit,
         used: UsedConnections::default(),
+        passed_over: AtomicU32::default(),
         arrived,
         caller,
     })
--- a/crates/bluebelld/src/gateway/front/choose.rs
+++ b/crates/bluebelld/src/gateway/front/choose.rs
@@ -80,8 +80,14 @@
     let weight = job.token_weight(model);
     let suspects = routing.suspects.as_ref();
     let separate_from = suspects.get(&job.fingerprint).map(|_| suspects);
-    let criteria =
-        SelectionCriteria { model, parts: &job.caller.parts, prompt: job.caller.prompt, weight, separate_from };
+    let criteria = SelectionCriteria {
+        model,
+        parts: &job.caller.parts,
+        prompt: job.caller.prompt,
+        weight,
+        separate_from,
+        passed_over: &job.passed_over,
+    };
     let zone = gateway.settings.instance.zone.as_str();
     let chosen = traffic.choose(now, zone, &criteria, &candidates)?.id.clone();
     let chosen = pool.into_iter().find(|upstream| upstream.id == chosen)?;
--- a/crates/bluebelld/src/gateway/front/record.rs
+++ b/crates/bluebelld/src/gateway/front/record.rs
@@ -1,5 +1,7 @@
 //! Records answers in the statistics of their release, and logs them.
 
+use std::sync::atomic::Ordering;
+
 use bluebell_core::{
     ids::{ModelId, SessionId},
     placing::HealthEvent,
@@ -57,6 +59,8 @@
         model = model,
         confidence = response.decoded.confidence.map_or(-1, i16::from),
         limit = limit.as_str(),
+        window = response.guard.window().map_or(-1, i64::from),
+        passed_over = job.passed_over.load(Ordering::Relaxed),
         sends = sends + 1,
         took_ms = (now - job.arrived).as_millis() as u64,
         status = response.status.as_u16();
--- a/crates/bluebelld/src/gateway/job.rs
+++ b/crates/bluebelld/src/gateway/job.rs
@@ -1,6 +1,9 @@
 //! An admitted request, shared by all its attempts.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::AtomicU32},
+    time::Duration,
+};
 
 use bluebell_core::{
     ids::{ModelId, OrgId, ReleaseId, ServiceId},
@@ -52,6 +55,8 @@
     pub deadline: Duration,
     /// Connections on which it was sent; none of them carries it again.
     pub used: UsedConnections,
+    /// How often an upstream was passed over because of its ramp-up.
+    pub passed_over: AtomicU32,
 }
 
 /// Maximum number of shared prompt parts of a request that are tracked.
--- a/crates/bluebelld/src/gateway/metrics.rs
+++ b/crates/bluebelld/src/gateway/metrics.rs
@@ -25,6 +25,8 @@
     departures: Counter<u64>,
     pauses: Counter<u64>,
     limits: Counter<u64>,
+    ramps: Counter<u64>,
+    ramping: Gauge<u64>,
     blocked_requests: Counter<u64>,
     poison_requests: Gauge<u64>,
     poison_parts: Gauge<u64>,
@@ -61,6 +63,8 @@
             ),
             pauses: counter("bluebell_upstream_pauses", "Pauses that upstreams asked this gateway for"),
             limits: counter("bluebell_upstream_limits", "Rate limits that upstreams named to this gateway"),
+            ramps: counter("bluebell_ramp_ups", "Ramp-ups of upstreams that began at this gateway"),
+            ramping: gauge("bluebell_ramping_upstreams", "Upstreams whose requests a ramp-up limits"),
             blocked_requests: counter("bluebell_held_requests", "Requests held back since upstreams end under them"),
             poison_requests: gauge("bluebell_poison_requests", "Requests known to end upstreams"),
             poison_parts: gauge("bluebell_poison_parts", "Prompt parts known to crash upstreams"),
@@ -123,6 +127,16 @@
         self.limits.add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts a ramp-up that begins.
+    pub fn record_ramp(&self, service: &str) {
+        self.ramps.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Sets the number of a service's upstreams in ramp-up.
+    pub fn set_ramping(&self, service: &ServiceId, count: usize) {
+        self.ramping.record(count as u64, &[KeyValue::new("service", service.to_string())]);
+    }
+
     /// Counts a request that was blocked because it is known to crash upstreams.
     pub fn record_blocked(&self) {
         self.blocked_requests.add(1, &[]);
--- a/crates/bluebelld/src/gateway/traffic/announcements.rs
+++ b/crates/bluebelld/src/gateway/traffic/announcements.rs
@@ -5,6 +5,7 @@
 
 use bluebell_core::{
     ids::{InstanceId, ServiceId, UpstreamId},
+    placing::RampCause,
     rate_limit::{LimitChange, LimitReport},
     units::Rate,
     upstreams::{Upstream, UpstreamIncarnation},
@@ -53,6 +54,7 @@
                 asked_ms = delay.as_millis() as u64, pause_ms = state.health.pause_left(now).as_millis() as u64;
                 "upstream asked for a pause"
             );
+            self.arm_ramp(now, &upstream.id, RampCause::Pause);
         }
         begins
     }
--- a/crates/bluebelld/src/gateway/traffic/mod.rs
+++ b/crates/bluebelld/src/gateway/traffic/mod.rs
@@ -2,16 +2,23 @@
 //! tallies by release.
 
 mod announcements;
+mod ramp;
 mod upstream_state;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
 use bluebell_core::{
     canary::{PaceBaseline, SessionPins, Split, Tally},
     ids::{InstanceId, ModelId, ReleaseId, ServiceId, SessionId, UpstreamId},
     placing::{
-        Admission, Candidate, HealthEvent, PREFILL_TOKENS_PER_MS, Part, PeerLoad, PeerLoads, Report, RequestProfile,
-        pick,
+        Admission, Candidate, HealthEvent, PREFILL_TOKENS_PER_MS, Part, PeerLoad, PeerLoads, RampCause, RampUp, Report,
+        RequestProfile, pick,
     },
     poison::{InFlightTracker, Suspects},
     rate_limit::{Fleet, ReturnQueue, UrgencyOrder},
@@ -48,6 +55,10 @@
     returns: IndexMap<ServiceId, ReturnQueue>,
     // Services of which an upstream has reported the speed of its machine.
     speed_reporters: IndexSet<ServiceId>,
+    // Upstreams in ramp-up, with their services.
+    ramping: IndexMap<UpstreamId, ServiceId>,
+    // Usual pace of the heads of answers, by service and kind of work, of upstreams that are not in ramp-up.
+    head_paces: IndexMap<(ServiceId, String), PaceBaseline>,
     // The order among requests to services whose upstreams are all limited.
     urgency: IndexMap<ServiceId, UrgencyOrder>,
 }
@@ -92,6 +103,8 @@
     pub weight: f64,
     /// Suspected requests from which to keep this one apart, if it is itself suspected of crashing upstreams.
     pub separate_from: Option<&'a Suspects>,
+    /// Counts the upstreams that are passed over because of their ramp-up.
+    pub passed_over: &'a AtomicU32,
 }
 
 impl Traffic {
@@ -105,7 +118,8 @@
                     "upstream that announced its departure was replaced by a new incarnation"
                 );
             }
-            *state = UpstreamState { started_at_ms: upstream.started_at_ms, ..UpstreamState::default() };
+            let ramp = if state.started_at_ms > 0 { RampUp::Armed(RampCause::Start) } else { RampUp::Inactive };
+            *state = UpstreamState { started_at_ms: upstream.started_at_ms, ramp, ..UpstreamState::default() };
         }
         state
     }
@@ -342,6 +356,7 @@
                 upstream = id.as_str(), failing = failing.as_str();
                 "upstream is left out for a while: {event:?}"
             );
+            self.arm_ramp(now, id, RampCause::Ejection);
         }
     }
 
@@ -368,6 +383,11 @@
         let pool = if healthy.is_empty() { &admitted } else { &healthy };
         let separated = criteria.separate_from.map(|suspects| self.fewest_suspects(pool, suspects));
         let pool = separated.as_ref().unwrap_or(pool);
+        let with_room = self.with_room(now, pool);
+        if let Some(with_room) = &with_room {
+            criteria.passed_over.fetch_add((pool.len() - with_room.len()) as u32, Ordering::Relaxed);
+        }
+        let pool = with_room.as_ref().unwrap_or(pool);
         let shared = criteria.parts.split_last().map_or(&[][..], |(_, shared)| shared);
         let shared_tokens: u64 = shared.iter().map(|part| part.tokens.0).sum();
         let key = shared.last().zip(criteria.model).map(|(part, model)| format!("{model}/{}", part.id));
--- a/crates/bluebelld/src/gateway/traffic/upstream_state.rs
+++ b/crates/bluebelld/src/gateway/traffic/upstream_state.rs
@@ -4,7 +4,7 @@
 
 use bluebell_core::{
     ids::UpstreamId,
-    placing::{Admission, Departure, Health, Liveness, Load, PartCache},
+    placing::{Admission, Departure, Health, Liveness, Load, PartCache, RampUp},
     rate_limit::RateLimit,
 };
 
@@ -23,6 +23,8 @@
     pub liveness: Liveness,
     /// Rate limit that it named.
     pub limit: RateLimit,
+    /// Its ramp-up after a start or a recovery.
+    pub ramp: RampUp,
     pub(super) started_at_ms: u64,
 }
 
