--- a/crates/bluebell-core/src/placing/ramp_up.rs
+++ b/crates/bluebell-core/src/placing/ramp_up.rs
@@ -226,14 +226,15 @@
         }
         let mut has_decreased = matches!(self, Self::Adjusting(_));
         match sample.signal {
-            RampSignal::OnPace => {
-                window.increase(sample, step);
+            RampSignal::OnPace | RampSignal::Late => {
+                if sample.signal == RampSignal::OnPace {
+                    window.increase(sample, step);
+                }
                 if let Some(reason) = window.end_reason(now, sample.slots) {
                     *self = Self::Inactive;
                     return Some(RampChange::Ended(window.end(now, reason)));
                 }
             }
-            RampSignal::Late => {}
             RampSignal::Slow | RampSignal::Silent | RampSignal::Failed => has_decreased |= window.decrease(now, sample),
         }
         *self = if has_decreased { Self::Adjusting(window) } else { Self::Doubling(window) };
--- a/crates/bluebell-core/tests/ramp_up.rs
+++ b/crates/bluebell-core/tests/ramp_up.rs
@@ -82,12 +82,14 @@
 // Guards against a ramp-up that goes on although nothing is kept away by it, and one that ends while it is the limit.
 #[test]
 fn ramp_up_ends_once_the_window_is_not_the_limit() {
-    let mut ramp = started();
-    ramp.record_full(at(1000));
-    assert_eq!(ramp.record(at(2900), &sample(2800, RampSignal::OnPace, 1)), None);
-    let change = ramp.record(at(3000), &sample(2950, RampSignal::OnPace, 1));
-    assert!(matches!(change, Some(RampChange::Ended(end)) if end.reason == EndReason::Unbound), "{change:?}");
-    assert!(!ramp.is_active());
+    for signal in [RampSignal::OnPace, RampSignal::Late] {
+        let mut ramp = started();
+        ramp.record_full(at(1000));
+        assert_eq!(ramp.record(at(2900), &sample(2800, signal, 1)), None);
+        let change = ramp.record(at(3000), &sample(2950, signal, 1));
+        assert!(matches!(change, Some(RampChange::Ended(end)) if end.reason == EndReason::Unbound), "{change:?}");
+        assert!(!ramp.is_active());
+    }
     let mut slow = started();
     for second in 1..60 {
         assert_eq!(slow.record(at(1000 * second), &sample(1000 * second - 500, RampSignal::Slow, 1)), None);
@@ -131,8 +133,12 @@
     }
 }
 
-fn mean(play: Play, figure: impl Fn(&Outcome) -> f64) -> f64 {
-    (0..SEEDS).map(|seed| figure(&play.run(seed))).sum::<f64>() / SEEDS as f64
+fn outcomes(play: Play) -> Vec<Outcome> {
+    (0..SEEDS).map(|seed| play.run(seed)).collect()
+}
+
+fn mean(outcomes: &[Outcome], figure: impl Fn(&Outcome) -> f64) -> f64 {
+    outcomes.iter().map(figure).sum::<f64>() / outcomes.len() as f64
 }
 
 fn plays(kind: Kind, recovers: bool) -> impl Iterator<Item = [Play; 3]> {
@@ -147,7 +153,7 @@
 fn fewer_answers_are_late_at_a_slow_upstream_than_without_ramp_up_and_with_a_fixed_slow_start() {
     for recovers in [false, true] {
         for policies in plays(Kind::Slow, recovers) {
-            let late = policies.map(|play| mean(play, |outcome| 1.0 - outcome.on_time));
+            let late = policies.map(|play| mean(&outcomes(play), |outcome| 1.0 - outcome.on_time));
             println!("{:?}: late {late:.4?}", policies[2]);
             assert!(late[2] < late[0], "{:?}: {late:?}", policies[2]);
             // After a recovery, the fixed slow start begins at the ejection.
@@ -161,8 +167,9 @@
 fn fast_upstream_is_used_as_without_ramp_up_and_more_than_with_a_fixed_slow_start() {
     for recovers in [false, true] {
         for policies in plays(Kind::Fast, recovers) {
-            let idle = policies.map(|play| mean(play, |outcome| outcome.idle));
-            let on_time = policies.map(|play| mean(play, |outcome| outcome.on_time));
+            let played = policies.map(outcomes);
+            let idle = [0, 1, 2].map(|policy: usize| mean(&played[policy], |outcome| outcome.idle));
+            let on_time = [0, 1, 2].map(|policy: usize| mean(&played[policy], |outcome| outcome.on_time));
             println!("{:?}: idle {idle:.3?}, on time {on_time:.4?}", policies[2]);
             assert!(idle[2] < idle[0] + 0.03 && idle[2] < idle[1] + 0.01, "{:?}: {idle:?}", policies[2]);
             assert!(on_time[2] > on_time[0] - 0.001, "{:?}: {on_time:?}", policies[2]);
@@ -175,7 +182,7 @@
 fn failing_upstream_costs_callers_no_more_than_without_ramp_up() {
     for recovers in [false, true] {
         for policies in plays(Kind::Failing, recovers) {
-            let on_time = policies.map(|play| mean(play, |outcome| outcome.on_time));
+            let on_time = policies.map(|play| mean(&outcomes(play), |outcome| outcome.on_time));
             println!("{:?}: on time {on_time:.4?}", policies[2]);
             assert!(on_time[2] > on_time[0] - 0.001, "{:?}: {on_time:?}", policies[2]);
         }
@@ -186,10 +193,11 @@
 #[test]
 fn silent_upstream_gets_one_request_of_each_gateway_at_a_time() {
     for policies in plays(Kind::Silent, false) {
-        let late = policies.map(|play| mean(play, |outcome| 1.0 - outcome.on_time));
-        let peak = mean(policies[2], |outcome| outcome.peak as f64);
+        let played = policies.map(outcomes);
+        let late = [0, 1, 2].map(|policy: usize| mean(&played[policy], |outcome| 1.0 - outcome.on_time));
+        let peak = played[2].iter().map(|outcome| outcome.peak).max().unwrap_or_default();
         println!("{:?}: late {late:.4?}, peak {peak}", policies[2]);
         assert!(late[2] < late[0] && late[2] < late[1], "{:?}: {late:?}", policies[2]);
-        assert!(peak <= policies[2].gateways as f64, "{:?}: {peak}", policies[2]);
+        assert!(peak <= policies[2].gateways, "{:?}: {peak}", policies[2]);
     }
 }
