--- a/crates/bluebell-core/src/placing/mod.rs
+++ b/crates/bluebell-core/src/placing/mod.rs
@@ -8,6 +8,7 @@
 mod parts;
 mod peer_loads;
 mod pick;
+mod ramp_up;
 mod uneven;
 
 pub use capacity::{Capacity, UsualSpeed};
@@ -18,3 +19,4 @@
 pub use parts::{Part, PartCache};
 pub use peer_loads::{PeerLoad, PeerLoads};
 pub use pick::{Candidate, PREFILL_TOKENS_PER_MS, RequestProfile, pick};
+pub use ramp_up::{EndReason, RampCause, RampChange, RampEnd, RampSample, RampSignal, RampUp, Window};
--- a/crates/bluebelld/src/gateway/front/choose.rs
+++ b/crates/bluebelld/src/gateway/front/choose.rs
@@ -90,6 +90,7 @@
         weight,
         connected: &connected,
         separate_from,
+        passed_over: &job.passed_over,
     };
     let zone = gateway.settings.instance.zone.as_str();
     let chosen = traffic.choose(now, zone, &criteria, &candidates)?.id.clone();
--- a/crates/bluebelld/src/gateway/metrics.rs
+++ b/crates/bluebelld/src/gateway/metrics.rs
@@ -31,6 +31,8 @@
     caller_limits: Counter<u64>,
     caller_connections: Gauge<u64>,
     body_bytes: Gauge<u64>,
+    ramps: Counter<u64>,
+    ramping: Gauge<u64>,
     blocked_requests: Counter<u64>,
     poison_requests: Gauge<u64>,
     poison_parts: Gauge<u64>,
@@ -73,6 +75,8 @@
             caller_connections: gauge("bluebell_caller_connections", "Open connections of callers"),
             body_bytes: gauge("bluebell_body_bytes", "Bytes of request bodies that count towards their total"),
             caller_limits: counter("bluebell_caller_limits", "Callers that exceeded a limit, by cause"),
+            ramps: counter("bluebell_ramp_ups", "Ramp-ups of upstreams that began at this gateway"),
+            ramping: gauge("bluebell_ramping_upstreams", "Upstreams whose requests a ramp-up limits"),
             blocked_requests: counter("bluebell_held_requests", "Requests held back since upstreams end under them"),
             poison_requests: gauge("bluebell_poison_requests", "Requests known to end upstreams"),
             poison_parts: gauge("bluebell_poison_parts", "Prompt parts known to crash upstreams"),
@@ -158,6 +162,16 @@
         self.caller_limits.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a ramp-up that begins.
+    pub fn record_ramp(&self, service: &str) {
+        self.ramps.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Sets the number of a service's upstreams in ramp-up.
+    pub fn set_ramping(&self, service: &ServiceId, count: usize) {
+        self.ramping.record(count as u64, &[KeyValue::new("service", service.to_string())]);
+    }
+
     /// Counts a request that was blocked because it is known to crash upstreams.
     pub fn record_blocked(&self) {
         self.blocked_requests.add(1, &[]);
--- a/crates/bluebelld/src/gateway/traffic/upstream_state.rs
+++ b/crates/bluebelld/src/gateway/traffic/upstream_state.rs
@@ -5,7 +5,7 @@
 use bluebell_core::{
     cold_start::ColdStart,
     ids::UpstreamId,
-    placing::{Admission, Capacity, Departure, Health, Liveness, Load, PartCache},
+    placing::{Admission, Capacity, Departure, Health, Liveness, Load, PartCache, RampUp},
     rate_limit::RateLimit,
     units::Tokens,
 };
@@ -29,6 +29,8 @@
     pub limit: RateLimit,
     /// Whether it is cold, and what it may get then.
     pub cold: ColdStart,
+    /// Its ramp-up after a start or a recovery.
+    pub ramp: RampUp,
     pub(super) started_at_ms: u64,
 }
 
