Let a few gateways of a large fleet read the store

Cause: each gateway read all change feeds, so calls to the store grew with the fleet, and each change woke all gateways.

Change: in fleets of nine gateways or more, one gateway of each zone, and three at least, read by long polls that end at evenly spaced times; the others read each table every 24 s and hear of changes by forwarding. Each gateway decides for itself on the status of its peers (GatewayStatus::reading), and reads at once when it hears of fewer than two live readers, after it lost a connection, and after a restore of the store. The store of the tests is silent for polls in progress as well.

--- a/crates/bluebell-core/src/dissemination.rs
+++ b/crates/bluebell-core/src/dissemination/mod.rs
@@ -5,9 +5,15 @@
 //! distances: the next ones give each gateway several senders, so that it is reached although links or senders fail,
 //! and the distant ones keep the number of hops low. Each gateway leaves out those to which it has no connection, so the
 //! ring closes around them.
+//!
+//! In large fleets only a few gateways read the change feeds, see [`readers`].
+
+mod readers;
 
 use std::time::Duration;
 
+pub use readers::{MemberContact, ReadMode, ReadSchedule, SLOW_CONTACT_LIMIT, poll_time, readers, slow_read_pause};
+
 use crate::ids::InstanceId;
 
 /// Number of direct successors to which a gateway forwards. A gateway is reached as long as one of as many predecessors
@@ -15,8 +21,9 @@
 const SUCCESSORS: usize = 3;
 /// Interval at which the fleet as a whole reads a busy change feed.
 const FLEET_READ_INTERVAL: Duration = Duration::from_millis(25);
-/// Longest pause between two reads of a gateway. It bounds the delay at a gateway without any connection to others.
-const MAX_READ_PAUSE: Duration = Duration::from_millis(1000);
+/// Longest pause between two reads of a gateway. It bounds the delay at a gateway without any connection to others, and
+/// is that of the few gateways that read in a large fleet.
+pub const MAX_READ_PAUSE: Duration = Duration::from_millis(1000);
 
 /// Gateways to which a gateway forwards what it has just learned. `connected` are the others to which it has a
 /// connection, in any order.
--- a/crates/bluebell-core/tests/dissemination.rs
+++ b/crates/bluebell-core/tests/dissemination.rs
@@ -4,8 +4,8 @@
 use std::{collections::HashSet, time::Duration};
 
 use bluebell_core::{
-    dissemination::{forward_targets, read_pause},
-    ids::InstanceId,
+    dissemination::{MemberContact, forward_targets, read_pause, readers},
+    ids::{InstanceId, ZoneId},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
 
@@ -132,3 +132,26 @@
         assert!(read_pause(size) <= Duration::from_secs(1), "{size} gateways");
     }
 }
+
+// In fleets of nine gateways or more only a few of them read the store, so that the others depend on the forwarding alone.
+#[test]
+fn row_read_by_the_elected_readers_reaches_all_in_three_hops() {
+    for (size, zones) in [(9, 3), (30, 4)] {
+        let ids = gateways(size);
+        let zone: Vec<ZoneId> =
+            (0..zones).map(|number| format!("z{number}").parse().expect("the id should be valid")).collect();
+        let contact = |at: usize| {
+            let age = Some(Duration::from_millis(100));
+            MemberContact { id: &ids[at], zone: &zone[at % zones], reads: false, age }
+        };
+        let elected = readers((0..size).map(contact));
+        let elected: Vec<usize> = (0..size).filter(|at| elected.contains(&&ids[*at])).collect();
+        // Any one of them may have lost the store.
+        for lost in &elected {
+            let working: Vec<usize> = elected.iter().copied().filter(|at| at != lost).collect();
+            let hops = spread(&ids, &working, |_, _| false).hops;
+            let longest = hops.iter().map(|hop| hop.expect("each gateway should hear of it")).max();
+            assert!(longest <= Some(3), "{longest:?} hops from {working:?} of {size}");
+        }
+    }
+}
--- a/crates/bluebell-standins/src/site/store.rs
+++ b/crates/bluebell-standins/src/site/store.rs
@@ -43,7 +43,7 @@
     RecordsBusy,
     /// Closes their connections without an answer.
     Reset,
-    /// Never answers.
+    /// Never answers, not even polls that were begun before.
     Silent,
     /// Executes writes but closes the connection in place of answering them; serves reads.
     Lossy,
@@ -303,6 +303,9 @@
                 continue;
             }
             let (status, body) = self.handle_rows(&request, &mode.subscribe()).await;
+            if *mode.borrow() == StoreMode::Silent {
+                return std::future::pending().await;
+            }
             // A restore may have ended the wait for changes.
             let era = self.lock().era.to_string();
             let headers = [("content-type", "application/json"), ("store-era", era.as_str())];
--- a/crates/bluebell-wire/src/messages.rs
+++ b/crates/bluebell-wire/src/messages.rs
@@ -11,6 +11,7 @@
     gate::{AdmissionRequest, Refusal},
     ids::{
         AttemptId, Incarnation, InstanceId, Permit, ReleaseId, RequestId, Revision, ServiceId, SessionId, UpstreamId,
+        ZoneId,
     },
     intent::{Reservation, Resolution, StoredReply},
     poison::{CrashReport, Fingerprint},
@@ -283,6 +284,22 @@
     /// Upstreams that announced their departure to the sender lately, with the time since then.
     #[serde(deserialize_with = "absent_as_default")]
     pub departures: Vec<(UpstreamIncarnation, Duration)>,
+    /// How the sender reads the store; none from gateways of a version in which all read.
+    #[serde(deserialize_with = "absent_as_default")]
+    pub reading: Option<ReadStatus>,
+}
+
+/// How a gateway reads the store's change feeds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadStatus {
+    /// Availability zone of the gateway.
+    pub zone: ZoneId,
+    /// Whether it reads by long polls.
+    pub reads: bool,
+    /// Time since the store last answered one of its reads; none if reads of a table fail.
+    pub answer_age: Option<Duration>,
+    /// Era of the store, as of its latest snapshot.
+    pub era: u64,
 }
 
 // For fields at the very end of a message that older programs do not send. Older programs ignore what follows the fields
--- a/crates/bluebell-wire/tests/older_programs.rs
+++ b/crates/bluebell-wire/tests/older_programs.rs
@@ -1,9 +1,9 @@
-//! Messages between gateways of this version and of the one before, which lacks the last fields of a status.
+//! Messages between gateways of this version and of earlier ones, which lack the last fields of a status.
 
 use std::time::Duration;
 
 use bluebell_core::{units::Rate, upstreams::UpstreamIncarnation};
-use bluebell_wire::messages::{ExchangeMessage, GatewayStatus, UpstreamLimit};
+use bluebell_wire::messages::{ExchangeMessage, GatewayStatus, ReadStatus, UpstreamLimit};
 
 fn status() -> GatewayStatus {
     GatewayStatus {
@@ -14,6 +14,7 @@
         rejected: vec![7],
         limits: Vec::new(),
         departures: Vec::new(),
+        reading: None,
     }
 }
 
@@ -29,12 +30,12 @@
 #[test]
 fn status_without_its_last_fields_is_read_as_one_with_empty_ones() {
     let bytes = encode(status());
-    // Each empty list at the end takes one byte.
-    for missing in 0..=2 {
+    // Each empty field at the end takes one byte.
+    for missing in 0..=3 {
         let message = decode(&bytes[..bytes.len() - missing]);
         assert_eq!(message, Some(ExchangeMessage::Status(Box::new(status()))), "{missing} missing");
     }
-    assert_eq!(decode(&bytes[..bytes.len() - 3]), None, "earlier fields are not optional");
+    assert_eq!(decode(&bytes[..bytes.len() - 4]), None, "earlier fields are not optional");
 }
 
 #[test]
@@ -43,9 +44,12 @@
     let incarnation = UpstreamIncarnation { upstream, started_at_ms: 3 };
     let limit =
         UpstreamLimit { incarnation: incarnation.clone(), limit: Some(Rate::per_second(3.4)), age: Duration::ZERO };
-    let full = GatewayStatus { limits: vec![limit], departures: vec![(incarnation, Duration::ZERO)], ..status() };
+    let zone = "z1".parse().expect("the id should be valid");
+    let reading = Some(ReadStatus { zone, reads: true, answer_age: Some(Duration::from_millis(7)), era: 1 });
+    let departures = vec![(incarnation, Duration::ZERO)];
+    let full = GatewayStatus { limits: vec![limit], departures, reading, ..status() };
     let (short, long) = (encode(status()), encode(full.clone()));
-    assert_eq!(short[..short.len() - 2], long[..short.len() - 2]);
+    assert_eq!(short[..short.len() - 3], long[..short.len() - 3]);
     assert_eq!(decode(&long), Some(ExchangeMessage::Status(Box::new(full))));
 }
 
--- a/crates/bluebelld/src/gateway/control/crashes.rs
+++ b/crates/bluebelld/src/gateway/control/crashes.rs
@@ -183,7 +183,7 @@
         if self.crashes.expire(now) {
             self.update_suspects();
         }
-        let Some(clock) = self.store_clock(now).filter(|_| self.is_store_connected(now)) else { return };
+        let Some(clock) = self.store_clock(now).filter(|_| self.can_write(now)) else { return };
         let stored =
             |(report, age): (CrashReport, Duration)| StoredReport { report, needed: clock.saturating_sub(age) };
         let kept = self.crashes.reports(now).map(stored);
--- a/crates/bluebelld/src/gateway/control/drive.rs
+++ b/crates/bluebelld/src/gateway/control/drive.rs
@@ -48,7 +48,7 @@
         if rejected {
             self.publish();
         }
-        if self.is_store_connected(now) {
+        if self.can_write(now) {
             self.advance_rollouts(now);
         }
     }
--- a/crates/bluebelld/src/gateway/control/event.rs
+++ b/crates/bluebelld/src/gateway/control/event.rs
@@ -14,7 +14,16 @@
 /// An event handled by the control thread.
 #[derive(Debug)]
 pub enum Event {
-    /// Rows that changed in the store.
+    /// Rows that changed in the store, as a read of the change feed of an origin answered.
+    FeedRead {
+        /// Origin of the rows.
+        origin: Origin,
+        /// Changed rows, which may be none.
+        rows: Vec<Row>,
+        /// Current time on the store's clock.
+        clock: Duration,
+    },
+    /// Rows that this gateway has written to the store.
     Changes {
         /// Changed rows.
         rows: Vec<Row>,
@@ -32,8 +41,13 @@
         /// Current time on the store's clock.
         clock: Duration,
     },
-    /// The store could not be read, with the reason.
-    StoreFailed(String),
+    /// The rows of an origin could not be read from the store.
+    StoreFailed {
+        /// Origin of the rows.
+        origin: Origin,
+        /// Reason for the failure.
+        reason: String,
+    },
     /// A peer announced its id and address.
     Hello(GatewayAddress),
     /// Rows received from a peer.
@@ -67,7 +81,7 @@
 impl Event {
     /// Whether the event brings rows from the store.
     pub fn has_rows(&self) -> bool {
-        matches!(self, Self::Changes { rows, .. } | Self::Snapshot { rows, .. } if !rows.is_empty())
+        matches!(self, Self::FeedRead { rows, .. } | Self::Snapshot { rows, .. } if !rows.is_empty())
     }
 }
 
--- a/crates/bluebelld/src/gateway/control/feeds.rs
+++ b/crates/bluebelld/src/gateway/control/feeds.rs
@@ -1,16 +1,24 @@
 //! Reads the store's change feeds. Each origin is read by consecutive long polls from the last version seen, starting
 //! with a snapshot. A new snapshot is read whenever the store doesn't have the changes since that version.
+//!
+//! In large fleets most gateways read rarely and without waiting, see [`bluebell_core::dissemination::readers`]. When a
+//! gateway has to read again, its feeds do so at once.
 
 use std::{sync::Arc, time::Duration};
 
-use bluebell_core::{dissemination::read_pause, replica::Origin};
+use bluebell_core::{
+    dissemination::{MAX_READ_PAUSE, ReadMode, poll_time, read_pause, slow_read_pause},
+    replica::Origin,
+};
 use bluebell_platform::store::Changes;
 use rand::Rng;
-use tokio::task::spawn_local;
+use tokio::{sync::watch, task::spawn_local};
 
 use super::event::{Event, EventSender};
 use crate::gateway::state::Gateway;
 
+/// Origins that gateways use.
+const ORIGINS: [Origin; 3] = [Origin::Operator, Origin::Upstreams, Origin::Fleet];
 /// Time for which the store holds a long poll open without changes. A poll lost on a dead connection must be detected
 /// soon enough for the next one to deliver the changes within the platform's limit of two seconds.
 const LONG_POLL_TIME: Duration = Duration::from_millis(2000);
@@ -22,38 +30,82 @@
 pub const STORE_TIMEOUT: Duration = Duration::from_millis(3200);
 
 /// Starts to read the change feeds of all origins that gateways use.
-pub fn start(gateway: &Arc<Gateway>, events: &EventSender) {
-    for origin in [Origin::Operator, Origin::Upstreams, Origin::Fleet] {
-        spawn_local(follow(Arc::clone(gateway), events.clone(), origin));
+pub fn start(gateway: &Arc<Gateway>, events: &EventSender, mode: &watch::Receiver<ReadMode>) {
+    for (index, origin) in ORIGINS.into_iter().enumerate() {
+        let turn = Turn { index: index as u32, mode: mode.clone(), was_slow: false };
+        spawn_local(follow(Arc::clone(gateway), events.clone(), origin, turn));
     }
 }
 
-async fn follow(gateway: Arc<Gateway>, events: EventSender, origin: Origin) {
+// When a feed reads.
+struct Turn {
+    // Number of the feed.
+    index: u32,
+    mode: watch::Receiver<ReadMode>,
+    // Whether the previous read was one of the rare ones.
+    was_slow: bool,
+}
+
+impl Turn {
+    fn is_slow(&mut self) -> bool {
+        *self.mode.borrow_and_update() == ReadMode::Slow
+    }
+
+    // Waits until the next read is due. Returns the time for which it asks the store to wait.
+    async fn wait(&mut self, gateway: &Gateway) -> Duration {
+        let count = ORIGINS.len() as u32;
+        while self.is_slow() {
+            let jitter = rand::rng().random_range(0.8..1.2);
+            let pause = slow_read_pause(self.index, count, !std::mem::replace(&mut self.was_slow, true), jitter);
+            if tokio::time::timeout(pause, self.mode.changed()).await.is_err() {
+                return Duration::ZERO;
+            }
+        }
+        let mode = *self.mode.borrow();
+        if std::mem::take(&mut self.was_slow) {
+            // The feed may have changed since the last of the rare reads.
+            return Duration::ZERO;
+        }
+        if mode == ReadMode::Reader { poll_time(gateway.now(), self.index, count) } else { LONG_POLL_TIME }
+    }
+
+    // Pause after a read of a busy feed.
+    fn busy_pause(&self, gateway: &Gateway) -> Duration {
+        match *self.mode.borrow() {
+            ReadMode::All => read_pause(gateway.routing.load().gateways),
+            ReadMode::Reader | ReadMode::Slow => MAX_READ_PAUSE,
+        }
+    }
+}
+
+async fn follow(gateway: Arc<Gateway>, events: EventSender, origin: Origin, mut turn: Turn) {
     let mut last_version = None;
     let mut backoff = MIN_BACKOFF;
-    let mut wait = LONG_POLL_TIME;
+    let mut has_failed = false;
     loop {
+        let wait = if last_version.is_none() { Duration::ZERO } else { turn.wait(&gateway).await };
+        // After a failure the store may have been restored meanwhile, which only an answer tells.
+        let wait = if has_failed { Duration::ZERO } else { wait };
         match read(&gateway, origin, &mut last_version, wait).await {
             Ok(Some(event)) => {
-                (backoff, wait) = (MIN_BACKOFF, LONG_POLL_TIME);
-                let is_busy = origin == Origin::Upstreams && event.has_rows();
+                (backoff, has_failed) = (MIN_BACKOFF, false);
+                let is_busy = origin == Origin::Upstreams && event.has_rows() && !turn.is_slow();
                 if events.send(event).is_err() {
                     return;
                 }
                 if is_busy {
                     let jitter = rand::rng().random_range(0.5..1.0);
-                    tokio::time::sleep(read_pause(gateway.routing.load().gateways).mul_f64(jitter)).await;
+                    tokio::time::sleep(turn.busy_pause(&gateway).mul_f64(jitter)).await;
                 }
             }
             Ok(None) => {
                 log::warn!("the store has no changes of {origin:?} after the last ones read; reading a snapshot");
             }
             Err(reason) => {
-                if events.send(Event::StoreFailed(reason)).is_err() {
+                if events.send(Event::StoreFailed { origin, reason }).is_err() {
                     return;
                 }
-                // The store may have been restored meanwhile, which only an answer tells.
-                wait = Duration::ZERO;
+                has_failed = true;
                 let jitter = rand::rng().random_range(0.5..1.0);
                 tokio::time::sleep(backoff.mul_f64(jitter)).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
@@ -78,7 +130,7 @@
     match gateway.store.changes(origin, after, wait).await.map_err(|error| error.to_string())? {
         Changes::Rows(changed) => {
             *last_version = Some(after.max(changed.version));
-            Ok(Some(Event::Changes { rows: changed.rows, clock: changed.clock }))
+            Ok(Some(Event::FeedRead { origin, rows: changed.rows, clock: changed.clock }))
         }
         Changes::Unavailable => {
             *last_version = None;
--- a/crates/bluebelld/src/gateway/control/mod.rs
+++ b/crates/bluebelld/src/gateway/control/mod.rs
@@ -8,6 +8,8 @@
 mod links;
 mod members;
 mod peer_status;
+mod read_mode;
+mod reading;
 mod recency;
 mod reports;
 mod restored;
--- a/crates/bluebelld/src/gateway/control/peer_status.rs
+++ b/crates/bluebelld/src/gateway/control/peer_status.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bluebell_wire::messages::ReleaseTally;
+use bluebell_wire::messages::{ReadStatus, ReleaseTally};
 
 /// Latest status of a peer.
 #[derive(Debug, Default)]
@@ -10,6 +10,8 @@
     pub(super) received_at: Duration,
     // Whether the peer reaches the store.
     pub(super) has_store: bool,
+    // How the peer reads the store; none if its version does not say.
+    pub(super) reading: Option<ReadStatus>,
     // All tallies that it has sent, each in its latest state.
     pub(super) tallies: Vec<ReleaseTally>,
 }
--- /dev/null
+++ b/crates/bluebelld/src/gateway/control/reading.rs
@@ -0,0 +1,92 @@
+//! How this gateway reads the store's change feeds: its own contact with the store, and the decision that the feeds follow.
+
+use std::time::Duration;
+
+use bluebell_core::{
+    dissemination::{MemberContact, ReadMode, ReadSchedule},
+    replica::Origin,
+    store_version,
+};
+use indexmap::IndexSet;
+use tokio::sync::watch;
+
+/// Time for which a gateway reads after it was in sync for the first time, and after it lost a connection, as messages to it
+/// or by way of that peer may be lost.
+const CATCH_UP_TIME: Duration = Duration::from_secs(2);
+/// Time for which a gateway reads after a peer has read a store that was restored from an older copy. In that time the
+/// writers write again what the store lacks.
+const RESTORE_TIME: Duration = Duration::from_secs(10);
+
+/// How this gateway reads the store.
+#[derive(Debug, Default)]
+pub(super) struct Reading {
+    schedule: ReadSchedule,
+    mode: watch::Sender<ReadMode>,
+    // When the store last answered a read.
+    answered_at: Option<Duration>,
+    // Origins of which the latest read failed.
+    failing: IndexSet<Origin>,
+    era: u64,
+}
+
+impl Reading {
+    /// The mode that the feeds follow.
+    pub(super) fn subscribe(&self) -> watch::Receiver<ReadMode> {
+        self.mode.subscribe()
+    }
+
+    pub(super) fn record_snapshot(&mut self, version: u64) {
+        self.era = self.era.max(store_version::era(version));
+    }
+
+    pub(super) fn record_answer(&mut self, now: Duration, origin: Origin) {
+        self.answered_at = Some(now);
+        self.failing.swap_remove(&origin);
+    }
+
+    pub(super) fn record_failure(&mut self, origin: Origin) {
+        self.failing.insert(origin);
+    }
+
+    /// Has the gateway read for a while, as messages of peers may be lost.
+    pub(super) fn catch_up(&mut self, now: Duration) {
+        self.schedule.read_until(now + CATCH_UP_TIME);
+    }
+
+    /// Has the gateway read until the store's writers have written again what it lacks.
+    pub(super) fn follow_restore(&mut self, now: Duration) {
+        self.schedule.read_until(now + RESTORE_TIME);
+    }
+
+    /// Decides anew how this gateway reads. Returns the mode if it changes.
+    pub(super) fn decide(
+        &mut self,
+        now: Duration,
+        own: MemberContact<'_>,
+        peers: &[MemberContact<'_>],
+        fleet: usize,
+    ) -> Option<ReadMode> {
+        let before = self.schedule.mode();
+        let mode = self.schedule.decide(now, own, peers, fleet);
+        if mode == before {
+            return None;
+        }
+        self.mode.send_replace(mode);
+        Some(mode)
+    }
+
+    /// Era of the store, as of the latest snapshot.
+    pub(super) fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Whether it reads by long polls.
+    pub(super) fn reads(&self) -> bool {
+        self.schedule.mode() != ReadMode::Slow
+    }
+
+    /// Time since the store last answered a read; none if reads fail.
+    pub(super) fn answer_age(&self, now: Duration) -> Option<Duration> {
+        self.answered_at.filter(|_| self.failing.is_empty()).map(|at| now.saturating_sub(at))
+    }
+}
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -18,6 +18,7 @@
     feeds,
     members::Members,
     peer_status::{PeerStatus, SentStatus},
+    reading::Reading,
     recency,
     rollouts::Rollouts,
 };
@@ -54,6 +55,7 @@
     pub(super) peer_statuses: IndexMap<InstanceId, PeerStatus>,
     pub(super) sent_status: SentStatus,
     pub(super) store: StoreContact,
+    pub(super) reading: Reading,
     pub(super) ticks: u64,
     // Whether the routing state has changed since it was published.
     unpublished: bool,
@@ -98,6 +100,7 @@
             peer_statuses: IndexMap::new(),
             sent_status: SentStatus::default(),
             store: StoreContact::default(),
+            reading: Reading::default(),
             ticks: 0,
             unpublished: false,
         }
@@ -105,7 +108,7 @@
 
     /// Handles events until the process ends.
     pub(super) async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Event>) {
-        feeds::start(&self.gateway, &self.events);
+        feeds::start(&self.gateway, &self.events, &self.reading.subscribe());
         spawn_local(watch_leaving(Arc::clone(&self.gateway), self.events.clone()));
         self.members.start();
         let gateway = Arc::clone(&self.gateway);
@@ -136,19 +139,30 @@
 
     fn handle(&mut self, event: Event) {
         match event {
+            Event::FeedRead { origin, rows, clock } => {
+                self.reading.record_answer(self.gateway.now(), origin);
+                self.record_store_response(clock);
+                let changed = self.replica.apply_copy(rows, &[]);
+                self.apply_rows(changed, None);
+            }
             Event::Changes { rows, clock } => {
                 self.record_store_response(clock);
                 let changed = self.replica.apply_copy(rows, &[]);
                 self.apply_rows(changed, None);
             }
             Event::Snapshot { origin, rows, version, clock } => {
+                self.reading.record_answer(self.gateway.now(), origin);
+                self.reading.record_snapshot(version);
                 self.record_store_response(clock);
                 let changed = self.replica.apply_snapshot(origin, rows, version);
                 self.startup.has_fleet_rows |= origin == Origin::Fleet;
                 self.apply_rows(changed, None);
                 self.check_startup(self.gateway.now());
             }
-            Event::StoreFailed(reason) => self.record_store_failure(&reason),
+            Event::StoreFailed { origin, reason } => {
+                self.reading.record_failure(origin);
+                self.record_store_failure(&reason);
+            }
             Event::Hello(address) => self.members.hello(address, self.gateway.now()),
             Event::PeerRows { peer, rows, snapshots } => {
                 self.startup.has_fleet_rows = true;
@@ -169,6 +183,9 @@
         let now = self.gateway.now();
         if self.members.set_connected(peer, connected, now) {
             log::info!(peer = peer.as_str(); "connection to peer {}", if connected { "opened" } else { "lost" });
+            if !connected {
+                self.reading.catch_up(now);
+            }
         }
         if connected {
             self.sent_status = SentStatus::default();
@@ -221,6 +238,7 @@
         self.process_crashes();
         let own = &self.gateway.settings.instance.id;
         self.gateway.traffic().assign_limits(now, own, self.members.ids());
+        self.decide_reading(now);
         self.broadcast_status(now);
         self.drive_rollouts(now);
         self.sync_reports(now);
--- a/crates/bluebelld/src/gateway/control/status.rs
+++ b/crates/bluebelld/src/gateway/control/status.rs
@@ -26,6 +26,7 @@
         let known = self.peer_statuses.entry(peer).or_default();
         known.received_at = now;
         known.has_store = status.connected;
+        known.reading = status.reading;
         known.merge_tallies(status.tallies);
         if status.connected {
             self.publish_contact(now);
@@ -53,6 +54,7 @@
             rejected: self.rollouts.rejected_orders(),
             limits,
             departures,
+            reading: Some(self.read_status(now)),
         };
         let sessions_from = if is_rolling_out { now } else { Duration::ZERO };
         let is_queued = self.members.broadcast(&ExchangeMessage::Status(Box::new(status)));
--- a/crates/bluebelld/src/gateway/metrics.rs
+++ b/crates/bluebelld/src/gateway/metrics.rs
@@ -33,6 +33,7 @@
     upstreams: Gauge<u64>,
     peers: Gauge<u64>,
     store_contact_age: Gauge<f64>,
+    reads: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -76,6 +77,7 @@
                 .with_unit("s")
                 .with_description("Time since the store was last heard of")
                 .build(),
+            reads: gauge("bluebell_reads_store", "Whether this gateway reads the store's change feeds by long polls"),
             exporter,
         })
     }
@@ -149,6 +151,11 @@
         self.upstreams.record(count as u64, &[KeyValue::new("service", service.to_string())]);
     }
 
+    /// Sets whether this gateway reads the store's change feeds by long polls.
+    pub fn set_reads(&self, reads: bool) {
+        self.reads.record(u64::from(reads), &[]);
+    }
+
     /// Sets the number of gateways that share the retry budget, and the time since the last contact with the store.
     pub fn set_peers_and_contact_age(&self, gateways: usize, contact_age: Duration) {
         self.peers.record(gateways as u64, &[]);
--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod pauses;
 mod poison;
 mod poison_parts;
+mod readers;
 mod refusals;
 mod restarted;
 mod restores;
