Choose whom gateways tell their load, and scale up what they hear

Cause: each gateway tells all others its load, which grows with the square of the fleet.

Change: bluebell_core::dissemination::load_targets chooses the gateways of a bounded number that a gateway tells: each hears four of its own zone and two of each other zone. load_weights gives the factors by which what is heard stands for the fleet, by zone, since gateways of a zone prefer the same upstreams. Not used by gateways yet.

--- a/crates/bluebell-core/src/dissemination/mod.rs
+++ b/crates/bluebell-core/src/dissemination/mod.rs
@@ -8,10 +8,12 @@
 //!
 //! In large fleets only a few gateways read the change feeds, see [`readers`].
 
+mod loads;
 mod readers;
 
 use std::time::Duration;
 
+pub use loads::{load_targets, load_weights};
 pub use readers::{MemberContact, ReadMode, ReadSchedule, SLOW_CONTACT_LIMIT, poll_time, readers, slow_read_pause};
 
 use crate::ids::InstanceId;
