--- a/crates/bluebelld/src/gateway/control/mod.rs
+++ b/crates/bluebelld/src/gateway/control/mod.rs
@@ -11,6 +11,8 @@
 mod links;
 mod members;
 mod peer_status;
+mod read_mode;
+mod reading;
 mod recency;
 mod reports;
 mod restored;
--- a/crates/bluebelld/src/gateway/metrics.rs
+++ b/crates/bluebelld/src/gateway/metrics.rs
@@ -44,6 +44,7 @@
     peers: Gauge<u64>,
     store_contact_age: Gauge<f64>,
     chosen_speed: Histogram<f64>,
+    reads: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -99,6 +100,7 @@
                 .with_description("Speed of upstreams that answered, relative to the usual one of their service")
                 .with_boundaries(SPEED_BOUNDARIES.to_vec())
                 .build(),
+            reads: gauge("bluebell_reads_store", "Whether this gateway reads the store's change feeds by long polls"),
             exporter,
         })
     }
@@ -208,6 +210,11 @@
         self.cold.record(upstreams as u64, &[]);
     }
 
+    /// Sets whether this gateway reads the store's change feeds by long polls.
+    pub fn set_reads(&self, reads: bool) {
+        self.reads.record(u64::from(reads), &[]);
+    }
+
     /// Sets the number of gateways that share the retry budget, and the time since the last contact with the store.
     pub fn set_peers_and_contact_age(&self, gateways: usize, contact_age: Duration) {
         self.peers.record(gateways as u64, &[]);
--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -16,6 +16,7 @@
 mod poison;
 mod poison_parts;
 mod ramp_ups;
+mod readers;
 mod refusals;
 mod restarted;
 mod restores;
