Use declarations only once all of the operator's rows are known; play a restore during an evacuation

A request that came before the gateway was ready was sent by declarations that a peer had forwarded as a single row, when orders such as an evacuation might still be missing. The routing state now has no declarations until all of the operator's rows were read, here or by a peer.

--- a/crates/bluebell-core/tests/cold_start.rs
+++ b/crates/bluebell-core/tests/cold_start.rs
@@ -60,6 +60,8 @@
     now: Duration,
     limit: ColdLimit,
     gateways: Vec<Gateway>,
+    // What a gateway that knows only itself takes that for.
+    lone_contact: Contact,
     // Requests per second at each gateway for this upstream.
     demand: f64,
     arrivals: Vec<Duration>,
@@ -73,6 +75,7 @@
             now: at(100.0),
             limit,
             gateways: Vec::new(),
+            lone_contact: if seed.is_multiple_of(2) { Contact::Unknown } else { Contact::Connected },
             demand,
             arrivals: Vec::new(),
         };
@@ -130,7 +133,7 @@
         }
         let gateway = &mut self.gateways[index];
         let contact = match gateway.link {
-            _ if now < gateway.synced_at => Contact::Unknown,
+            _ if now < gateway.synced_at => self.lone_contact,
             Link::Cut => Contact::Isolated,
             Link::Up | Link::Unheard => Contact::Connected,
         };
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -287,7 +287,8 @@
         let mut open = self.upstreams.open(now);
         let left_out = self.evacuations.remove_from(&mut open);
         let routing = RoutingState {
-            declared: self.declared.clone(),
+            // Single rows that a peer forwards before all are known may lack orders that are in force, such as an evacuation.
+            declared: self.declared.clone().filter(|_| self.knows_all(Origin::Operator)),
             open,
             left_out,
             evacuated: self.evacuations.zones(),
@@ -303,8 +304,7 @@
         self.gateway.routing.store(Arc::new(routing));
     }
 
-    // Whether all rows of an origin were read, here or by a peer. Single rows that a peer forwards before may lack orders
-    // that are in force, such as the evacuation of a zone.
+    // Whether all rows of an origin were read, here or by a peer.
     pub(super) fn knows_all(&self, origin: Origin) -> bool {
         self.replica.snapshots().any(|(known, _)| known == origin)
     }
@@ -316,7 +316,7 @@
         }
         self.publish_changes();
         let routing = self.gateway.routing.load();
-        if routing.declared.is_none() || routing.open.is_empty() || !self.knows_all(Origin::Operator) {
+        if routing.declared.is_none() || routing.open.is_empty() {
             return;
         }
         let since = *self.startup.routable_since.get_or_insert(now);
--- a/crates/bluebelld/tests/gateway/evacuations.rs
+++ b/crates/bluebelld/tests/gateway/evacuations.rs
@@ -9,6 +9,7 @@
 
 use super::{
     caller::Ask,
+    restores::restore,
     site::{EVENT_COUNT, Site, arrivals},
     until,
 };
@@ -154,6 +155,36 @@
     .await;
 }
 
+// Guards against an evacuation that ends because the store came back from a copy without the order.
+#[tokio::test]
+async fn evacuation_outlasts_a_restore_of_the_store_if_the_operator_writes_it_again() {
+    let site = start(2).await;
+    let copy = site.store.copy();
+    site.store.put("op", "evacuate/z1", &json!({}));
+    for gateway in 0..2 {
+        wait_for_log(&site, gateway, "evacuation of a zone ordered").await;
+    }
+    let before = site.ledger[0].arrivals().len();
+    restore(&site, copy).await;
+    for round in 0..2 {
+        for gateway in 0..2 {
+            assert_eq!(served(&site, gateway, &format!("restored-{gateway}-{round}")).await, 20);
+        }
+        sleep(Duration::from_secs(1)).await;
+    }
+    site.store.put("op", "evacuate/z1", &json!({}));
+    // Longer than a row is kept that nobody writes again.
+    sleep(Duration::from_secs(7)).await;
+    for gateway in 0..2 {
+        assert_eq!(served(&site, gateway, &format!("again-{gateway}")).await, 20);
+    }
+    assert_eq!(site.ledger[0].arrivals().len(), before, "requests reached the evacuated zone");
+    site.store.delete("op", "evacuate/z1");
+    for gateway in 0..2 {
+        wait_for_log(&site, gateway, "evacuation of a zone ended").await;
+    }
+}
+
 /// Rate that an upstream of `ledger` accepts while it is cold, and what is allowed in any second.
 const COLD_RATE: usize = 20;
 const COLD_BOUND: usize = 35;
