--- a/crates/bluebell-core/src/placing/capacity.rs
+++ b/crates/bluebell-core/src/placing/capacity.rs
@@ -34,8 +34,9 @@
 /// Fewest events of a response whose time counts.
 const MIN_EVENTS: u64 = 2;
 
-/// Range of an upstream's own speed; values outside are more likely due to faults than to the machine.
-const OWN_SPEED_RANGE: [f64; 2] = [0.2, 5.0];
+/// Largest natural logarithm of an upstream's own speed, for a speed of 5 or a fifth; more is more likely due to faults
+/// than to the machine.
+const MAX_OWN_SPEED_LOG: f64 = 1.609;
 /// Range of the speed at a moment.
 const SPEED_RANGE: [f64; 2] = [0.05, 10.0];
 /// Range of the usual rate of a service, in tokens per millisecond.
@@ -176,13 +177,13 @@
     /// Speed at this moment, relative to the usual speed of the service.
     #[must_use]
     pub fn speed(&self, now: Duration) -> f64 {
-        (self.own_speed().ln() - self.slowdown_log(now)).exp().clamp(SPEED_RANGE[0], SPEED_RANGE[1])
+        (self.own_speed_log() - self.slowdown_log(now)).exp().clamp(SPEED_RANGE[0], SPEED_RANGE[1])
     }
 
     /// Mean speed over a longer time, relative to the usual speed of the service.
     #[must_use]
     pub fn mean_speed(&self) -> f64 {
-        (self.own_speed().ln() - self.mean_slowdown.mean).exp().clamp(SPEED_RANGE[0], SPEED_RANGE[1])
+        (self.own_speed_log() - self.mean_slowdown.mean).exp().clamp(SPEED_RANGE[0], SPEED_RANGE[1])
     }
 
     /// Time since the upstream's machine last reported its slowdown.
@@ -191,8 +192,8 @@
         self.slowdown.map(|(_, at)| now.saturating_sub(at))
     }
 
-    fn own_speed(&self) -> f64 {
-        self.own.mean.exp().clamp(OWN_SPEED_RANGE[0], OWN_SPEED_RANGE[1])
+    fn own_speed_log(&self) -> f64 {
+        self.own.mean.clamp(-MAX_OWN_SPEED_LOG, MAX_OWN_SPEED_LOG)
     }
 
     // Logarithm of the slowdown expected at this moment: the reported one gives way to the mean as it ages.
@@ -203,7 +204,7 @@
         if age >= MAX_SLOWDOWN_AGE {
             return mean;
         }
-        let weight = 0.5f64.powf(age.as_secs_f64() / SLOWDOWN_HALF_LIFE.as_secs_f64());
+        let weight = (-age.as_secs_f64() / SLOWDOWN_HALF_LIFE.as_secs_f64()).exp2();
         mean + weight * (log - mean)
     }
 }
--- a/crates/bluebell-core/src/placing/load.rs
+++ b/crates/bluebell-core/src/placing/load.rs
@@ -25,6 +25,17 @@
     pub slowdown: Option<Slowdown>,
 }
 
+/// Estimated load of one upstream at a moment, by all callers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LoadEstimate {
+    /// Requests.
+    pub requests: f64,
+    /// Prompt tokens that wait for prefill.
+    pub pending_prefill: f64,
+    /// Average number of requests over the last seconds.
+    pub average: f64,
+}
+
 /// Estimated load of one upstream.
 #[derive(Debug, Clone, Default)]
 pub struct Load {
@@ -94,17 +105,21 @@
         self.pending_prefill as f64 + self.other_pending_prefill as f64 * self.report_weight(now)
     }
 
-    /// Average number of requests of all callers over the last seconds.
+    /// Estimates that a choice needs. Cheaper than each of them alone, as the age of the last report is weighed once.
     #[must_use]
-    pub fn average(&self, now: Duration) -> f64 {
+    pub fn estimate(&self, now: Duration) -> LoadEstimate {
+        let reported = self.report_weight(now);
+        let requests = f64::from(self.own_requests) + self.other_requests * reported;
+        let pending_prefill = self.pending_prefill as f64 + self.other_pending_prefill as f64 * reported;
         let age = now.saturating_sub(self.averaged_at).as_secs_f64();
-        let weight = 0.5f64.powf(age / AVERAGE_HALF_LIFE.as_secs_f64());
-        weight * self.average + (1.0 - weight) * self.requests(now)
+        let weight = (-age / AVERAGE_HALF_LIFE.as_secs_f64()).exp2();
+        let average = weight * self.average + (1.0 - weight) * requests;
+        LoadEstimate { requests, pending_prefill, average }
     }
 
     // The estimate before a new report stands for the time since the one before it.
     fn update_average(&mut self, now: Duration) {
-        self.average = self.average(now);
+        self.average = self.estimate(now).average;
         self.averaged_at = self.averaged_at.max(now);
     }
 
--- a/crates/bluebell-core/src/placing/mod.rs
+++ b/crates/bluebell-core/src/placing/mod.rs
@@ -14,7 +14,7 @@
 pub use departure::{Admission, Departure, LAST_RESORT_PERIOD};
 pub use health::{Health, HealthEvent, MAX_PAUSE};
 pub use liveness::{Liveness, prefill_allowance};
-pub use load::{Load, Report};
+pub use load::{Load, LoadEstimate, Report};
 pub use parts::{Part, PartCache};
 pub use peer_loads::{PeerLoad, PeerLoads};
 pub use pick::{Candidate, PREFILL_TOKENS_PER_MS, RequestProfile, pick};
--- a/crates/bluebell-core/src/placing/parts.rs
+++ b/crates/bluebell-core/src/placing/parts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{Equivalent, IndexMap};
 
 use crate::{
     ids::{ModelId, PartId},
@@ -18,6 +18,16 @@
     pub tokens: Tokens,
 }
 
+// Key of an entry, without copies of the ids. The hash of a struct is that of a tuple of its fields.
+#[derive(Hash)]
+struct PartKey<'a>(&'a ModelId, &'a PartId);
+
+impl Equivalent<(ModelId, PartId)> for PartKey<'_> {
+    fn equivalent(&self, (model, part): &(ModelId, PartId)) -> bool {
+        self.0 == model && self.1 == part
+    }
+}
+
 /// Estimated prefix cache of one upstream, ordered from least to most recently used.
 #[derive(Debug, Clone, Default)]
 pub struct PartCache {
@@ -30,7 +40,7 @@
     /// first part that is missing ends the reusable prefix.
     #[must_use]
     pub fn cached(&self, model: &ModelId, parts: &[Part]) -> Tokens {
-        let is_cached = |part: &&Part| self.entries.contains_key(&(model.clone(), part.id.clone()));
+        let is_cached = |part: &&Part| self.entries.contains_key(&PartKey(model, &part.id));
         Tokens(parts.iter().take_while(is_cached).map(|part| part.tokens.0).sum())
     }
 
--- a/crates/bluebell-core/src/placing/uneven.rs
+++ b/crates/bluebell-core/src/placing/uneven.rs
@@ -7,13 +7,13 @@
 //! are cached at several.
 
 use rand::Rng;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::pick::{
     COLD_PENALTY_MS, CONCURRENT_REQUEST_MS, Candidate, FAILURE_PENALTY_MS, FREE_UTILISATION, JITTER_MS,
     OTHER_ZONE_PENALTY_MS, OVERLOAD_PENALTY_MS, PREFERRED_CACHED_FRACTION, PREFILL_DELAY_WEIGHT, RequestProfile,
     UNCACHED_SHARED_FACTOR,
 };
-use crate::routing::rendezvous;
 
 /// Lowest speed by which times are divided.
 const MIN_SPEED: f64 = 0.01;
@@ -36,7 +36,9 @@
     random: &mut impl Rng,
 ) -> Option<usize> {
     let preferred = request.key.as_deref().and_then(|key| {
-        let best = |(_, candidate): &(usize, &Candidate)| rendezvous::score(key, &candidate.name);
+        // Rendezvous hashing; the key is hashed only once.
+        let seed = xxh3_64(key.as_bytes());
+        let best = |(_, candidate): &(usize, &Candidate)| xxh3_64_with_seed(candidate.name.as_bytes(), seed);
         candidates.iter().enumerate().max_by_key(best).map(|(position, _)| position)
     });
     let mean = candidates.iter().map(|candidate| candidate.average).sum::<f64>() / candidates.len().max(1) as f64;
--- a/crates/bluebell-core/tests/uneven/gateway.rs
+++ b/crates/bluebell-core/tests/uneven/gateway.rs
@@ -70,18 +70,21 @@
             weight: task.weight,
             rate: knows_speed.then(|| self.usual.rate()),
         };
-        let candidate = |(at, upstream): (usize, &Upstream)| Candidate {
-            name: format!("engine-{at}"),
-            requests: upstream.load.requests(now),
-            slots: 64.0,
-            pending_prefill: upstream.load.pending_prefill(now),
-            cached: upstream.parts.cached(&task.model, &task.shared).0 as f64,
-            failure_rate: 0.0,
-            other_zone: false,
-            cold: false,
-            speed: if knows_speed { upstream.capacity.speed(now) } else { 1.0 },
-            has_connection: knows_speed && upstream.idle.iter().any(|end| *end > now),
-            average: if knows_speed { upstream.load.average(now) } else { 0.0 },
+        let candidate = |(at, upstream): (usize, &Upstream)| {
+            let load = upstream.load.estimate(now);
+            Candidate {
+                name: format!("engine-{at}"),
+                requests: load.requests,
+                slots: 64.0,
+                pending_prefill: load.pending_prefill,
+                cached: upstream.parts.cached(&task.model, &task.shared).0 as f64,
+                failure_rate: 0.0,
+                other_zone: false,
+                cold: false,
+                speed: if knows_speed { upstream.capacity.speed(now) } else { 1.0 },
+                has_connection: knows_speed && upstream.idle.iter().any(|end| *end > now),
+                average: if knows_speed { load.average } else { 0.0 },
+            }
         };
         let candidates: Vec<Candidate> = self.upstreams.iter().enumerate().map(candidate).collect();
         let at = pick(&profile, &candidates, random).expect("a choice");
--- a/crates/bluebell-standins/src/site/fault.rs
+++ b/crates/bluebell-standins/src/site/fault.rs
@@ -68,6 +68,7 @@
 pub struct Announcement {
     pub(super) leaving: bool,
     pub(super) limit: Option<String>,
+    pub(super) load: Option<String>,
 }
 
 impl Announcement {
@@ -76,6 +77,7 @@
     pub fn headers(&self) -> Vec<(&str, &str)> {
         let leaving = self.leaving.then_some(("server-leaving", "1"));
         let limit = self.limit.as_deref().map(|limit| ("server-limit", limit));
-        leaving.into_iter().chain(limit).collect()
+        let load = self.load.as_deref().map(|load| ("server-load", load));
+        leaving.into_iter().chain(limit).chain(load).collect()
     }
 }
--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -172,6 +172,11 @@
         lock(&self.state).announcement.leaving = leaving;
     }
 
+    /// Sets the load that it states in all answers.
+    pub fn set_load(&self, load: Option<&str>) {
+        lock(&self.state).announcement.load = load.map(str::to_owned);
+    }
+
     /// Sets the rate limit that it names in all answers.
     pub fn set_limit(&self, limit: Option<&str>) {
         lock(&self.state).announcement.limit = limit.map(str::to_owned);
--- a/crates/bluebelld/src/gateway/traffic/mod.rs
+++ b/crates/bluebelld/src/gateway/traffic/mod.rs
@@ -370,8 +370,9 @@
         }
         let admitted: Vec<&Upstream> =
             admissions.into_iter().filter(|(_, admission)| *admission == best).map(|(upstream, _)| upstream).collect();
-        let healthy: Vec<&Upstream> =
-            admitted.iter().copied().filter(|upstream| self.upstream(upstream).health.is_available(now)).collect();
+        let is_healthy =
+            |upstream: &&Upstream| self.upstreams.get(&upstream.id).is_none_or(|state| state.health.is_available(now));
+        let healthy: Vec<&Upstream> = admitted.iter().copied().filter(is_healthy).collect();
         let pool = if healthy.is_empty() { &admitted } else { &healthy };
         let separated = criteria.separate_from.map(|suspects| self.fewest_suspects(pool, suspects));
         let pool = separated.as_ref().unwrap_or(pool);
@@ -387,23 +388,26 @@
             weight: criteria.weight,
             rate: usual_rate,
         };
+        let unknown = UpstreamState::default();
         let candidates: Vec<Candidate> = pool
             .iter()
             .map(|upstream| {
-                let state = self.upstream(upstream);
+                // All have an entry, since their admission was looked up above.
+                let state = self.upstreams.get(&upstream.id).unwrap_or(&unknown);
                 let cached = criteria.model.map_or(0, |model| state.parts.cached(model, shared).0);
+                let load = state.load.estimate(now);
                 Candidate {
                     name: upstream.id.to_string(),
-                    requests: state.load.requests(now),
+                    requests: load.requests,
                     slots: f64::from(upstream.slots),
-                    pending_prefill: state.load.pending_prefill(now),
+                    pending_prefill: load.pending_prefill,
                     cached: cached as f64,
                     failure_rate: state.health.failure_rate(),
                     other_zone: upstream.zone.as_str() != zone,
                     cold: !upstream.cold.is_zero(),
                     speed: if knows_speed { state.capacity.speed(now) } else { 1.0 },
                     has_connection: knows_speed && criteria.connected.contains(&upstream.address),
-                    average: if knows_speed { state.load.average(now) } else { 0.0 },
+                    average: if knows_speed { load.average } else { 0.0 },
                 }
             })
             .collect();
--- a/crates/bluebelld/tests/gateway/explain.rs
+++ b/crates/bluebelld/tests/gateway/explain.rs
@@ -31,6 +31,30 @@
     assert!(log.lines().all(|line| serde_json::from_str::<Value>(line).is_ok()), "a log line is not JSON");
 }
 
+// Guards against speeds that are used although no upstream states them, and against reports that are not decoded or not
+// used.
+#[tokio::test]
+async fn answered_lines_have_the_speed_of_the_upstream_and_the_age_of_its_report() {
+    let site = Site::start(1).await;
+    site.chat.iter().for_each(|upstream| upstream.set_load(Some("1,0,64")));
+    let speed = async |request: &str| {
+        site.gateways[0].ask(&Ask::new(&format!("/talk/{request}"), request)).await;
+        let lines = request_log_lines(&site, request, 1).await;
+        let last = lines.last().expect("a line").clone();
+        assert_eq!(last["message"], "answered", "{last}");
+        (last["speed"].as_f64().expect("a number"), last["report_age_ms"].as_i64().expect("a number"))
+    };
+    assert_eq!(speed("without").await, (-1.0, -1));
+    site.chat.iter().for_each(|upstream| upstream.set_load(Some("1,0,64,400")));
+    // The speed in a line is that before the request's own answer, and any of the upstreams may be chosen.
+    let mut speeds = Vec::new();
+    for number in 0..=4 * site.chat.len() {
+        speeds.push(speed(&format!("with-{number}")).await);
+    }
+    let slowed = speeds.iter().filter(|(speed, age)| (0.05..0.7).contains(speed) && *age >= 0).count();
+    assert!(slowed >= site.chat.len(), "{speeds:?}");
+}
+
 #[tokio::test]
 async fn logged_refusals_name_the_version_of_the_declarations() {
     let site = Site::start(1).await;
