--- a/crates/bluebell-standins/src/site/upstream.rs
+++ b/crates/bluebell-standins/src/site/upstream.rs
@@ -182,11 +182,6 @@
         lock(&self.state).announcement.limit = limit.map(str::to_owned);
     }
 
-    /// Sets the load that it reports in all answers.
-    pub fn set_load(&self, load: Option<&str>) {
-        lock(&self.state).announcement.load = load.map(str::to_owned);
-    }
-
     /// When requests reached it, whether or not it ran them.
     #[must_use]
     pub fn arrivals(&self) -> Vec<Instant> {
