Tell the load to a bounded number of gateways

Cause: each gateway sent its full status to all others every 250 ms.

Change: in fleets of nine gateways or more the load goes to those that load_targets chooses, and the receiver weighs it by zone. The others get the rest of the status (GatewayStatus::omits_loads) when something in it changes, and otherwise every 500 ms or, from 100 gateways on, every second; readers of the store send it every 250 ms. Suspected requests reach all and are not scaled.

Not measured: bytes and placement in fleets. Above 100 gateways the number of small messages still grows with the fleet (docs/design/load-exchange.md).

--- a/crates/bluebell-core/src/dissemination/loads.rs
+++ b/crates/bluebell-core/src/dissemination/loads.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 
+use super::MIN_FLEET;
 use crate::ids::{InstanceId, ZoneId};
 
 /// Number of gateways of its own zone that a gateway hears.
@@ -13,6 +14,22 @@
 /// Most gateways that one gateway tells its load, whatever the sizes of the zones.
 const MAX_TARGETS: usize = 24;
 
+/// Fleet above which the messages to all other gateways are sent half as often.
+const VERY_LARGE_FLEET: usize = 100;
+
+/// Number of status intervals between two messages of a gateway to those that it doesn't tell its load, if nothing has
+/// changed that they need at once. With an interval of 250 ms, a dead connection shows after 2.2 s at most.
+#[must_use]
+pub fn status_ticks(gateways: usize) -> u64 {
+    if gateways < MIN_FLEET {
+        1
+    } else if gateways < VERY_LARGE_FLEET {
+        2
+    } else {
+        4
+    }
+}
+
 /// Gateways that a gateway tells its load. `peers` are the others, in any order.
 #[must_use]
 pub fn load_targets<'a>(
--- a/crates/bluebell-core/src/dissemination/mod.rs
+++ b/crates/bluebell-core/src/dissemination/mod.rs
@@ -13,8 +13,10 @@
 
 use std::time::Duration;
 
-pub use loads::{load_targets, load_weights};
-pub use readers::{MemberContact, ReadMode, ReadSchedule, SLOW_CONTACT_LIMIT, poll_time, readers, slow_read_pause};
+pub use loads::{load_targets, load_weights, status_ticks};
+pub use readers::{
+    MIN_FLEET, MemberContact, ReadMode, ReadSchedule, SLOW_CONTACT_LIMIT, poll_time, readers, slow_read_pause,
+};
 
 use crate::ids::InstanceId;
 
--- a/crates/bluebell-core/src/dissemination/readers.rs
+++ b/crates/bluebell-core/src/dissemination/readers.rs
@@ -13,8 +13,8 @@
 
 use crate::ids::{InstanceId, ZoneId};
 
-/// Smallest fleet in which only some gateways read.
-const MIN_FLEET: usize = 9;
+/// Smallest fleet in which only some gateways read, and each tells its load to some others only.
+pub const MIN_FLEET: usize = 9;
 /// Fewest readers that are elected. A change is still read if two of three readers have lost the store.
 const MIN_READERS: usize = 3;
 /// Fewest live readers that a gateway must hear of so as not to read itself.
--- a/crates/bluebell-wire/src/messages.rs
+++ b/crates/bluebell-wire/src/messages.rs
@@ -287,6 +287,10 @@
     /// How the sender reads the store; none from gateways of a version in which all read.
     #[serde(deserialize_with = "absent_as_default")]
     pub reading: Option<ReadStatus>,
+    /// Whether `loads` lists only requests suspected of crashing upstreams: the receiver is not one of those that the
+    /// sender tells its load.
+    #[serde(deserialize_with = "absent_as_default")]
+    pub omits_loads: bool,
 }
 
 /// How a gateway reads the store's change feeds.
--- a/crates/bluebell-wire/tests/older_programs.rs
+++ b/crates/bluebell-wire/tests/older_programs.rs
@@ -15,6 +15,7 @@
         limits: Vec::new(),
         departures: Vec::new(),
         reading: None,
+        omits_loads: false,
     }
 }
 
@@ -31,11 +32,11 @@
 fn status_without_its_last_fields_is_read_as_one_with_empty_ones() {
     let bytes = encode(status());
     // Each empty field at the end takes one byte.
-    for missing in 0..=3 {
+    for missing in 0..=4 {
         let message = decode(&bytes[..bytes.len() - missing]);
         assert_eq!(message, Some(ExchangeMessage::Status(Box::new(status()))), "{missing} missing");
     }
-    assert_eq!(decode(&bytes[..bytes.len() - 4]), None, "earlier fields are not optional");
+    assert_eq!(decode(&bytes[..bytes.len() - 5]), None, "earlier fields are not optional");
 }
 
 #[test]
@@ -49,7 +50,7 @@
     let departures = vec![(incarnation, Duration::ZERO)];
     let full = GatewayStatus { limits: vec![limit], departures, reading, ..status() };
     let (short, long) = (encode(status()), encode(full.clone()));
-    assert_eq!(short[..short.len() - 3], long[..short.len() - 3]);
+    assert_eq!(short[..short.len() - 4], long[..short.len() - 4]);
     assert_eq!(decode(&long), Some(ExchangeMessage::Status(Box::new(full))));
 }
 
--- a/crates/bluebelld/src/gateway/control/members.rs
+++ b/crates/bluebelld/src/gateway/control/members.rs
@@ -130,9 +130,16 @@
 
     /// Sends a message to all connected peers. Returns whether it was queued for each of them.
     pub(super) fn broadcast(&self, message: &ExchangeMessage) -> bool {
+        self.broadcast_each(|_| Some(message))
+    }
+
+    /// Sends to each connected peer the message chosen for it, if there is one. Returns whether each was queued.
+    pub(super) fn broadcast_each<'a>(&self, choose: impl Fn(&InstanceId) -> Option<&'a ExchangeMessage>) -> bool {
         let mut queued = true;
-        for member in self.known.values().filter(|member| member.connected) {
-            queued &= member.outbox.try_send(message.clone()).is_ok();
+        for (id, member) in self.known.iter().filter(|(_, member)| member.connected) {
+            if let Some(message) = choose(id) {
+                queued &= member.outbox.try_send(message.clone()).is_ok();
+            }
         }
         queued
     }
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use bluebell_core::{
-    ids::{InstanceId, UpstreamId},
+    ids::{InstanceId, UpstreamId, ZoneId},
     ingress::Declared,
     poison::{Crashes, Suspects},
     replica::{Origin, Replica},
@@ -54,6 +54,8 @@
     pub(super) startup: Startup,
     pub(super) peer_statuses: IndexMap<InstanceId, PeerStatus>,
     pub(super) sent_status: SentStatus,
+    // Number of gateways for which the loads that peers report stand, by zone of the peer.
+    pub(super) load_weights: IndexMap<ZoneId, f64>,
     pub(super) store: StoreContact,
     pub(super) reading: Reading,
     pub(super) ticks: u64,
@@ -99,6 +101,7 @@
             startup: Startup::default(),
             peer_statuses: IndexMap::new(),
             sent_status: SentStatus::default(),
+            load_weights: IndexMap::new(),
             store: StoreContact::default(),
             reading: Reading::default(),
             ticks: 0,
@@ -239,6 +242,7 @@
         let own = &self.gateway.settings.instance.id;
         self.gateway.traffic().assign_limits(now, own, self.members.ids());
         self.decide_reading(now);
+        self.update_load_weights();
         self.broadcast_status(now);
         self.drive_rollouts(now);
         self.sync_reports(now);
--- a/crates/bluebelld/src/gateway/traffic/mod.rs
+++ b/crates/bluebelld/src/gateway/traffic/mod.rs
@@ -224,13 +224,14 @@
         counts.into_iter().filter(|(_, count)| Some(*count) == least).map(|(upstream, _)| upstream).collect()
     }
 
-    /// Applies the load that a peer reports to have put on upstreams.
-    pub fn apply_peer_loads(&mut self, now: Duration, peer: InstanceId, loads: &[UpstreamLoad]) {
+    /// Applies the load that a peer reports to have put on upstreams. `weight` is the number of gateways for which it
+    /// stands.
+    pub fn apply_peer_loads(&mut self, now: Duration, peer: InstanceId, weight: f64, loads: &[UpstreamLoad]) {
         let load = |load: &UpstreamLoad| {
             let (requests, prefill, suspects) = (load.requests, load.unread, load.suspects);
             (load.upstream.clone(), PeerLoad { requests, prefill, suspects })
         };
-        let touched = self.peers.replace(peer, loads.iter().map(load));
+        let touched = self.peers.replace_weighted(peer, weight, loads.iter().map(load));
         self.apply_peer_totals(now, &touched);
     }
 
