Compute the price of engine time with the nominal rate of engines

Cause: the learnt rate of prompts contains waiting and the fixed time of a first token, so the backlog looked several times longer than it was, and half of the escalations were missing once capacity and price were merged.

Change: the backlog uses the relative speeds of the upstreams and the nominal rate.

--- a/crates/bluebelld/src/gateway/traffic/mod.rs
+++ b/crates/bluebelld/src/gateway/traffic/mod.rs
@@ -355,17 +355,19 @@
     /// Mean time until the prompts pending at the available upstreams are processed.
     pub fn mean_prefill_time(&mut self, now: Duration, upstreams: &[Arc<Upstream>]) -> Duration {
         let mut pending = Vec::with_capacity(upstreams.len());
-        let usual_rate = upstreams.first().and_then(|upstream| self.usual_rate(upstream));
+        let has_speeds = upstreams.first().is_some_and(|upstream| self.reports_speed(&upstream.service));
         for upstream in upstreams {
             let state = self.upstream(upstream);
             if state.is_available(now) {
                 // Tokens that an upstream of usual speed processes in the same time.
-                let speed = if usual_rate.is_some() { state.capacity.speed(now) } else { 1.0 };
+                let speed = if has_speeds { state.capacity.speed(now) } else { 1.0 };
                 pending.push(state.load.pending_prefill(now) / speed);
             }
         }
         let mean = pending.iter().sum::<f64>() / pending.len().max(1) as f64;
-        Duration::from_secs_f64(mean / usual_rate.unwrap_or(PREFILL_TOKENS_PER_MS) / 1000.0)
+        // The learnt rate is lower, as it contains the time in which a prompt shares the engine with other requests. Taken
+        // here, it would make engines that are half empty look full.
+        Duration::from_secs_f64(mean / PREFILL_TOKENS_PER_MS / 1000.0)
     }
 
     /// Records what an attempt has shown about an upstream's health.
