Send store rows to peers before all other messages

Cause: most gateways of a large fleet hear of changes from peers alone.

Change: each peer has a queue of rows that goes before the other messages; queued messages with rows are sent as one.

--- a/crates/bluebelld/src/gateway/control/links.rs
+++ b/crates/bluebelld/src/gateway/control/links.rs
@@ -15,7 +15,10 @@
     time::{sleep, timeout},
 };
 
-use super::event::{Event, EventSender};
+use super::{
+    event::{Event, EventSender},
+    outbox::OutboxQueue,
+};
 use crate::gateway::state::Gateway;
 
 /// Time limit for connecting to a peer, and for its acknowledgement of a message.
@@ -73,7 +76,7 @@
     events: &EventSender,
     peer: InstanceId,
     address: SocketAddr,
-    mut outbox: mpsc::Receiver<ExchangeMessage>,
+    mut outbox: OutboxQueue,
 ) {
     let (gateway, events) = (Arc::clone(gateway), events.clone());
     spawn_local(async move {
@@ -96,15 +99,15 @@
     events: &EventSender,
     peer: &InstanceId,
     address: SocketAddr,
-    outbox: &mut mpsc::Receiver<ExchangeMessage>,
+    outbox: &mut OutboxQueue,
 ) -> Result<(), WireError> {
     let (mut writer, mut reader) = open(gateway, address).await?;
     // Messages queued before the connection opened are out of date, or covered by the rows that are sent first.
-    while outbox.try_recv().is_ok() {}
+    outbox.clear();
     if events.send(Event::ConnectionChanged { peer: peer.clone(), connected: true }).is_err() {
         return Ok(());
     }
-    while let Some(message) = outbox.recv().await {
+    while let Some(message) = outbox.next().await {
         send_acknowledged(&mut writer, &mut reader, &message, address).await?;
     }
     Ok(())
--- a/crates/bluebelld/src/gateway/control/members.rs
+++ b/crates/bluebelld/src/gateway/control/members.rs
@@ -12,9 +12,9 @@
 use bluebell_platform::store::{Put, RowKey, Transaction, TransactionOutcome};
 use bluebell_wire::messages::{ExchangeMessage, GatewayAddress};
 use indexmap::IndexMap;
-use tokio::{sync::mpsc, task::spawn_local};
+use tokio::task::spawn_local;
 
-use super::{event::EventSender, links};
+use super::{event::EventSender, links, outbox::Outbox};
 use crate::gateway::state::Gateway;
 
 /// Prefix of the keys of member rows.
@@ -23,8 +23,6 @@
 const REMOVAL_TIMEOUT: Duration = Duration::from_secs(20);
 /// Pause after a failed write.
 const WRITE_RETRY_PAUSE: Duration = Duration::from_millis(500);
-/// Messages that may be queued for one peer. Further ones are dropped, see [`Members::send`].
-const OUTBOX_CAPACITY: usize = 512;
 
 struct Member {
     address: SocketAddr,
@@ -33,7 +31,7 @@
     connected: bool,
     // When the connection was last opened or lost, or when the gateway became known.
     since: Duration,
-    outbox: mpsc::Sender<ExchangeMessage>,
+    outbox: Outbox,
 }
 
 /// The other gateways.
@@ -105,7 +103,7 @@
             return;
         }
         log::info!(peer = id.as_str(), address = address.to_string().as_str(); "peer discovered");
-        let (outbox, queue) = mpsc::channel(OUTBOX_CAPACITY);
+        let (outbox, queue) = Outbox::new();
         links::maintain(&self.gateway, &self.events, id.clone(), address, queue);
         self.known.insert(id, Member { address, row, connected: false, since: now, outbox });
     }
@@ -124,7 +122,7 @@
     /// out, and the next one starts with all rows if this gateway forwards to that peer.
     pub(super) fn send(&self, peer: &InstanceId, message: &ExchangeMessage) {
         if let Some(member) = self.known.get(peer) {
-            let _ = member.outbox.try_send(message.clone());
+            let _ = member.outbox.send(message.clone());
         }
     }
 
@@ -138,7 +136,7 @@
         let mut queued = true;
         for (id, member) in self.known.iter().filter(|(_, member)| member.connected) {
             if let Some(message) = choose(id) {
-                queued &= member.outbox.try_send(message.clone()).is_ok();
+                queued &= member.outbox.send(message.clone());
             }
         }
         queued
