Test the order of messages to peers

Change: the queue is a module of its own, tests/outbox.rs plays reports that were queued before rows.

--- a/crates/bluebelld/src/gateway/control/links.rs
+++ b/crates/bluebelld/src/gateway/control/links.rs
@@ -15,11 +15,8 @@
     time::{sleep, timeout},
 };
 
-use super::{
-    event::{Event, EventSender},
-    outbox::OutboxQueue,
-};
-use crate::gateway::state::Gateway;
+use super::event::{Event, EventSender};
+use crate::gateway::{outbox::OutboxQueue, state::Gateway};
 
 /// Time limit for connecting to a peer, and for its acknowledgement of a message.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1200);
--- a/crates/bluebelld/src/gateway/control/members.rs
+++ b/crates/bluebelld/src/gateway/control/members.rs
@@ -14,8 +14,8 @@
 use indexmap::IndexMap;
 use tokio::task::spawn_local;
 
-use super::{event::EventSender, links, outbox::Outbox};
-use crate::gateway::state::Gateway;
+use super::{event::EventSender, links};
+use crate::gateway::{outbox::Outbox, state::Gateway};
 
 /// Prefix of the keys of member rows.
 pub const KEY_PREFIX: &str = "member/";
--- a/crates/bluebelld/src/gateway/control/mod.rs
+++ b/crates/bluebelld/src/gateway/control/mod.rs
@@ -10,7 +10,6 @@
 mod incarnations;
 mod links;
 mod members;
-mod outbox;
 mod peer_status;
 mod read_mode;
 mod reading;
--- a/crates/bluebelld/src/gateway/mod.rs
+++ b/crates/bluebelld/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod front;
 mod job;
 mod metrics;
+pub mod outbox;
 mod pool;
 mod read_limit;
 mod ready;
--- a/crates/bluebelld/src/gateway/control/outbox.rs
+++ b/crates/bluebelld/src/gateway/outbox.rs
@@ -8,30 +8,32 @@
 /// Messages of each kind that may be queued. Further ones are dropped: such a connection is expected to time out.
 const CAPACITY: usize = 512;
 /// Rows up to which queued messages with rows are sent as one.
-const MAX_ROWS: usize = 256;
+pub const MAX_ROWS: usize = 256;
 
 /// Sender of messages to one peer.
-pub(super) struct Outbox {
+pub struct Outbox {
     rows: mpsc::Sender<Vec<Row>>,
     others: mpsc::Sender<ExchangeMessage>,
 }
 
 /// Queued messages for one peer.
-pub(super) struct OutboxQueue {
+pub struct OutboxQueue {
     rows: mpsc::Receiver<Vec<Row>>,
     others: mpsc::Receiver<ExchangeMessage>,
 }
 
 impl Outbox {
     /// Creates an empty queue.
-    pub(super) fn new() -> (Self, OutboxQueue) {
+    #[must_use]
+    pub fn new() -> (Self, OutboxQueue) {
         let (rows, queued_rows) = mpsc::channel(CAPACITY);
         let (others, queued_others) = mpsc::channel(CAPACITY);
         (Self { rows, others }, OutboxQueue { rows: queued_rows, others: queued_others })
     }
 
     /// Queues a message. Returns whether there was room.
-    pub(super) fn send(&self, message: ExchangeMessage) -> bool {
+    #[must_use]
+    pub fn send(&self, message: ExchangeMessage) -> bool {
         match message {
             ExchangeMessage::Rows(rows) => self.rows.try_send(rows).is_ok(),
             other => self.others.try_send(other).is_ok(),
@@ -41,18 +43,19 @@
 
 impl OutboxQueue {
     /// Whether the sender is gone.
-    pub(super) fn is_closed(&self) -> bool {
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
         self.others.is_closed()
     }
 
     /// Drops all queued messages.
-    pub(super) fn clear(&mut self) {
+    pub fn clear(&mut self) {
         while self.rows.try_recv().is_ok() {}
         while self.others.try_recv().is_ok() {}
     }
 
     /// Next message, rows first; none once the sender is gone.
-    pub(super) async fn next(&mut self) -> Option<ExchangeMessage> {
+    pub async fn next(&mut self) -> Option<ExchangeMessage> {
         tokio::select! {
             biased;
             Some(mut rows) = self.rows.recv() => {
--- /dev/null
+++ b/crates/bluebelld/tests/outbox.rs
@@ -0,0 +1,56 @@
+//! Tests for the queue of messages for one peer. Guard against changes of the store that wait behind reports of crashes: a
+//! fleet of 30 gateways took declarations up to 9 s late while 28 crashed upstreams were reported.
+
+use bluebell_core::{
+    poison::Fingerprint,
+    replica::{Origin, Row},
+};
+use bluebell_wire::messages::ExchangeMessage;
+use bluebelld::gateway::outbox::{MAX_ROWS, Outbox};
+
+fn row(version: u64) -> Row {
+    Row { origin: Origin::Operator, key: "config".to_owned(), value: None, version }
+}
+
+fn report() -> ExchangeMessage {
+    ExchangeMessage::Answered(vec![Fingerprint::of("/talk/", None, b"body")])
+}
+
+#[tokio::test]
+async fn rows_go_before_messages_that_were_queued_earlier() {
+    let (outbox, mut queue) = Outbox::new();
+    for _ in 0..300 {
+        assert!(outbox.send(report()));
+    }
+    assert!(outbox.send(ExchangeMessage::Rows(vec![row(7)])));
+    assert_eq!(queue.next().await, Some(ExchangeMessage::Rows(vec![row(7)])));
+    assert_eq!(queue.next().await, Some(report()));
+}
+
+#[tokio::test]
+async fn queued_rows_are_sent_in_order_in_few_messages() {
+    let (outbox, mut queue) = Outbox::new();
+    let count = MAX_ROWS as u64 + 100;
+    for version in 0..count {
+        assert!(outbox.send(ExchangeMessage::Rows(vec![row(version)])));
+    }
+    let (mut versions, mut messages) = (Vec::new(), 0);
+    while (versions.len() as u64) < count {
+        let Some(ExchangeMessage::Rows(rows)) = queue.next().await else { panic!("no rows") };
+        versions.extend(rows.iter().map(|row| row.version));
+        messages += 1;
+    }
+    assert_eq!(versions, (0..count).collect::<Vec<_>>());
+    assert_eq!(messages, 2);
+}
+
+#[tokio::test]
+async fn full_queue_of_reports_leaves_room_for_rows() {
+    let (outbox, mut queue) = Outbox::new();
+    while outbox.send(report()) {}
+    assert!(outbox.send(ExchangeMessage::Rows(vec![row(1)])));
+    queue.clear();
+    drop(outbox);
+    assert!(queue.is_closed());
+    assert_eq!(queue.next().await, None);
+}
