Log what the control thread is busy with, and how long changes wait for it

Cause: of a gateway that applies declarations late, the logs did not tell whether the change came late, was lost, or waited there.

Change: events carry the time at which they were queued; `declarations in force` has `waited_ms`; `control thread is behind` names the kind of event that took most of the last second, at most once a second; metrics bluebell_control_wait and bluebell_control_time; a peer's late acknowledgement is logged. No decision depends on any of it.

--- a/crates/bluebelld/src/gateway/control/event.rs
+++ b/crates/bluebelld/src/gateway/control/event.rs
@@ -1,14 +1,16 @@
-//! Events handled by the control thread.
+//! Events handled by the control thread, and their queue.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
+    clock::Clock,
     ids::InstanceId,
     poison::Fingerprint,
     replica::{Origin, Row},
     upstreams::UpstreamIncarnation,
 };
 use bluebell_wire::messages::{AgedCrashReport, GatewayAddress, GatewayStatus};
+use snafu::{OptionExt, Snafu};
 use tokio::sync::mpsc;
 
 /// An event handled by the control thread.
@@ -79,11 +81,88 @@
 }
 
 impl Event {
+    /// Name of the kind of event.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::FeedRead { .. } => "feed_read",
+            Self::Changes { .. } => "changes",
+            Self::Snapshot { .. } => "snapshot",
+            Self::StoreFailed { .. } => "store_failed",
+            Self::Hello(_) => "hello",
+            Self::PeerRows { .. } => "peer_rows",
+            Self::Status(..) => "status",
+            Self::Crashes(..) => "crashes",
+            Self::Answered(..) => "answered",
+            Self::CrashesCleared(..) => "crashes_cleared",
+            Self::ConnectionChanged { .. } => "connection",
+            Self::Leave => "leave",
+        }
+    }
+
     /// Whether the event brings rows from the store.
     pub fn has_rows(&self) -> bool {
         matches!(self, Self::FeedRead { rows, .. } | Self::Snapshot { rows, .. } if !rows.is_empty())
     }
 }
 
+/// An event in the queue.
+#[derive(Debug)]
+pub struct Queued {
+    /// The event.
+    pub event: Event,
+    /// When it was queued.
+    pub at: Duration,
+}
+
+/// The control thread is gone, which happens only while the process exits.
+#[derive(Debug, Snafu)]
+#[snafu(display("the control thread is gone"))]
+pub struct QueueClosed;
+
 /// Sender of events to the control thread.
-pub type EventSender = mpsc::UnboundedSender<Event>;
+#[derive(Clone)]
+pub struct EventSender {
+    queue: mpsc::UnboundedSender<Queued>,
+    clock: Arc<dyn Clock>,
+}
+
+/// Queue of the control thread's events.
+pub struct EventQueue {
+    queue: mpsc::UnboundedReceiver<Queued>,
+}
+
+/// Creates an empty queue. The clock tells when each event was queued.
+#[must_use]
+pub fn event_queue(clock: Arc<dyn Clock>) -> (EventSender, EventQueue) {
+    let (sender, queue) = mpsc::unbounded_channel();
+    (EventSender { queue: sender, clock }, EventQueue { queue })
+}
+
+impl EventSender {
+    /// Queues an event.
+    ///
+    /// # Errors
+    /// When the control thread is gone.
+    pub fn send(&self, event: Event) -> Result<(), QueueClosed> {
+        let queued = Queued { event, at: self.clock.now() };
+        self.queue.send(queued).ok().context(QueueClosedSnafu)
+    }
+}
+
+impl EventQueue {
+    /// Waits for the next event; none once all senders are gone.
+    pub async fn next(&mut self) -> Option<Queued> {
+        self.queue.recv().await
+    }
+
+    /// The next event, if there is one.
+    pub fn try_next(&mut self) -> Option<Queued> {
+        self.queue.try_recv().ok()
+    }
+
+    /// Number of queued events.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.queue.len()
+    }
+}
--- a/crates/bluebelld/src/gateway/control/links.rs
+++ b/crates/bluebelld/src/gateway/control/links.rs
@@ -20,6 +20,8 @@
 
 /// Time limit for connecting to a peer, and for its acknowledgement of a message.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Time after which an acknowledgement is logged as late.
+const LATE_ACK: Duration = Duration::from_millis(500);
 /// Pause before another attempt to connect.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(400);
 /// Attempts to connect to a seed.
@@ -105,7 +107,12 @@
         return Ok(());
     }
     while let Some(message) = outbox.next().await {
+        let sent_at = gateway.now();
         send_acknowledged(&mut writer, &mut reader, &message, address).await?;
+        let took = gateway.now().saturating_sub(sent_at);
+        if took >= LATE_ACK {
+            log::info!(peer = peer.as_str(), took_ms = took.as_millis() as u64; "peer acknowledged a message late");
+        }
     }
     Ok(())
 }
--- a/crates/bluebelld/src/gateway/control/mod.rs
+++ b/crates/bluebelld/src/gateway/control/mod.rs
@@ -9,6 +9,7 @@
 mod feeds;
 mod incarnations;
 mod links;
+mod load;
 mod members;
 mod peer_status;
 mod read_mode;
@@ -24,7 +25,7 @@
 use std::sync::Arc;
 
 use snafu::ResultExt;
-use tokio::{sync::mpsc, task::LocalSet};
+use tokio::task::LocalSet;
 
 use super::state::Gateway;
 use crate::error::{DaemonError, ListenSnafu, RuntimeSnafu};
@@ -41,7 +42,7 @@
         let _entered = runtime.enter();
         bluebell_wire::listen(address).context(ListenSnafu { address: address.to_string() })?
     };
-    let (events, inbox) = mpsc::unbounded_channel();
+    let (events, inbox) = event::event_queue(Arc::clone(&gateway.clock));
     let run = move || {
         LocalSet::new().block_on(&runtime, async move {
             let control = Control::new(gateway, events);
--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -59,7 +59,7 @@
                     let routes = declared.routes().count();
                     log::info!(
                         version = declared.version, row = number(row.version), routes = routes, keys = declared.keys.len(),
-                        source = source;
+                        source = source, waited_ms = self.waited.as_millis() as u64;
                         "declarations in force"
                     );
                     self.gateway.metrics.set_declared(declared.version);
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -11,13 +11,14 @@
 };
 use bluebell_wire::messages::ExchangeMessage;
 use indexmap::IndexMap;
-use tokio::{sync::mpsc, task::spawn_local, time::MissedTickBehavior};
+use tokio::{task::spawn_local, time::MissedTickBehavior};
 
 use super::{
     evacuations::Evacuations,
-    event::{Event, EventSender},
+    event::{Event, EventQueue, EventSender, Queued},
     feeds,
     incarnations::SeenIncarnations,
+    load::ControlLoad,
     members::Members,
     peer_status::{PeerStatus, SentStatus},
     reading::Reading,
@@ -63,6 +64,9 @@
     pub(super) store: StoreContact,
     pub(super) reading: Reading,
     pub(super) ticks: u64,
+    // Time for which the event being handled was queued.
+    pub(super) waited: Duration,
+    load: ControlLoad,
     // Whether the routing state has changed since it was published.
     unpublished: bool,
 }
@@ -113,12 +117,14 @@
             store: StoreContact::default(),
             reading: Reading::default(),
             ticks: 0,
+            waited: Duration::ZERO,
+            load: ControlLoad::default(),
             unpublished: false,
         }
     }
 
     /// Handles events until the process ends.
-    pub(super) async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Event>) {
+    pub(super) async fn run(mut self, mut inbox: EventQueue) {
         feeds::start(&self.gateway, &self.events, &self.reading.subscribe());
         spawn_local(watch_leaving(Arc::clone(&self.gateway), self.events.clone()));
         self.members.start();
@@ -127,27 +133,43 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
-                event = inbox.recv() => match event {
+                event = inbox.next() => match event {
                     Some(event) => self.handle_batch(event, &mut inbox),
                     None => return,
                 },
-                _ = ticks.tick() => self.tick(),
-                () = gateway.crash_check.notified() => self.process_crashes(),
+                _ = ticks.tick() => {
+                    self.timed("tick", Self::tick);
+                    self.load.report(self.gateway.now(), inbox.len(), &self.gateway.metrics);
+                }
+                () = gateway.crash_check.notified() => self.timed("crash_check", Self::process_crashes),
             }
-            self.publish_changes();
+            self.timed("publish", Self::publish_changes);
         }
     }
 
     // Handles an event and those queued behind it, so that a burst of changes is published once.
-    fn handle_batch(&mut self, first: Event, inbox: &mut mpsc::UnboundedReceiver<Event>) {
-        self.handle(first);
+    fn handle_batch(&mut self, first: Queued, inbox: &mut EventQueue) {
+        self.handle_queued(first);
         for _ in 1..EVENT_BATCH {
-            let Ok(event) = inbox.try_recv() else { break };
-            self.handle(event);
+            let Some(queued) = inbox.try_next() else { break };
+            self.handle_queued(queued);
         }
         self.process_reverted();
     }
 
+    fn handle_queued(&mut self, queued: Queued) {
+        self.waited = self.gateway.now().saturating_sub(queued.at);
+        self.timed(queued.event.kind(), |control| control.handle(queued.event));
+        self.waited = Duration::ZERO;
+    }
+
+    // Does a piece of work and records the time that it took.
+    fn timed(&mut self, kind: &'static str, work: impl FnOnce(&mut Self)) {
+        let started = self.gateway.now();
+        work(self);
+        self.load.record(kind, self.waited, self.gateway.now().saturating_sub(started));
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
             Event::FeedRead { origin, rows, clock } => {
--- a/crates/bluebelld/src/gateway/metrics.rs
+++ b/crates/bluebelld/src/gateway/metrics.rs
@@ -45,6 +45,8 @@
     store_contact_age: Gauge<f64>,
     chosen_speed: Histogram<f64>,
     reads: Gauge<u64>,
+    control_wait: Gauge<f64>,
+    control_time: Counter<f64>,
 }
 
 impl GatewayMetrics {
@@ -101,6 +103,16 @@
                 .with_boundaries(SPEED_BOUNDARIES.to_vec())
                 .build(),
             reads: gauge("bluebell_reads_store", "Whether this gateway reads the store's change feeds by long polls"),
+            control_wait: meter
+                .f64_gauge("bluebell_control_wait")
+                .with_unit("s")
+                .with_description("Longest time in the last second for which an event waited for the control thread")
+                .build(),
+            control_time: meter
+                .f64_counter("bluebell_control_time")
+                .with_unit("s")
+                .with_description("Time that the control thread spent, by kind of work")
+                .build(),
             exporter,
         })
     }
@@ -221,6 +233,16 @@
         self.store_contact_age.record(contact_age.as_secs_f64(), &[]);
     }
 
+    /// Sets the longest time for which an event has waited for the control thread lately.
+    pub fn set_control_wait(&self, wait: Duration) {
+        self.control_wait.record(wait.as_secs_f64(), &[]);
+    }
+
+    /// Adds to the time that the control thread has spent on a kind of work.
+    pub fn record_control_time(&self, kind: &'static str, time: Duration) {
+        self.control_time.add(time.as_secs_f64(), &[KeyValue::new("kind", kind)]);
+    }
+
     /// All metrics in the Prometheus text format.
     #[must_use]
     pub fn text(&self) -> String {
