Reproduce declarations that come late while many crashes are reported

Cause: as the log of the storm shows, store rows take most of the control thread's time; those rows are crash reports.

Change: a test with one gateway, 60 crashed upstreams and 30 reporters, whose reports arrive as rows while the declarations change.

--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod caller_limits;
+mod crash_storm;
 mod cut_heads;
 mod endless;
 mod evacuations;
