Determine the suspects of crashes once for all new reports

Cause: each crash report, each answer to a suspected request and each row with a report had the suspects of all crashes determined anew. Reports of a crash come from up to 30 gateways, twice (by message and by row), so the work of a mass crash grows with the square of the reports. A gateway of 0.068 cores had no time left to receive messages. Peers took it for dead, opened new connections and sent everything again, and all began to read the store, which kept the overload up.

Evidence: `control thread is behind` named the application of rows in 91 of 91 lines. Ruled out: rows that wait in the queue of events (0 to 10 queued), rows that are lost (late gateways read them from the store as well).

Change: `SuspectsState` marks that reports have changed. The suspects are determined after the batch of events, and again after a pause of four times the time that it took (500 ms at most), which bounds the share of the thread's time.

--- a/crates/bluebelld/src/gateway/control/crashes.rs
+++ b/crates/bluebelld/src/gateway/control/crashes.rs
@@ -17,9 +17,37 @@
 use super::{reports, state::Control};
 use crate::records::StoredReport;
 
+/// Pause before the suspects are determined again, as a multiple of the time that it took. While many reports arrive, it
+/// bounds the share of the control thread's time.
+const REFRESH_PAUSE_FACTOR: u32 = 4;
+/// Longest such pause.
+const MAX_REFRESH_PAUSE: Duration = Duration::from_millis(500);
 /// Maximum number of reports in one message.
 const MAX_REPORTS: usize = 32;
 
+/// When the suspects are to be determined again. Each determination goes through all reports, so it is done once for all
+/// reports that have arrived since the last one.
+#[derive(Debug, Default)]
+pub(super) struct SuspectsState {
+    has_changed: bool,
+    next_at: Duration,
+}
+
+impl SuspectsState {
+    fn mark_changed(&mut self) {
+        self.has_changed = true;
+    }
+
+    fn is_due(&self, now: Duration) -> bool {
+        self.has_changed && now >= self.next_at
+    }
+
+    fn finish(&mut self, started: Duration, now: Duration) {
+        let took = now.saturating_sub(started);
+        *self = Self { has_changed: false, next_at: now + (took * REFRESH_PAUSE_FACTOR).min(MAX_REFRESH_PAUSE) };
+    }
+}
+
 impl Control {
     /// Processes what the traffic thread has detected since the last call: crashes, answers to suspected requests, and
     /// blocked requests.
@@ -54,7 +82,7 @@
         }
         let source = from.map_or("own", InstanceId::as_str);
         updates.iter().for_each(|aged| log_report(&aged.report, aged.age, source));
-        self.update_suspects();
+        self.suspects_state.mark_changed();
         self.members.forward(&ExchangeMessage::Crashes(updates.clone()), from);
         updates.iter().for_each(|aged| self.clear_excused(&aged.report, now));
     }
@@ -76,7 +104,7 @@
     /// of them had been suspected.
     pub(super) fn clear_answered(&mut self, answered: &[Fingerprint], from: Option<&InstanceId>) {
         if !answered.is_empty() && self.crashes.clear(answered) {
-            self.update_suspects();
+            self.suspects_state.mark_changed();
             self.members.forward(&ExchangeMessage::Answered(answered.to_vec()), from);
         }
     }
@@ -93,7 +121,7 @@
             .filter(|(incarnation, requests)| self.crashes.clear_at(incarnation, requests))
             .collect();
         if !updates.is_empty() {
-            self.update_suspects();
+            self.suspects_state.mark_changed();
             self.members.forward(&ExchangeMessage::Cleared(updates), from);
         }
     }
@@ -105,7 +133,7 @@
                 upstream = incarnation.upstream.as_str(), born = incarnation.started_at_ms;
                 "upstream is back without a restart; its crash report is retracted"
             );
-            self.update_suspects();
+            self.suspects_state.mark_changed();
         }
     }
 
@@ -145,14 +173,19 @@
         );
     }
 
-    // Determines again which requests are suspects, and publishes the result.
-    fn update_suspects(&mut self) {
+    /// Determines again which requests are suspects if that is due, and publishes the result.
+    pub(super) fn refresh_suspects(&mut self) {
+        let started = self.gateway.now();
+        if !self.suspects_state.is_due(started) {
+            return;
+        }
         let suspects = Arc::new(self.crashes.find_suspects());
         let before = std::mem::replace(&mut self.suspects, Arc::clone(&suspects));
         log_blocking_changes(&before, &suspects);
         let part_count = suspects.poison().filter(|(fingerprint, _)| fingerprint.is_part()).count();
         self.gateway.metrics.set_poison(suspects.poison().count() - part_count, part_count);
         self.publish();
+        self.suspects_state.finish(started, self.gateway.now());
     }
 
     /// Applies a changed row that holds a crash report.
@@ -165,14 +198,14 @@
         }
         let Some(stored) = self.reports.insert(row) else { return };
         if self.crashes.reconcile(&stored.report) {
-            self.update_suspects();
+            self.suspects_state.mark_changed();
         }
         let now = self.gateway.now();
         let age = self.store_clock(now).map_or(Duration::ZERO, |clock| clock.saturating_sub(stored.needed));
         // Not forwarded to peers as a crash report, as they get the row itself.
         if self.crashes.record(now, age, &stored.report) {
             log_report(&stored.report, age, source);
-            self.update_suspects();
+            self.suspects_state.mark_changed();
             self.clear_excused(&stored.report, now);
         }
     }
@@ -181,7 +214,7 @@
     /// one with the lowest id also writes those of gateways that are gone.
     pub(super) fn sync_reports(&mut self, now: Duration) {
         if self.crashes.expire(now) {
-            self.update_suspects();
+            self.suspects_state.mark_changed();
         }
         let Some(clock) = self.store_clock(now).filter(|_| self.can_write(now)) else { return };
         let stored =
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -14,6 +14,7 @@
 use tokio::{task::spawn_local, time::MissedTickBehavior};
 
 use super::{
+    crashes::SuspectsState,
     evacuations::Evacuations,
     event::{Event, EventQueue, EventSender, Queued},
     feeds,
@@ -55,6 +56,7 @@
     pub(super) rollouts: Rollouts,
     pub(super) crashes: Crashes,
     pub(super) suspects: Arc<Suspects>,
+    pub(super) suspects_state: SuspectsState,
     pub(super) reports: ReportRows,
     pub(super) startup: Startup,
     pub(super) peer_statuses: IndexMap<InstanceId, PeerStatus>,
@@ -109,6 +111,7 @@
             rollouts: Rollouts::default(),
             crashes: Crashes::default(),
             suspects: Arc::default(),
+            suspects_state: SuspectsState::default(),
             reports: ReportRows::default(),
             startup: Startup::default(),
             peer_statuses: IndexMap::new(),
@@ -143,6 +146,7 @@
                 }
                 () = gateway.crash_check.notified() => self.timed("crash_check", Self::process_crashes),
             }
+            self.timed("suspects", Self::refresh_suspects);
             self.timed("publish", Self::publish_changes);
         }
     }
