--- a/crates/bluebelld/src/gateway/control/crashes.rs
+++ b/crates/bluebelld/src/gateway/control/crashes.rs
@@ -17,37 +17,9 @@
 use super::{reports, state::Control};
 use crate::records::StoredReport;
 
-/// Pause before the suspects are determined again, as a multiple of the time that it took. While many reports arrive, it
-/// bounds the share of the control thread's time.
-const REFRESH_PAUSE_FACTOR: u32 = 9;
-/// Longest such pause.
-const MAX_REFRESH_PAUSE: Duration = Duration::from_millis(500);
 /// Maximum number of reports in one message.
 const MAX_REPORTS: usize = 32;
 
-/// When the suspects are to be determined again. Each determination goes through all reports, so it is done once for all
-/// reports that have arrived since the last one.
-#[derive(Debug, Default)]
-pub(super) struct SuspectsState {
-    has_changed: bool,
-    next_at: Duration,
-}
-
-impl SuspectsState {
-    fn mark_changed(&mut self) {
-        self.has_changed = true;
-    }
-
-    fn is_due(&self, now: Duration) -> bool {
-        self.has_changed && now >= self.next_at
-    }
-
-    fn finish(&mut self, started: Duration, now: Duration) {
-        let took = now.saturating_sub(started);
-        *self = Self { has_changed: false, next_at: now + (took * REFRESH_PAUSE_FACTOR).min(MAX_REFRESH_PAUSE) };
-    }
-}
-
 impl Control {
     /// Processes what the traffic thread has detected since the last call: crashes, answers to suspected requests, and
     /// blocked requests.
--- a/crates/bluebelld/src/gateway/control/mod.rs
+++ b/crates/bluebelld/src/gateway/control/mod.rs
@@ -21,6 +21,7 @@
 mod rows;
 mod state;
 mod status;
+mod suspects;
 
 use std::sync::Arc;
 
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -14,7 +14,6 @@
 use tokio::{task::spawn_local, time::MissedTickBehavior};
 
 use super::{
-    crashes::SuspectsState,
     evacuations::Evacuations,
     event::{Event, EventQueue, EventSender, Queued},
     feeds,
@@ -25,6 +24,7 @@
     reading::Reading,
     recency,
     rollouts::Rollouts,
+    suspects::SuspectsState,
 };
 use crate::{
     gateway::{routing_state::RoutingState, state::Gateway},
