Handle changes of declarations and of the registry before reports of crashes

Cause: rows with crash reports went with the rows of declarations, before all other messages, and at the receiver all events were handled in the order of their arrival, up to 64 without a chance to receive or acknowledge messages.

Change: peers' queues have a third lane for rows with reports, which goes last; peers have heard of those crashes by messages. The queue of the control thread has an urgent and a deferred lane (`gateway::lanes`); reports, and all rows of a peer, which follow its reports, are deferred. A batch of events ends after 20 ms.

--- a/crates/bluebelld/src/gateway/control/event.rs
+++ b/crates/bluebelld/src/gateway/control/event.rs
@@ -10,8 +10,11 @@
     upstreams::UpstreamIncarnation,
 };
 use bluebell_wire::messages::{AgedCrashReport, GatewayAddress, GatewayStatus};
-use snafu::{OptionExt, Snafu};
-use tokio::sync::mpsc;
+
+use crate::{
+    gateway::lanes::{Lane, LaneClosed, LaneQueue, LaneSender, lanes},
+    records::is_report,
+};
 
 /// An event handled by the control thread.
 #[derive(Debug)]
@@ -99,6 +102,17 @@
         }
     }
 
+    // Reports of crashes are deferred, and so are all rows of a peer: the peer's reports must be known before these rows.
+    fn lane(&self) -> Lane {
+        match self {
+            Self::Crashes(..) | Self::Answered(..) | Self::CrashesCleared(..) => Lane::Deferred,
+            Self::PeerRows { rows, snapshots, .. } if !snapshots.is_empty() || rows.iter().all(is_report) => {
+                Lane::Deferred
+            }
+            _ => Lane::Urgent,
+        }
+    }
+
     /// Whether the event brings rows from the store.
     pub fn has_rows(&self) -> bool {
         matches!(self, Self::FeedRead { rows, .. } | Self::Snapshot { rows, .. } if !rows.is_empty())
@@ -114,55 +128,29 @@
     pub at: Duration,
 }
 
-/// The control thread is gone, which happens only while the process exits.
-#[derive(Debug, Snafu)]
-#[snafu(display("the control thread is gone"))]
-pub struct QueueClosed;
-
 /// Sender of events to the control thread.
 #[derive(Clone)]
 pub struct EventSender {
-    queue: mpsc::UnboundedSender<Queued>,
+    queue: LaneSender<Queued>,
     clock: Arc<dyn Clock>,
 }
 
 /// Queue of the control thread's events.
-pub struct EventQueue {
-    queue: mpsc::UnboundedReceiver<Queued>,
-}
+pub type EventQueue = LaneQueue<Queued>;
 
 /// Creates an empty queue. The clock tells when each event was queued.
 #[must_use]
 pub fn event_queue(clock: Arc<dyn Clock>) -> (EventSender, EventQueue) {
-    let (sender, queue) = mpsc::unbounded_channel();
-    (EventSender { queue: sender, clock }, EventQueue { queue })
+    let (queue, events) = lanes();
+    (EventSender { queue, clock }, events)
 }
 
 impl EventSender {
     /// Queues an event.
     ///
     /// # Errors
-    /// When the control thread is gone.
-    pub fn send(&self, event: Event) -> Result<(), QueueClosed> {
-        let queued = Queued { event, at: self.clock.now() };
-        self.queue.send(queued).ok().context(QueueClosedSnafu)
-    }
-}
-
-impl EventQueue {
-    /// Waits for the next event; none once all senders are gone.
-    pub async fn next(&mut self) -> Option<Queued> {
-        self.queue.recv().await
-    }
-
-    /// The next event, if there is one.
-    pub fn try_next(&mut self) -> Option<Queued> {
-        self.queue.try_recv().ok()
-    }
-
-    /// Number of queued events.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.queue.len()
+    /// When the control thread is gone, which happens only while the process exits.
+    pub fn send(&self, event: Event) -> Result<(), LaneClosed> {
+        self.queue.send(event.lane(), Queued { event, at: self.clock.now() })
     }
 }
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -40,6 +40,8 @@
 const SWEEP_TICKS: u64 = 8;
 /// Queued events that are handled before the routing state is published.
 const EVENT_BATCH: usize = 64;
+/// Time after which no further event of a batch is begun, so that messages of peers are received and acknowledged.
+const BATCH_TIME: Duration = Duration::from_millis(20);
 
 /// State of the control thread.
 pub(super) struct Control {
@@ -153,8 +155,12 @@
 
     // Handles an event and those queued behind it, so that a burst of changes is published once.
     fn handle_batch(&mut self, first: Queued, inbox: &mut EventQueue) {
+        let end = self.gateway.now() + BATCH_TIME;
         self.handle_queued(first);
         for _ in 1..EVENT_BATCH {
+            if self.gateway.now() >= end {
+                break;
+            }
             let Some(queued) = inbox.try_next() else { break };
             self.handle_queued(queued);
         }
--- a/crates/bluebelld/src/gateway/mod.rs
+++ b/crates/bluebelld/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod crash_detection;
 mod front;
 mod job;
+pub mod lanes;
 mod metrics;
 pub mod outbox;
 mod pool;
--- a/crates/bluebelld/src/records/mod.rs
+++ b/crates/bluebelld/src/records/mod.rs
@@ -10,6 +10,6 @@
 mod table;
 
 pub use ratings::Rating;
-pub use reports::{FoundReports, PREFIX as REPORT_PREFIX, ReportRows, StoredReport, committed_rows};
+pub use reports::{FoundReports, PREFIX as REPORT_PREFIX, ReportRows, StoredReport, committed_rows, is_report};
 pub use settings::{CommitError, HeldLease, Proposal};
 pub use table::{RecordError, Records};
--- a/crates/bluebelld/src/records/reports.rs
+++ b/crates/bluebelld/src/records/reports.rs
@@ -31,6 +31,12 @@
 /// Maximum number of reports written, and of reports deleted, in one transaction.
 const MAX_BATCH: usize = 32;
 
+/// Whether a row holds a crash report, or is the deletion of one.
+#[must_use]
+pub fn is_report(row: &Row) -> bool {
+    row.origin == Origin::Fleet && row.key.starts_with(PREFIX)
+}
+
 /// A crash report as stored.
 #[serde_as]
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/crates/bluebelld/tests/outbox.rs
+++ b/crates/bluebelld/tests/outbox.rs
@@ -12,6 +12,10 @@
     Row { origin: Origin::Operator, key: "config".to_owned(), value: None, version }
 }
 
+fn report_row(version: u64) -> Row {
+    Row { origin: Origin::Fleet, key: format!("crash/{version}"), value: None, version }
+}
+
 fn report() -> ExchangeMessage {
     ExchangeMessage::Answered(vec![Fingerprint::of("/talk/", None, b"body")])
 }
@@ -54,3 +58,15 @@
     assert!(queue.is_closed());
     assert_eq!(queue.next().await, None);
 }
+
+#[tokio::test]
+async fn rows_with_crash_reports_wait_for_all_other_messages() {
+    let (outbox, mut queue) = Outbox::new();
+    assert!(outbox.send(ExchangeMessage::Rows(vec![report_row(1), row(2), report_row(3)])));
+    assert!(outbox.send(report()));
+    assert!(outbox.send(ExchangeMessage::Rows(vec![report_row(4)])));
+    assert_eq!(queue.next().await, Some(ExchangeMessage::Rows(vec![row(2)])));
+    assert_eq!(queue.next().await, Some(report()));
+    let reports = vec![report_row(1), report_row(3), report_row(4)];
+    assert_eq!(queue.next().await, Some(ExchangeMessage::Rows(reports)));
+}
