Take an answer without a final status for a broken one

What callers saw: an upstream's answer with status 101, or 600 to 999, reached callers as an answer, with its signature. 000 did not (the case of the users' report): hyper rejects it, and callers get 502.

Cause: any status that hyper accepts was passed on; it accepts 100 to 999 and skips interim answers other than 101.

Change: statuses outside 200 to 599 (RFC 9110, section 15) lose the answer, as other bytes that are no answer do.

Measured: early_answers::status_that_is_no_http_status_is_not_passed_on failed before (101 and 600 reached the caller) and passes; 36 other tests of answers pass. The other report, part of an answer without length that is reset during a long upload, does not happen here: part_of_an_answer_without_length_that_is_reset_during_the_upload_is_not_a_complete_answer passes without a change, in 72 requests with six delays and three amounts of the upload read, as calls and as streams.

--- a/crates/bluebelld/src/gateway/attempt.rs
+++ b/crates/bluebelld/src/gateway/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt: sends a request to an upstream, and determines from the result whether the request may have run.
 
-use std::{sync::Arc, time::Duration};
+use std::{ops::Range, sync::Arc, time::Duration};
 
 use bluebell_core::{
     ids::ModelId,
@@ -27,6 +27,9 @@
 /// body, the upstream may have answered before it read all of it.
 const KEEP_AFTER_FAILURE_BYTES: usize = 4096;
 
+/// Statuses of a final answer (RFC 9110, section 15). No request of a gateway asks for an upgrade.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// Expected fixed time of an answer, without prompt processing and events, in seconds.
 const EXPECTED_BASE_S: f64 = 0.02;
 /// Expected time per event of an answer, in seconds.
@@ -311,6 +314,11 @@
     connection.expect_body();
     gateway.traffic().record_activity(gateway.now(), &plan.upstream.id);
     let (head, body) = response.into_parts();
+    // hyper rejects other values than 100 to 999, and skips interim answers except 101.
+    if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+        let reason = format!("invalid status {}", head.status.as_u16());
+        return Err(Failure::Unknown { reason, loss: ResponseLoss::Broken });
+    }
     let decoded = headers::decode_response(&head.headers);
     record_announcements(gateway, job, &plan.upstream, sent_at, head.status, &decoded);
     if let Some(report) = decoded.load {
--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -5,6 +5,7 @@
 mod caller_limits;
 mod crash_storm;
 mod cut_heads;
+mod early_answers;
 mod endless;
 mod evacuations;
 mod explain;
