Send queued reports of one kind to a peer as one message

Cause: each crash of an upstream, each answered request and each cleared crash was a message of its own to some nine peers, however far behind the peer was.

Change: messages of one kind that are queued one behind the other are sent as one (32 reports or 256 requests at most), and the crashes that a gateway detects together are one report. The order of different kinds is kept, as reports must arrive before the rows of a new connection.

--- a/crates/bluebelld/src/gateway/control/crashes.rs
+++ b/crates/bluebelld/src/gateway/control/crashes.rs
@@ -15,10 +15,7 @@
 use tokio::task::spawn_local;
 
 use super::{reports, state::Control};
-use crate::records::StoredReport;
-
-/// Maximum number of reports in one message.
-const MAX_REPORTS: usize = 32;
+use crate::{gateway::outbox::MAX_REPORTS, records::StoredReport};
 
 impl Control {
     /// Processes what the traffic thread has detected since the last call: crashes, answers to suspected requests, and
@@ -32,16 +29,20 @@
         drop(traffic);
         blocked.iter().for_each(|fingerprint| self.crashes.refresh(now, fingerprint));
         self.clear_answered(&cleared, None);
+        let reporter = self.gateway.settings.instance.id.clone();
+        let mut reports = Vec::new();
         for crashed in crashes {
             let planned = self.is_replaced(&crashed);
             self.log_crash(&crashed, planned);
             if !planned && !crashed.suspects.is_empty() {
-                let reporter = self.gateway.settings.instance.id.clone();
                 let CrashedUpstream { incarnation, evidence, suspects } = crashed;
-                let report = CrashReport { incarnation, reporter, evidence, suspects };
-                self.record_crashes(vec![AgedCrashReport { report, age: Duration::ZERO }], None);
+                let report = CrashReport { incarnation, reporter: reporter.clone(), evidence, suspects };
+                reports.push(AgedCrashReport { report, age: Duration::ZERO });
             }
         }
+        for chunk in reports.chunks(MAX_REPORTS) {
+            self.record_crashes(chunk.to_vec(), None);
+        }
     }
 
     /// Records crash reports, and forwards those with new suspects to the other peers.
--- a/crates/bluebelld/src/gateway/outbox.rs
+++ b/crates/bluebelld/src/gateway/outbox.rs
@@ -1,6 +1,7 @@
 //! Messages queued for one peer. Store rows go before all others: most gateways of a large fleet hear of changes from peers
 //! alone, and when many upstreams crash, the reports to a peer with little processor time queue up for seconds. Rows that
-//! hold crash reports go last, as peers hear of the crashes by messages as well.
+//! hold crash reports go last, as peers hear of the crashes by messages as well. Messages of one kind that are queued one
+//! behind the other are sent as one, so that a peer that is slow to acknowledge gets fewer of them.
 
 use bluebell_core::replica::Row;
 use bluebell_wire::messages::ExchangeMessage;
@@ -13,6 +14,11 @@
 /// Rows up to which queued messages with rows are sent as one.
 pub const MAX_ROWS: usize = 256;
 
+/// Reports, or crashes of which requests were cleared, up to which queued messages are sent as one.
+pub const MAX_REPORTS: usize = 32;
+/// Answered requests up to which queued messages are sent as one.
+const MAX_ANSWERED: usize = 256;
+
 /// Sender of messages to one peer.
 pub struct Outbox {
     rows: mpsc::Sender<Vec<Row>>,
@@ -24,6 +30,8 @@
 pub struct OutboxQueue {
     rows: mpsc::Receiver<Vec<Row>>,
     others: mpsc::Receiver<ExchangeMessage>,
+    // Taken from `others`, but of another kind than the message before it.
+    held: Option<ExchangeMessage>,
     reports: mpsc::Receiver<Vec<Row>>,
 }
 
@@ -34,7 +42,7 @@
         let (rows, queued_rows) = mpsc::channel(CAPACITY);
         let (others, queued_others) = mpsc::channel(CAPACITY);
         let (reports, queued_reports) = mpsc::channel(CAPACITY);
-        let queue = OutboxQueue { rows: queued_rows, others: queued_others, reports: queued_reports };
+        let queue = OutboxQueue { rows: queued_rows, others: queued_others, held: None, reports: queued_reports };
         (Self { rows, others, reports }, queue)
     }
 
@@ -63,23 +71,58 @@
     /// Drops all queued messages.
     pub fn clear(&mut self) {
         while self.rows.try_recv().is_ok() {}
+        self.held = None;
         while self.others.try_recv().is_ok() {}
         while self.reports.try_recv().is_ok() {}
     }
 
     /// Next message: rows first, rows with crash reports last; none once the sender is gone.
     pub async fn next(&mut self) -> Option<ExchangeMessage> {
+        if let Ok(rows) = self.rows.try_recv() {
+            return Some(merge_rows(rows, &mut self.rows));
+        }
+        if let Some(message) = self.held.take() {
+            return Some(self.merge_queued(message));
+        }
         tokio::select! {
             biased;
-            Some(rows) = self.rows.recv() => Some(merge(rows, &mut self.rows)),
-            message = self.others.recv() => message,
-            Some(rows) = self.reports.recv() => Some(merge(rows, &mut self.reports)),
+            Some(rows) = self.rows.recv() => Some(merge_rows(rows, &mut self.rows)),
+            message = self.others.recv() => message.map(|message| self.merge_queued(message)),
+            Some(rows) = self.reports.recv() => Some(merge_rows(rows, &mut self.reports)),
+        }
+    }
+
+    // Adds the messages of the same kind that are queued behind a message.
+    fn merge_queued(&mut self, mut message: ExchangeMessage) -> ExchangeMessage {
+        while let Ok(next) = self.others.try_recv() {
+            self.held = merge(&mut message, next);
+            if self.held.is_some() {
+                break;
+            }
+        }
+        message
+    }
+}
+
+// Adds a message to one of the same kind. Returns it if it is of another kind, or if there would be too much in one.
+fn merge(message: &mut ExchangeMessage, next: ExchangeMessage) -> Option<ExchangeMessage> {
+    match (message, next) {
+        (ExchangeMessage::Crashes(all), ExchangeMessage::Crashes(more)) if all.len() + more.len() <= MAX_REPORTS => {
+            all.extend(more);
+        }
+        (ExchangeMessage::Cleared(all), ExchangeMessage::Cleared(more)) if all.len() + more.len() <= MAX_REPORTS => {
+            all.extend(more);
+        }
+        (ExchangeMessage::Answered(all), ExchangeMessage::Answered(more)) if all.len() + more.len() <= MAX_ANSWERED => {
+            all.extend(more);
         }
+        (_, next) => return Some(next),
     }
+    None
 }
 
 // Adds the rows that are queued behind the given ones.
-fn merge(mut rows: Vec<Row>, queue: &mut mpsc::Receiver<Vec<Row>>) -> ExchangeMessage {
+fn merge_rows(mut rows: Vec<Row>, queue: &mut mpsc::Receiver<Vec<Row>>) -> ExchangeMessage {
     while rows.len() < MAX_ROWS
         && let Ok(more) = queue.try_recv()
     {
