--- a/crates/bluebell-core/src/poison/mod.rs
+++ b/crates/bluebell-core/src/poison/mod.rs
@@ -13,8 +13,10 @@
 mod fingerprint;
 mod in_flight;
 mod part_answers;
+mod refresh;
 mod verdict;
 
 pub use crashes::{CRASH_MEMORY, CrashReport, Crashes, Suspects, Suspicion};
 pub use fingerprint::{Fingerprint, FingerprintError};
 pub use in_flight::{AttemptOutcome, CrashEvidence, CrashedUpstream, InFlightTracker, ResponseLoss};
+pub use refresh::RefreshSchedule;
--- a/crates/bluebelld/src/gateway/control/crashes.rs
+++ b/crates/bluebelld/src/gateway/control/crashes.rs
@@ -55,7 +55,7 @@
         }
         let source = from.map_or("own", InstanceId::as_str);
         updates.iter().for_each(|aged| log_report(&aged.report, aged.age, source));
-        self.suspects_state.mark_changed();
+        self.refresh.mark_changed();
         self.members.forward(&ExchangeMessage::Crashes(updates.clone()), from);
         updates.iter().for_each(|aged| self.clear_excused(&aged.report, now));
     }
@@ -78,7 +78,7 @@
     pub(super) fn clear_answered(&mut self, answered: &[Fingerprint], from: Option<&InstanceId>) {
         let cleared = self.crashes.clear(answered);
         if !cleared.is_empty() {
-            self.suspects_state.mark_changed();
+            self.refresh.mark_changed();
             self.members.forward(&ExchangeMessage::Answered(cleared), from);
         }
     }
@@ -99,7 +99,7 @@
             .filter(|(_, cleared)| !cleared.is_empty())
             .collect();
         if !updates.is_empty() {
-            self.suspects_state.mark_changed();
+            self.refresh.mark_changed();
             self.members.forward(&ExchangeMessage::Cleared(updates), from);
         }
     }
@@ -111,7 +111,7 @@
                 upstream = incarnation.upstream.as_str(), born = incarnation.started_at_ms;
                 "upstream is back without a restart; its crash report is retracted"
             );
-            self.suspects_state.mark_changed();
+            self.refresh.mark_changed();
         }
     }
 
@@ -154,7 +154,7 @@
     /// Determines again which requests are suspects if that is due, and publishes the result.
     pub(super) fn refresh_suspects(&mut self) {
         let started = self.gateway.now();
-        if !self.suspects_state.is_due(started) {
+        if !self.refresh.is_due(started) {
             return;
         }
         let suspects = Arc::new(self.crashes.find_suspects());
@@ -163,7 +163,7 @@
         let part_count = suspects.poison().filter(|(fingerprint, _)| fingerprint.is_part()).count();
         self.gateway.metrics.set_poison(suspects.poison().count() - part_count, part_count);
         self.publish();
-        self.suspects_state.finish(started, self.gateway.now());
+        self.refresh.finish(started, self.gateway.now());
     }
 
     /// Applies a changed row that holds a crash report.
@@ -176,14 +176,14 @@
         }
         let Some(stored) = self.reports.insert(row) else { return };
         if self.crashes.reconcile(&stored.report) {
-            self.suspects_state.mark_changed();
+            self.refresh.mark_changed();
         }
         let now = self.gateway.now();
         let age = self.store_clock(now).map_or(Duration::ZERO, |clock| clock.saturating_sub(stored.needed));
         // Not forwarded to peers as a crash report, as they get the row itself.
         if self.crashes.record(now, age, &stored.report) {
             log_report(&stored.report, age, source);
-            self.suspects_state.mark_changed();
+            self.refresh.mark_changed();
             self.clear_excused(&stored.report, now);
         }
     }
@@ -192,7 +192,7 @@
     /// one with the lowest id also writes those of gateways that are gone.
     pub(super) fn sync_reports(&mut self, now: Duration) {
         if self.crashes.expire(now) {
-            self.suspects_state.mark_changed();
+            self.refresh.mark_changed();
         }
         let Some(clock) = self.store_clock(now).filter(|_| self.can_write(now)) else { return };
         let stored =
--- a/crates/bluebelld/src/gateway/control/mod.rs
+++ b/crates/bluebelld/src/gateway/control/mod.rs
@@ -21,7 +21,6 @@
 mod rows;
 mod state;
 mod status;
-mod suspects;
 
 use std::sync::Arc;
 
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -5,7 +5,7 @@
 use bluebell_core::{
     ids::{InstanceId, UpstreamId, ZoneId},
     ingress::Declared,
-    poison::{Crashes, Suspects},
+    poison::{Crashes, RefreshSchedule, Suspects},
     replica::{Origin, Replica},
     upstreams::{Upstream, Upstreams},
 };
@@ -24,7 +24,6 @@
     reading::Reading,
     recency,
     rollouts::Rollouts,
-    suspects::SuspectsState,
 };
 use crate::{
     gateway::{routing_state::RoutingState, state::Gateway},
@@ -58,7 +57,7 @@
     pub(super) rollouts: Rollouts,
     pub(super) crashes: Crashes,
     pub(super) suspects: Arc<Suspects>,
-    pub(super) suspects_state: SuspectsState,
+    pub(super) refresh: RefreshSchedule,
     pub(super) reports: ReportRows,
     pub(super) startup: Startup,
     pub(super) peer_statuses: IndexMap<InstanceId, PeerStatus>,
@@ -113,7 +112,7 @@
             rollouts: Rollouts::default(),
             crashes: Crashes::default(),
             suspects: Arc::default(),
-            suspects_state: SuspectsState::default(),
+            refresh: RefreshSchedule::default(),
             reports: ReportRows::default(),
             startup: Startup::default(),
             peer_statuses: IndexMap::new(),
