Log crash reports of other gateways at level debug only

Cause: a mass crash brings each gateway thousands of lines that repeat what the reporters log.

Change: a gateway logs its own reports at info and those of others at debug.

--- a/crates/bluebelld/src/gateway/control/crashes.rs
+++ b/crates/bluebelld/src/gateway/control/crashes.rs
@@ -17,6 +17,9 @@
 use super::{reports, state::Control};
 use crate::{gateway::outbox::MAX_REPORTS, records::StoredReport};
 
+/// Source of the reports of this gateway.
+const OWN_SOURCE: &str = "own";
+
 impl Control {
     /// Processes what the traffic thread has detected since the last call: crashes, answers to suspected requests, and
     /// blocked requests.
@@ -53,7 +56,7 @@
         if updates.is_empty() {
             return;
         }
-        let source = from.map_or("own", InstanceId::as_str);
+        let source = from.map_or(OWN_SOURCE, InstanceId::as_str);
         updates.iter().for_each(|aged| log_report(&aged.report, aged.age, source));
         self.refresh.mark_changed();
         self.members.forward(&ExchangeMessage::Crashes(updates.clone()), from);
@@ -208,9 +211,16 @@
     }
 }
 
+// Logs a report. Those of other gateways are in the reporters' logs: a mass crash brings thousands of them, behind which
+// the lines of decisions would be dropped.
 fn log_report(report: &CrashReport, age: Duration, source: &str) {
+    let level = if source == OWN_SOURCE { log::Level::Info } else { log::Level::Debug };
+    if !log::log_enabled!(level) {
+        return;
+    }
     let suspects: Vec<String> = report.suspects.iter().map(ToString::to_string).collect();
-    log::info!(
+    log::log!(
+        level,
         upstream = report.incarnation.upstream.as_str(), born = report.incarnation.started_at_ms,
         reporter = report.reporter.as_str(), sign = report.evidence.to_string().as_str(), source = source,
         age_ms = age.as_millis() as u64, fingerprints = suspects.join(" ").as_str();
