--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -20,17 +20,9 @@
         self.first.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
     }
 
-    pub fn path(&self) -> &str {
-        self.first.split(' ').nth(1).unwrap_or("")
-    }
-
     pub fn length(&self) -> Option<usize> {
         self.header("content-length").parse().ok()
     }
-
-    pub fn is_chunked(&self) -> bool {
-        self.header("transfer-encoding").eq_ignore_ascii_case("chunked")
-    }
 }
 
 /// Reads a head; what follows it stays in the buffer. None if the connection ends before.
@@ -61,7 +53,7 @@
     Ok(count)
 }
 
-/// Reads a body of a known length; false if the connection ends before.
+/// Reads a body of a known length; none if the connection ends before.
 pub fn read_length(socket: &mut impl Read, buffer: &mut Vec<u8>, length: usize) -> io::Result<Option<Vec<u8>>> {
     while buffer.len() < length {
         if fill(socket, buffer)? == 0 {
--- a/review/standins-2/src/runner.rs
+++ b/review/standins-2/src/runner.rs
@@ -20,7 +20,6 @@
 /// A request as a runner reads it.
 pub struct Request {
     pub head: Head,
-    pub body: Vec<u8>,
 }
 
 impl Request {
@@ -29,8 +28,16 @@
     }
 }
 
-/// What a runner does with a request that is meant for it. Returns whether the connection stays open.
-pub type Answer = dyn Fn(&Runner, &Request, &mut TcpStream) -> io::Result<bool> + Send + Sync;
+/// What follows an answer.
+pub enum Next {
+    /// The connection stays open.
+    Open,
+    /// The runner crashes, and is back after this time.
+    Crash(Duration),
+}
+
+/// What a runner does with a request that is meant for it.
+pub type Answer = dyn Fn(&Runner, &Request, &mut TcpStream) -> io::Result<Next> + Send + Sync;
 
 /// A runner, with the id and the address of its present start.
 pub struct Runner {
@@ -42,6 +49,7 @@
     starts: Mutex<u64>,
     down: AtomicBool,
     sockets: Mutex<HashMap<SocketAddr, TcpStream>>,
+    store: Arc<Store>,
     answer: Box<Answer>,
 }
 
@@ -49,6 +57,7 @@
     /// Starts a runner on a free port of a host.
     pub fn start(
         record: &Record,
+        store: &Arc<Store>,
         host: &str,
         name: &str,
         service: &str,
@@ -65,6 +74,7 @@
             starts: Mutex::new(1),
             down: AtomicBool::new(false),
             sockets: Mutex::default(),
+            store: Arc::clone(store),
             answer,
         });
         Arc::clone(&runner).listen(listener);
@@ -77,18 +87,18 @@
     }
 
     /// Writes its entry in the store.
-    pub fn register(&self, store: &Store, state: &str) -> Result<(), Fault> {
+    pub fn register(&self, state: &str) -> Result<(), Fault> {
         let (id, starts) = (self.id(), *self.starts.lock().unwrap());
         let (service, release, address) = (&self.service, &self.release, self.address);
         let entry = format!(
             r#"{{"service":"{service}","address":"{address}","zone":"a","version":"{release}","slots":64,"state":"{state}","coldRemainingMs":0,"sequence":1,"born":{}}}"#,
             1_700_000_000_000 + starts
         );
-        store.put("servers", &id, &entry)
+        self.store.put("servers", &id, &entry)
     }
 
     /// Ends it as a crash does: all connections are reset and none is accepted. It is back under a new id after a while.
-    pub fn crash(self: &Arc<Self>, store: &Arc<Store>, down: Duration) {
+    pub fn crash(self: &Arc<Self>, down: Duration) {
         if self.down.swap(true, Ordering::SeqCst) {
             return;
         }
@@ -99,10 +109,10 @@
         for (_, socket) in self.sockets.lock().unwrap().drain() {
             let _ = socket.shutdown(std::net::Shutdown::Both);
         }
-        let (runner, store) = (Arc::clone(self), Arc::clone(store));
+        let runner = Arc::clone(self);
         thread::spawn(move || {
             thread::sleep(down);
-            let _ = store.delete("servers", &id);
+            let _ = runner.store.delete("servers", &id);
             *runner.starts.lock().unwrap() += 1;
             let listener = loop {
                 match TcpListener::bind(runner.address) {
@@ -112,7 +122,7 @@
             };
             runner.down.store(false, Ordering::SeqCst);
             Arc::clone(&runner).listen(listener);
-            let _ = runner.register(&store, "ready");
+            let _ = runner.register("ready");
             runner.record.line(&format!("back {}", runner.id()));
         });
     }
@@ -136,14 +146,14 @@
         });
     }
 
-    fn serve(&self, mut socket: TcpStream) -> io::Result<()> {
+    fn serve(self: &Arc<Self>, mut socket: TcpStream) -> io::Result<()> {
         socket.set_nodelay(true)?;
         let mut buffer = Vec::new();
         while let Some(head) = http::read_head(&mut socket, &mut buffer)? {
-            let Some(body) = http::read_length(&mut socket, &mut buffer, head.length().unwrap_or(0))? else {
+            if http::read_length(&mut socket, &mut buffer, head.length().unwrap_or(0))?.is_none() {
                 return Ok(());
-            };
-            let request = Request { head, body };
+            }
+            let request = Request { head };
             let expected = request.head.header("expect-instance");
             if !expected.is_empty() && expected != self.id() {
                 let head = format!(
@@ -153,7 +163,8 @@
                 io::Write::write_all(&mut socket, head.as_bytes())?;
                 continue;
             }
-            if !(self.answer)(self, &request, &mut socket)? {
+            if let Next::Crash(down) = (self.answer)(self, &request, &mut socket)? {
+                self.crash(down);
                 return Ok(());
             }
         }
--- a/review/standins-2/src/stop.rs
+++ b/review/standins-2/src/stop.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     http,
-    runner::{Request, Runner, success},
+    runner::{Next, Request, Runner, success},
     site::{Fault, Gateway, Record, SIGTERM, Scratch, Store, host, wait_for},
     Paths,
 };
@@ -41,7 +41,7 @@
 /// Returns whether the rule was broken.
 pub fn run(paths: &Paths, record: &Record, trouble: bool) -> Result<bool, Fault> {
     let scratch = Scratch::create()?;
-    let store = Store::start(&paths.root, &scratch)?;
+    let store = Arc::new(Store::start(&paths.root, &scratch)?);
     let runs: Arc<Mutex<Vec<(String, Duration, Option<Duration>)>>> = Arc::default();
     let mut runners = Vec::new();
     for number in 1..=3 {
@@ -57,13 +57,13 @@
             if let Some(run) = runs.lock().unwrap().iter_mut().find(|run| run.0 == request.id()) {
                 run.2 = Some(ended);
             }
-            Ok(true)
+            Ok(Next::Open)
         };
         let name = format!("ledger-{number}");
-        runners.push(Runner::start(record, &host(50), &name, "member-ledger", "v1", Box::new(answer))?);
+        runners.push(Runner::start(record, &store, &host(50), &name, "member-ledger", "v1", Box::new(answer))?);
     }
     for runner in &runners {
-        runner.register(&store, "ready")?;
+        runner.register("ready")?;
     }
     store.put("op", "config", &declarations())?;
     let mut gateways = Vec::new();
