Add a case of an odd entry by which a leaving runner is used again (DRAIN)

An entry of another writer that lacks fields names no runner to use. The gateways accept one without coldRemainingMs, sequence and born (platform/src/upstream.rs, WireUpstream), and send requests to a runner that reported seconds before that it drains.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,5 +1,6 @@
 //! Cases of the second review that are scripts: `review-2 CASE REPOSITORY FOLDER` plays one against the project's programs.
 
+mod entries;
 mod http;
 mod parts;
 mod runner;
@@ -50,6 +51,7 @@
 fn play(case: &str, paths: &Paths, trouble: bool) -> Result<bool, Fault> {
     let record = Record::create(&paths.case.join("record.txt"))?;
     let result = match case {
+        "entries" => entries::run(paths, &record, trouble),
         "parts" => parts::run(paths, &record, trouble),
         "stop" => stop::run(paths, &record, trouble),
         _ => Err(format!("there is no case {case}").into()),
