Add a case of callers by which gateways exceed their memory (Fault)

A gateway reckons 48 KiB for a caller's connection and admits as many as fit into a third of its machine's memory (front/limits.rs). With a stream in flight a connection takes over 100 KiB, so a crowd within that number, each with one ordinary request and its answer unread, takes the process over its memory.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,6 +2,7 @@
 
 mod entries;
 mod http;
+mod memory;
 mod parts;
 mod runner;
 mod site;
@@ -52,6 +53,7 @@
     let record = Record::create(&paths.case.join("record.txt"))?;
     let result = match case {
         "entries" => entries::run(paths, &record, trouble),
+        "memory" => memory::run(paths, &record, trouble),
         "parts" => parts::run(paths, &record, trouble),
         "stop" => stop::run(paths, &record, trouble),
         _ => Err(format!("there is no case {case}").into()),
