--- a/review/standins-2/src/memory.rs
+++ b/review/standins-2/src/memory.rs
@@ -28,6 +28,8 @@
 /// Crowds that come to each gateway.
 const ROUNDS: usize = 4;
 const WATCH: Duration = Duration::from_secs(6);
+/// Time between two callers of the crowd when it makes no trouble: they come over seven seconds and read their answers.
+const ARRIVAL_PAUSE: Duration = Duration::from_millis(10);
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
 /// Returns whether the rule was broken.
@@ -80,26 +82,20 @@
         let (address, record, id) = (gateway.callers, record.clone(), format!("ordinary-{round}-{number}"));
         ordinary.push(thread::spawn(move || {
             sleep(Duration::from_millis(300) * number);
-            let answer = send(address, &id).and_then(|mut socket| {
-                let mut bytes = Vec::new();
-                socket.set_read_timeout(Some(Duration::from_secs(20)))?;
-                // The end of a chunked answer.
-                while !bytes.ends_with(b"0\r\n\r\n") {
-                    sleep(Duration::from_millis(20));
-                    if http::fill(&mut socket, &mut bytes)? == 0 {
-                        return Ok(false);
-                    }
-                }
-                Ok(true)
-            });
+            let answer = send(address, &id).and_then(|socket| read_answer(socket, Duration::from_millis(20)));
             record.line(&format!("{id}: {}", if matches!(answer, Ok(true)) { "answered" } else { "cut" }));
         }));
     }
     let mut crowd = Vec::new();
     let mut refused = 0;
-    for number in 0..if trouble { CROWD } else { 0 } {
+    let mut readers = Vec::new();
+    for number in 0..CROWD {
+        if !trouble {
+            sleep(ARRIVAL_PAUSE);
+        }
         match send(gateway.callers, &format!("crowd-{round}-{number}")) {
-            Ok(socket) => crowd.push(socket),
+            Ok(socket) if trouble => crowd.push(socket),
+            Ok(socket) => readers.push(thread::spawn(move || read_answer(socket, Duration::ZERO))),
             Err(_) => refused += 1,
         }
     }
@@ -111,10 +107,11 @@
         sleep(Duration::from_millis(20));
     }
     record.line(&format!(
-        "{}: {} connections with an unread answer, {refused} not opened; memory {:.1} MiB at the start, {:.1} at the peak, \
+        "{}: {} connections with an unread answer and {} with one that is read, {refused} not opened; memory {:.1} MiB at the start, {:.1} at the peak, \
          the machine has {MEMORY_MB}{}",
         gateway.name,
         crowd.len(),
+        readers.len(),
         start as f64 / 1_048_576.0,
         peak as f64 / 1_048_576.0,
         if peak > limit { ": killed" } else { "" }
@@ -124,12 +121,30 @@
         drop(gateway);
     }
     drop(crowd);
+    let read = readers.into_iter().filter_map(|reader| reader.join().ok()).filter(|read| matches!(read, Ok(true))).count();
+    if !trouble {
+        record.line(&format!("{read} answers of the crowd were read to their ends"));
+    }
     for caller in ordinary {
         caller.join().map_err(|_| "a caller panicked")?;
     }
     Ok(is_over)
 }
 
+// Reads an answer to its end, with a pause after each part. False if it is cut.
+fn read_answer(mut socket: TcpStream, pause: Duration) -> std::io::Result<bool> {
+    let mut bytes = Vec::new();
+    socket.set_read_timeout(Some(Duration::from_secs(20)))?;
+    // The end of a chunked answer.
+    while !bytes.ends_with(b"0\r\n\r\n") {
+        sleep(pause);
+        if http::fill(&mut socket, &mut bytes)? == 0 {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 // Resident memory of a process, in bytes.
 fn resident(process: &Process) -> Result<u64, Fault> {
     let status = fs::read_to_string(format!("/proc/{}/status", process.child.id()))?;
