--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -38,6 +38,7 @@
         return ExitCode::from(2);
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let _started = site::Started;
     let paths = Paths { root: PathBuf::from(root), case: PathBuf::from(folder) };
     match play(case, &paths, trouble) {
         Ok(false) => ExitCode::SUCCESS,
--- a/review/standins-2/src/memory.rs
+++ b/review/standins-2/src/memory.rs
@@ -121,7 +121,8 @@
         drop(gateway);
     }
     drop(crowd);
-    let read = readers.into_iter().filter_map(|reader| reader.join().ok()).filter(|read| matches!(read, Ok(true))).count();
+    let read =
+        readers.into_iter().filter_map(|reader| reader.join().ok()).filter(|read| matches!(read, Ok(true))).count();
     if !trouble {
         record.line(&format!("{read} answers of the crowd were read to their ends"));
     }
--- a/review/standins-2/src/parts.rs
+++ b/review/standins-2/src/parts.rs
@@ -89,7 +89,8 @@
                     record.line(&format!("{id}: {status}"));
                     sleep(pause);
                 }
-                record.line(&format!("{kind} requests at gateway {index}: {answered} of {number} answered with success"));
+                record
+                    .line(&format!("{kind} requests at gateway {index}: {answered} of {number} answered with success"));
             }));
         }
     }
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -99,10 +99,20 @@
     }
 }
 
-/// The platform's store: the project's own stand-in.
+/// The platform's store: the project's own stand-in. Its process ends with [`Started`].
 pub struct Store {
     pub address: SocketAddr,
-    _process: Process,
+}
+
+static STORE: Mutex<Option<Process>> = Mutex::new(None);
+
+/// Ends the store when dropped. The store itself is shared with threads that outlive a case.
+pub struct Started;
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        drop(STORE.lock().map(|mut process| process.take()));
+    }
 }
 
 impl Store {
@@ -115,9 +125,9 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        let process = Process { child };
+        *STORE.lock().map_err(|_| "a case panicked")? = Some(Process { child });
         wait_for("the store", Duration::from_secs(5), || TcpStream::connect(address).is_ok())?;
-        Ok(Self { address, _process: process })
+        Ok(Self { address })
     }
 
     pub fn put(&self, table: &str, key: &str, json: &str) -> Result<(), Fault> {
--- a/review/standins-2/src/stop.rs
+++ b/review/standins-2/src/stop.rs
@@ -9,10 +9,9 @@
 };
 
 use crate::{
-    http,
+    Paths, http,
     runner::{Next, Request, Runner, success},
     site::{Fault, Gateway, Record, SIGTERM, Scratch, Store, host, wait_for},
-    Paths,
 };
 
 /// Size of an answer.
@@ -96,7 +95,11 @@
         while record.now() < stopped + limit && !gateways[0].process.has_ended() {
             sleep(Duration::from_millis(10));
         }
-        record.line(&format!("{} ended {:.3} s after the SIGTERM", gateways[0].name, (record.now() - stopped).as_secs_f64()));
+        record.line(&format!(
+            "{} ended {:.3} s after the SIGTERM",
+            gateways[0].name,
+            (record.now() - stopped).as_secs_f64()
+        ));
     }
     for caller in callers {
         caller.join().map_err(|_| "a caller panicked")?;
