Add a case of a stream that a killed engine ends and that looks complete (ORDER)

A stream without a length or chunks is taken for complete when its connection ends between two events (bluebell-core/src/stream_end.rs, EndCheck). The operating system ends the connections of a killed engine in just that way, so callers get half of their streams as whole ones.

--- /dev/null
+++ b/review/standins-2/src/cut.rs
@@ -0,0 +1,182 @@
+//! Engines whose streams have neither a length nor chunks, one of which is killed while it answers.
+
+use std::{
+    io::{BufRead, BufReader, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    process::{Command, Stdio},
+    sync::{Arc, Mutex},
+    thread::{self, sleep},
+    time::Duration,
+};
+
+use crate::{
+    Paths, http,
+    site::{Fault, Gateway, Process, Record, Scratch, Store, host},
+};
+
+const EVENTS: u64 = 30;
+const EVENT_PAUSE: Duration = Duration::from_millis(60);
+const CALLERS: usize = 12;
+const KILL_AFTER: Duration = Duration::from_millis(900);
+/// Three heartbeats of silence, after which the platform removes an entry.
+const ENTRY_LAPSE: Duration = Duration::from_millis(3600);
+
+/// Serves as an engine in a process of its own, until it is killed. Prints its address.
+pub fn serve(address: &str, id: &str) -> Result<(), Fault> {
+    let listener = TcpListener::bind(address)?;
+    println!("{}", listener.local_addr()?);
+    for socket in listener.incoming() {
+        let (mut socket, id) = (socket?, id.to_owned());
+        // A caller that leaves ends its connection.
+        thread::spawn(move || drop(answer(&mut socket, &id)));
+    }
+    Ok(())
+}
+
+fn answer(socket: &mut TcpStream, id: &str) -> std::io::Result<()> {
+    socket.set_nodelay(true)?;
+    let mut buffer = Vec::new();
+    let Some(head) = http::read_head(socket, &mut buffer)? else { return Ok(()) };
+    if http::read_length(socket, &mut buffer, head.length().unwrap_or(0))?.is_none() {
+        return Ok(());
+    }
+    let request = head.header("request-id");
+    if head.header("expect-instance") != id {
+        let refusal = format!("HTTP/1.1 421 x\r\nrequest-id: {request}\r\ncontent-length: 0\r\n\r\n");
+        return socket.write_all(refusal.as_bytes());
+    }
+    let start = format!(
+        "HTTP/1.1 200 OK\r\nrequest-id: {request}\r\nresponse-stamp: stand-in.2\r\ncontent-type: text/event-stream\r\n\
+         confidence: 99\r\nconnection: close\r\n\r\n"
+    );
+    socket.write_all(start.as_bytes())?;
+    let last: u64 = head.header("last-event-id").parse().unwrap_or(0);
+    for event in last + 1..=EVENTS {
+        socket.write_all(format!("id: {event}\ndata: piece {event} of {request}\n\n").as_bytes())?;
+        sleep(EVENT_PAUSE);
+    }
+    Ok(())
+}
+
+struct Engine {
+    id: String,
+    address: SocketAddr,
+    process: Process,
+}
+
+impl Engine {
+    fn start(number: u8) -> Result<Self, Fault> {
+        let id = format!("engine-{number}");
+        let mut child = Command::new(std::env::current_exe()?)
+            .args(["engine", &format!("{}:0", host(50)), &id])
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().ok_or("no output")?).read_line(&mut line)?;
+        Ok(Self { id, address: line.trim().parse()?, process: Process { child } })
+    }
+}
+
+/// How a stream went, as its caller saw it.
+#[derive(Debug, Clone)]
+struct Outcome {
+    id: String,
+    status: u16,
+    is_complete: bool,
+    events: Vec<u64>,
+}
+
+/// Returns whether the rule was broken.
+pub fn run(paths: &Paths, record: &Record, trouble: bool) -> Result<bool, Fault> {
+    let scratch = Scratch::create()?;
+    let store = Store::start(&paths.root, &scratch)?;
+    let mut engines = Vec::new();
+    for number in 1..=3 {
+        let engine = Engine::start(number)?;
+        let entry = format!(
+            r#"{{"service":"optika-llm","address":"{}","zone":"a","version":"v1","slots":64,"state":"ready","coldRemainingMs":0,"sequence":1,"born":170000000000{number}}}"#,
+            engine.address
+        );
+        store.put("servers", &engine.id, &entry)?;
+        engines.push(engine);
+    }
+    store.put("op", "config", crate::parts::DECLARATIONS)?;
+    let mut gateways = Vec::new();
+    for (number, zone) in [(0, "a"), (1, "b")] {
+        gateways.push(Gateway::start(&paths.root, &scratch, &store, number, zone, &crate::BOUNDS)?);
+    }
+    for gateway in &gateways {
+        gateway.wait_ready()?;
+    }
+    let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|number| {
+            let address = gateways[number % gateways.len()].callers;
+            let (record, outcomes) = (record.clone(), Arc::clone(&outcomes));
+            thread::spawn(move || {
+                let id = format!("question-{number}");
+                record.line(&format!("sent {id}"));
+                match ask(address, &id) {
+                    Ok(outcome) => outcomes.lock().unwrap().push(outcome),
+                    Err(error) => record.line(&format!("{id}: {error}")),
+                }
+            })
+        })
+        .collect();
+    sleep(KILL_AFTER);
+    if trouble {
+        let mut engine = engines.remove(0);
+        engine.process.child.kill()?;
+        record.line(&format!("{} killed", engine.id));
+        sleep(ENTRY_LAPSE);
+        store.delete("servers", &engine.id)?;
+        record.line(&format!("the entry of {} is removed", engine.id));
+    }
+    for caller in callers {
+        caller.join().map_err(|_| "a caller panicked")?;
+    }
+    let mut outcomes = outcomes.lock().unwrap().clone();
+    outcomes.sort_by(|one, other| one.id.cmp(&other.id));
+    let mut broken = 0;
+    for outcome in &outcomes {
+        let expected: Vec<u64> = (1..=EVENTS).collect();
+        let is_broken = outcome.is_complete && outcome.status == 200 && outcome.events != expected;
+        broken += u32::from(is_broken);
+        record.line(&format!(
+            "{}: status {}, events up to {} of {EVENTS}, {}{}",
+            outcome.id,
+            outcome.status,
+            outcome.events.last().unwrap_or(&0),
+            if outcome.is_complete { "ended as complete" } else { "cut" },
+            if is_broken { ", ORDER" } else { "" }
+        ));
+    }
+    record.line(&format!("ORDER: {broken} of {} streams ended as complete before their last event", outcomes.len()));
+    Ok(broken > 0)
+}
+
+// Sends a request and reads its stream to the end.
+fn ask(address: SocketAddr, id: &str) -> Result<Outcome, Fault> {
+    let mut socket = TcpStream::connect(address)?;
+    socket.set_read_timeout(Some(Duration::from_secs(20)))?;
+    let request = format!(
+        "POST /question/1 HTTP/1.1\r\nhost: kp.example\r\nrequest-id: {id}\r\ndeadline-ms: 20000\r\nmodel: m0\r\n\
+         token-count: 628,180\r\nprompt-prefix: 5c1e07a2:119,91bd3f06:79,{:x}:430\r\nauthorization: Bearer key-1\r\n\
+         content-length: {}\r\n\r\n{id}",
+        0xe000 + id.len() * 100 + id.bytes().map(usize::from).sum::<usize>(),
+        id.len()
+    );
+    socket.write_all(request.as_bytes())?;
+    let mut buffer = Vec::new();
+    let head = http::read_head(&mut socket, &mut buffer)?.ok_or("closed without an answer")?;
+    let mut is_complete = false;
+    let mut text = String::new();
+    // Each line of the chunked stream that isn't the size of a chunk belongs to an event; the last chunk is empty.
+    while !is_complete && http::fill(&mut socket, &mut buffer)? > 0 {
+        text = String::from_utf8_lossy(&buffer).into_owned();
+        is_complete = text.ends_with("\r\n0\r\n\r\n");
+    }
+    let events = text.lines().filter_map(|line| line.strip_prefix("id: ")?.trim().parse().ok()).collect();
+    Ok(Outcome { id: id.to_owned(), status: head.status(), is_complete, events })
+}
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -1,5 +1,6 @@
 //! Cases of the second review that are scripts: `review-2 CASE REPOSITORY FOLDER` plays one against the project's programs.
 
+mod cut;
 mod entries;
 mod http;
 mod memory;
@@ -33,6 +34,14 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
+    if let [name, address, id] = args.as_slice()
+        && name == "engine"
+    {
+        return match cut::serve(address, id) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(_) => ExitCode::from(2),
+        };
+    }
     let [case, root, folder] = args.as_slice() else {
         eprintln!("usage: review-2 CASE REPOSITORY FOLDER");
         return ExitCode::from(2);
@@ -53,6 +62,7 @@
 fn play(case: &str, paths: &Paths, trouble: bool) -> Result<bool, Fault> {
     let record = Record::create(&paths.case.join("record.txt"))?;
     let result = match case {
+        "cut" => cut::run(paths, &record, trouble),
         "entries" => entries::run(paths, &record, trouble),
         "memory" => memory::run(paths, &record, trouble),
         "parts" => parts::run(paths, &record, trouble),
--- a/review/standins-2/src/parts.rs
+++ b/review/standins-2/src/parts.rs
@@ -60,7 +60,7 @@
     for engine in &engines {
         engine.register("ready")?;
     }
-    store.put("op", "config", &declarations())?;
+    store.put("op", "config", DECLARATIONS)?;
     let mut gateways = Vec::new();
     for (number, zone) in [(0, "a"), (1, "b")] {
         gateways.push(Gateway::start(&paths.root, &scratch, &store, number, zone, &crate::BOUNDS)?);
@@ -139,10 +139,8 @@
     socket.write_all(b"0\r\n\r\n")
 }
 
-fn declarations() -> String {
-    r#"{"version":7,"routes":[{"name":"question","host":"kp.example","prefix":"/question/","routeType":"stream","streamResume":true,"gapAimMs":1200,"timeoutMs":20000,"targetLatencyMs":1500,"priority":0,"service":"optika-llm","maxAttempts":3,"public":false,"sessionAffinity":true}],"services":[{"name":"optika-llm","healthPath":"/health","maxConnections":370,"engine":{"slots":64,"kvCapacityTokens":685000,"models":[{"name":"m0","cost":0.1}]}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"org-1","apiKeys":["key-1"]}]}"#
-        .to_owned()
-}
+/// One route with streams that may be resumed.
+pub const DECLARATIONS: &str = r#"{"version":7,"routes":[{"name":"question","host":"kp.example","prefix":"/question/","routeType":"stream","streamResume":true,"gapAimMs":1200,"timeoutMs":20000,"targetLatencyMs":1500,"priority":0,"service":"optika-llm","maxAttempts":3,"public":false,"sessionAffinity":true}],"services":[{"name":"optika-llm","healthPath":"/health","maxConnections":370,"engine":{"slots":64,"kvCapacityTokens":685000,"models":[{"name":"m0","cost":0.1}]}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"tenants":[{"name":"org-1","apiKeys":["key-1"]}]}"#;
 
 // Sends a request on a new connection and reads its answer to the end; the status, or zero if the answer isn't whole.
 fn ask(address: SocketAddr, id: &str, prefix: &str) -> Result<u16, Fault> {
