--- a/review/standins-2/src/cut.rs
+++ b/review/standins-2/src/cut.rs
@@ -16,12 +16,12 @@
 
 const EVENTS: u64 = 30;
 const EVENT_PAUSE: Duration = Duration::from_millis(60);
-const CALLERS: usize = 12;
+const CALLERS: usize = 36;
 const KILL_AFTER: Duration = Duration::from_millis(900);
 /// Three heartbeats of silence, after which the platform removes an entry.
 const ENTRY_LAPSE: Duration = Duration::from_millis(3600);
 
-/// Serves as an engine in a process of its own, until it is killed. Prints its address.
+/// Serves as an engine in a process of its own, until it is killed. Prints its address, and a line for each run.
 pub fn serve(address: &str, id: &str) -> Result<(), Fault> {
     let listener = TcpListener::bind(address)?;
     println!("{}", listener.local_addr()?);
@@ -49,6 +49,7 @@
         "HTTP/1.1 200 OK\r\nrequest-id: {request}\r\nresponse-stamp: stand-in.2\r\ncontent-type: text/event-stream\r\n\
          confidence: 99\r\nconnection: close\r\n\r\n"
     );
+    println!("run {request}");
     socket.write_all(start.as_bytes())?;
     let last: u64 = head.header("last-event-id").parse().unwrap_or(0);
     for event in last + 1..=EVENTS {
@@ -62,10 +63,11 @@
     id: String,
     address: SocketAddr,
     process: Process,
+    runs: Arc<Mutex<usize>>,
 }
 
 impl Engine {
-    fn start(number: u8) -> Result<Self, Fault> {
+    fn start(number: u8, record: &Record) -> Result<Self, Fault> {
         let id = format!("engine-{number}");
         let mut child = Command::new(std::env::current_exe()?)
             .args(["engine", &format!("{}:0", host(50)), &id])
@@ -73,8 +75,17 @@
             .stdout(Stdio::piped())
             .spawn()?;
         let mut line = String::new();
-        BufReader::new(child.stdout.take().ok_or("no output")?).read_line(&mut line)?;
-        Ok(Self { id, address: line.trim().parse()?, process: Process { child } })
+        let mut output = BufReader::new(child.stdout.take().ok_or("no output")?);
+        output.read_line(&mut line)?;
+        let runs: Arc<Mutex<usize>> = Arc::default();
+        let (counter, record, name) = (Arc::clone(&runs), record.clone(), id.clone());
+        thread::spawn(move || {
+            for run in output.lines().map_while(Result::ok) {
+                record.line(&format!("{run} at {name}"));
+                *counter.lock().unwrap() += 1;
+            }
+        });
+        Ok(Self { id, address: line.trim().parse()?, process: Process { child }, runs })
     }
 }
 
@@ -92,8 +103,8 @@
     let scratch = Scratch::create()?;
     let store = Store::start(&paths.root, &scratch)?;
     let mut engines = Vec::new();
-    for number in 1..=3 {
-        let engine = Engine::start(number)?;
+    for number in 1..=9 {
+        let engine = Engine::start(number, record)?;
         let entry = format!(
             r#"{{"service":"optika-llm","address":"{}","zone":"a","version":"v1","slots":64,"state":"ready","coldRemainingMs":0,"sequence":1,"born":170000000000{number}}}"#,
             engine.address
@@ -117,7 +128,7 @@
             thread::spawn(move || {
                 let id = format!("question-{number}");
                 record.line(&format!("sent {id}"));
-                match ask(address, &id) {
+                match ask(address, number, &id) {
                     Ok(outcome) => outcomes.lock().unwrap().push(outcome),
                     Err(error) => record.line(&format!("{id}: {error}")),
                 }
@@ -126,7 +137,9 @@
         .collect();
     sleep(KILL_AFTER);
     if trouble {
-        let mut engine = engines.remove(0);
+        // The one with the most streams.
+        let busiest = (0..engines.len()).max_by_key(|index| *engines[*index].runs.lock().unwrap()).unwrap_or(0);
+        let mut engine = engines.remove(busiest);
         engine.process.child.kill()?;
         record.line(&format!("{} killed", engine.id));
         sleep(ENTRY_LAPSE);
@@ -157,14 +170,16 @@
 }
 
 // Sends a request and reads its stream to the end.
-fn ask(address: SocketAddr, id: &str) -> Result<Outcome, Fault> {
+fn ask(address: SocketAddr, number: usize, id: &str) -> Result<Outcome, Fault> {
     let mut socket = TcpStream::connect(address)?;
     socket.set_read_timeout(Some(Duration::from_secs(20)))?;
     let request = format!(
         "POST /question/1 HTTP/1.1\r\nhost: kp.example\r\nrequest-id: {id}\r\ndeadline-ms: 20000\r\nmodel: m0\r\n\
-         token-count: 628,180\r\nprompt-prefix: 5c1e07a2:119,91bd3f06:79,{:x}:430\r\nauthorization: Bearer key-1\r\n\
+         token-count: 628,180\r\nprompt-prefix: {:08x}:119,{:08x}:79,{:08x}:430\r\nauthorization: Bearer key-1\r\n\
          content-length: {}\r\n\r\n{id}",
-        0xe000 + id.len() * 100 + id.bytes().map(usize::from).sum::<usize>(),
+        0x5c1e_0000 + number % 40,
+        0x91bd_0000 + number,
+        0xe440_0000 + number,
         id.len()
     );
     socket.write_all(request.as_bytes())?;
