--- a/review/standins-2/src/cut.rs
+++ b/review/standins-2/src/cut.rs
@@ -1,10 +1,13 @@
-//! Engines whose streams have neither a length nor chunks, one of which is killed while it answers.
+//! Engines a few of whose streams have neither a length nor chunks; one engine is killed while it answers.
 
 use std::{
     io::{BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     process::{Command, Stdio},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     thread::{self, sleep},
     time::Duration,
 };
@@ -14,26 +17,33 @@
     site::{Fault, Gateway, Process, Record, Scratch, Store, host},
 };
 
-const EVENTS: u64 = 30;
+const EVENTS: u64 = 49;
 const EVENT_PAUSE: Duration = Duration::from_millis(60);
-const CALLERS: usize = 36;
-const KILL_AFTER: Duration = Duration::from_millis(900);
+/// Requests, and the time between two of them: the site's traffic is 73 a second.
+const CALLERS: usize = 280;
+const ARRIVAL_PAUSE: Duration = Duration::from_millis(14);
+/// Engines that send answers without framing, of nine, and the share of their answers that have none: one in this many.
+const UNFRAMED_ENGINES: u8 = 4;
+const UNFRAMED_EACH: u64 = 20;
+const KILL_AFTER: Duration = Duration::from_millis(3400);
 /// Three heartbeats of silence, after which the platform removes an entry.
 const ENTRY_LAPSE: Duration = Duration::from_millis(3600);
 
 /// Serves as an engine in a process of its own, until it is killed. Prints its address, and a line for each run.
 pub fn serve(address: &str, id: &str) -> Result<(), Fault> {
+    let number: u8 = id.trim_start_matches("engine-").parse()?;
+    let answers = Arc::new(AtomicU64::new(0));
     let listener = TcpListener::bind(address)?;
     println!("{}", listener.local_addr()?);
     for socket in listener.incoming() {
-        let (mut socket, id) = (socket?, id.to_owned());
+        let (mut socket, id, answers) = (socket?, id.to_owned(), Arc::clone(&answers));
         // A caller that leaves ends its connection.
-        thread::spawn(move || drop(answer(&mut socket, &id)));
+        thread::spawn(move || drop(answer(&mut socket, &id, number, &answers)));
     }
     Ok(())
 }
 
-fn answer(socket: &mut TcpStream, id: &str) -> std::io::Result<()> {
+fn answer(socket: &mut TcpStream, id: &str, number: u8, answers: &AtomicU64) -> std::io::Result<()> {
     socket.set_nodelay(true)?;
     let mut buffer = Vec::new();
     let Some(head) = http::read_head(socket, &mut buffer)? else { return Ok(()) };
@@ -45,17 +55,27 @@
         let refusal = format!("HTTP/1.1 421 x\r\nrequest-id: {request}\r\ncontent-length: 0\r\n\r\n");
         return socket.write_all(refusal.as_bytes());
     }
+    let count = answers.fetch_add(1, Ordering::SeqCst);
+    let is_framed = number > UNFRAMED_ENGINES || count % UNFRAMED_EACH != UNFRAMED_EACH / 2;
+    let framing = if is_framed { "transfer-encoding: chunked\r\n" } else { "" };
     let start = format!(
         "HTTP/1.1 200 OK\r\nrequest-id: {request}\r\nresponse-stamp: stand-in.2\r\ncontent-type: text/event-stream\r\n\
-         confidence: 99\r\nconnection: close\r\n\r\n"
+         confidence: 99\r\nconnection: close\r\n{framing}\r\n"
     );
-    println!("run {request}");
+    println!("{} {request}", if is_framed { "run" } else { "unframed run" });
     socket.write_all(start.as_bytes())?;
     let last: u64 = head.header("last-event-id").parse().unwrap_or(0);
     for event in last + 1..=EVENTS {
-        socket.write_all(format!("id: {event}\ndata: piece {event} of {request}\n\n").as_bytes())?;
+        let text = format!("id: {event}\ndata: piece {event} of {request}\n\n");
+        let text = if is_framed { format!("{:x}\r\n{text}\r\n", text.len()) } else { text };
+        socket.write_all(text.as_bytes())?;
         sleep(EVENT_PAUSE);
     }
+    if is_framed {
+        socket.write_all(b"0\r\n\r\n")?;
+    } else {
+        println!("unframed end {request}");
+    }
     Ok(())
 }
 
@@ -63,6 +83,7 @@
     id: String,
     address: SocketAddr,
     process: Process,
+    // Streams without framing under way.
     runs: Arc<Mutex<usize>>,
 }
 
@@ -82,7 +103,11 @@
         thread::spawn(move || {
             for run in output.lines().map_while(Result::ok) {
                 record.line(&format!("{run} at {name}"));
-                *counter.lock().unwrap() += 1;
+                match run.split(' ').nth(1) {
+                    Some("run") => *counter.lock().unwrap() += 1,
+                    Some("end") => *counter.lock().unwrap() -= 1,
+                    _ => {}
+                }
             }
         });
         Ok(Self { id, address: line.trim().parse()?, process: Process { child }, runs })
@@ -126,6 +151,7 @@
             let address = gateways[number % gateways.len()].callers;
             let (record, outcomes) = (record.clone(), Arc::clone(&outcomes));
             thread::spawn(move || {
+                sleep(ARRIVAL_PAUSE * number as u32);
                 let id = format!("question-{number}");
                 record.line(&format!("sent {id}"));
                 match ask(address, number, &id) {
@@ -137,7 +163,7 @@
         .collect();
     sleep(KILL_AFTER);
     if trouble {
-        // The one with the most streams.
+        // The one with the most streams without framing under way.
         let busiest = (0..engines.len()).max_by_key(|index| *engines[*index].runs.lock().unwrap()).unwrap_or(0);
         let mut engine = engines.remove(busiest);
         engine.process.child.kill()?;
