Add a failing test of a gateway that hears of readers and gets no rows (CONFIG)

Callers of a gateway that stops are served by an older version of the declarations for as long as 24 s. Its peers close their connections when its member row goes; gateways that start meanwhile open theirs to it, since it announces itself to them. It hears that three of them read the store and ceases to read, but is in the ring of none, so nobody forwards rows to it.

The test plays that with real processes: nine gateways, one stops with a call in flight, three start, the declarations change.

--- a/crates/bluebelld/tests/gateway/main.rs
+++ b/crates/bluebelld/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod explain;
 mod kept_answers;
 mod leaving;
+mod left_out;
 mod limits;
 mod members;
 mod odd_rows;
--- a/crates/bluebelld/tests/gateway/site.rs
+++ b/crates/bluebelld/tests/gateway/site.rs
@@ -64,6 +64,8 @@
     pub ledger: Vec<SiteUpstream>,
     /// Lines that are added to the settings of gateways started from now on.
     pub settings: String,
+    /// Seconds that gateways started from now on take to stop at most.
+    pub drain_seconds: u32,
     directory: PathBuf,
     host: String,
 }
@@ -82,6 +84,11 @@
         for number in 0..gateway_count {
             self.add_gateway(number).await;
         }
+        self.wait_until_serving().await;
+    }
+
+    /// Waits until each gateway serves requests.
+    pub async fn wait_until_serving(&self) {
         for gateway in &self.gateways {
             until("a gateway to be ready", || gateway.is_ready()).await;
             until("a gateway to serve requests", || async {
@@ -105,6 +112,7 @@
             chat: Vec::new(),
             ledger: Vec::new(),
             settings: String::new(),
+            drain_seconds: 6,
             directory,
             host,
         };
@@ -177,12 +185,12 @@
              peers: \"{peer_address}\" }}\n\
              store: \"{store}\"\n\
              retry: {{ ratio: 0.9, slack: 50, window_seconds: 10 }}\n\
-             drain_seconds: 6\n\
+             drain_seconds: {}\n\
              session_seconds: 5\n\
              exposure: 0.3\n\
              keys: {{ active: k, known: {{ k: 000102030405060708090a0b0c0d0e0f }} }}\n\
              log: info\n{}",
-            self.settings
+            self.drain_seconds, self.settings
         );
         let path = self.directory.join(format!("{name}.yaml"));
         std::fs::write(&path, settings).expect("the settings file should be writable");
