Tell peers which rows a gateway knows, and log those that have not arrived

The logs couldn't tell a row that was lost on its way, or a gateway to which nobody forwards, from a gateway that is slow: nothing said that a peer knows more.

Each status now ends with the version of the latest row of each origin (a few bytes; older programs ignore it, and send none). A gateway that hears of a later version and isn't brought it within 250 ms logs "rows that a peer knows have not arrived" with both versions, the peer, the age of its word and the read mode, and counts it (bluebell_lags). Rows with crash reports don't count.

The test of messages of older programs expects one more empty field at the end of a status, and is as strict as before.

--- a/crates/bluebell-core/src/dissemination/mod.rs
+++ b/crates/bluebell-core/src/dissemination/mod.rs
@@ -6,13 +6,16 @@
 //! and the distant ones keep the number of hops low. Each gateway leaves out those to which it has no connection, so the
 //! ring closes around them.
 //!
-//! In large fleets only a few gateways read the change feeds, see [`readers`].
+//! In large fleets only a few gateways read the change feeds, see [`readers`]. A gateway that hears of rows which don't
+//! reach it reads as well, see [`LagMonitor`].
 
+mod lag;
 mod loads;
 mod readers;
 
 use std::time::Duration;
 
+pub use lag::{LAG_GRACE, Lag, LagMonitor};
 pub use loads::{load_targets, load_weights, status_ticks};
 pub use readers::{
     MIN_FLEET, MemberContact, ReadMode, ReadSchedule, SLOW_CONTACT_LIMIT, poll_time, readers, slow_read_pause,
--- a/crates/bluebell-wire/src/messages.rs
+++ b/crates/bluebell-wire/src/messages.rs
@@ -291,6 +291,9 @@
     /// sender tells its load.
     #[serde(deserialize_with = "absent_as_default")]
     pub omits_loads: bool,
+    /// Version of the latest row that the sender knows, by origin; none from gateways that don't compare what they know.
+    #[serde(deserialize_with = "absent_as_default")]
+    pub latest: Vec<(Origin, u64)>,
 }
 
 /// How a gateway reads the store's change feeds.
--- a/crates/bluebell-wire/tests/older_programs.rs
+++ b/crates/bluebell-wire/tests/older_programs.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bluebell_core::{units::Rate, upstreams::UpstreamIncarnation};
+use bluebell_core::{replica::Origin, units::Rate, upstreams::UpstreamIncarnation};
 use bluebell_wire::messages::{ExchangeMessage, GatewayStatus, ReadStatus, UpstreamLimit};
 
 fn status() -> GatewayStatus {
@@ -16,6 +16,7 @@
         departures: Vec::new(),
         reading: None,
         omits_loads: false,
+        latest: Vec::new(),
     }
 }
 
@@ -32,11 +33,11 @@
 fn status_without_its_last_fields_is_read_as_one_with_empty_ones() {
     let bytes = encode(status());
     // Each empty field at the end takes one byte.
-    for missing in 0..=4 {
+    for missing in 0..=5 {
         let message = decode(&bytes[..bytes.len() - missing]);
         assert_eq!(message, Some(ExchangeMessage::Status(Box::new(status()))), "{missing} missing");
     }
-    assert_eq!(decode(&bytes[..bytes.len() - 5]), None, "earlier fields are not optional");
+    assert_eq!(decode(&bytes[..bytes.len() - 6]), None, "earlier fields are not optional");
 }
 
 #[test]
@@ -48,9 +49,10 @@
     let zone = "z1".parse().expect("the id should be valid");
     let reading = Some(ReadStatus { zone, reads: true, answer_age: Some(Duration::from_millis(7)), era: 1 });
     let departures = vec![(incarnation, Duration::ZERO)];
-    let full = GatewayStatus { limits: vec![limit], departures, reading, ..status() };
+    let latest = vec![(Origin::Operator, 7)];
+    let full = GatewayStatus { limits: vec![limit], departures, reading, latest, ..status() };
     let (short, long) = (encode(status()), encode(full.clone()));
-    assert_eq!(short[..short.len() - 4], long[..short.len() - 4]);
+    assert_eq!(short[..short.len() - 5], long[..short.len() - 5]);
     assert_eq!(decode(&long), Some(ExchangeMessage::Status(Box::new(full))));
 }
 
--- a/crates/bluebelld/src/gateway/control/event.rs
+++ b/crates/bluebelld/src/gateway/control/event.rs
@@ -25,6 +25,8 @@
         origin: Origin,
         /// Changed rows, which may be none.
         rows: Vec<Row>,
+        /// Store version up to which all changes are known with these.
+        version: u64,
         /// Current time on the store's clock.
         clock: Duration,
     },
--- a/crates/bluebelld/src/gateway/control/feeds.rs
+++ b/crates/bluebelld/src/gateway/control/feeds.rs
@@ -130,7 +130,8 @@
     match gateway.store.changes(origin, after, wait).await.map_err(|error| error.to_string())? {
         Changes::Rows(changed) => {
             *last_version = Some(after.max(changed.version));
-            Ok(Some(Event::FeedRead { origin, rows: changed.rows, clock: changed.clock }))
+            let (rows, version, clock) = (changed.rows, changed.version, changed.clock);
+            Ok(Some(Event::FeedRead { origin, rows, version, clock }))
         }
         Changes::Unavailable => {
             *last_version = None;
--- a/crates/bluebelld/src/gateway/control/reading.rs
+++ b/crates/bluebelld/src/gateway/control/reading.rs
@@ -80,6 +80,11 @@
         self.era
     }
 
+    /// How it reads.
+    pub(super) fn mode(&self) -> ReadMode {
+        self.schedule.mode()
+    }
+
     /// Whether it reads by long polls.
     pub(super) fn reads(&self) -> bool {
         self.schedule.mode() != ReadMode::Slow
--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -32,6 +32,8 @@
                 Origin::Reports | Origin::Records | Origin::Instances | Origin::Ratings => {}
             }
         }
+        // Those that a snapshot lacks are deleted here, and have its version.
+        self.record_rows(&rows);
         self.publish();
         self.members.forward(&ExchangeMessage::Rows(rows), from);
     }
--- a/crates/bluebelld/src/gateway/control/state.rs
+++ b/crates/bluebelld/src/gateway/control/state.rs
@@ -3,10 +3,11 @@
 use std::{collections::HashSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use bluebell_core::{
+    dissemination::LagMonitor,
     ids::{InstanceId, UpstreamId, ZoneId},
     ingress::Declared,
     poison::{Crashes, RefreshSchedule, Suspects},
-    replica::{Origin, Replica},
+    replica::{Origin, Replica, Row},
     upstreams::{Upstream, Upstreams},
 };
 use bluebell_wire::messages::ExchangeMessage;
@@ -27,7 +28,7 @@
 };
 use crate::{
     gateway::{routing_state::RoutingState, state::Gateway},
-    records::ReportRows,
+    records::{ReportRows, is_report},
 };
 
 /// Interval of the tasks that depend on time alone, such as expiry.
@@ -66,6 +67,7 @@
     pub(super) load_weights: IndexMap<ZoneId, f64>,
     pub(super) store: StoreContact,
     pub(super) reading: Reading,
+    pub(super) lag: LagMonitor,
     pub(super) ticks: u64,
     // Time for which the event being handled was queued.
     pub(super) waited: Duration,
@@ -120,6 +122,7 @@
             load_weights: IndexMap::new(),
             store: StoreContact::default(),
             reading: Reading::default(),
+            lag: LagMonitor::default(),
             ticks: 0,
             waited: Duration::ZERO,
             load: ControlLoad::default(),
@@ -181,14 +184,17 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::FeedRead { origin, rows, clock } => {
+            Event::FeedRead { origin, rows, version, clock } => {
                 self.reading.record_answer(self.gateway.now(), origin);
+                self.record_rows(&rows);
+                self.lag.record_read(origin, version);
                 self.record_store_response(clock);
                 let changed = self.replica.apply_copy(rows, &[]);
                 self.apply_rows(changed, None);
             }
             Event::Changes { rows, clock } => {
                 self.record_store_response(clock);
+                self.record_rows(&rows);
                 let changed = self.replica.apply_copy(rows, &[]);
                 self.apply_rows(changed, None);
             }
@@ -196,6 +202,8 @@
                 self.reading.record_answer(self.gateway.now(), origin);
                 self.reading.record_snapshot(version);
                 self.record_store_response(clock);
+                self.record_rows(&rows);
+                self.lag.record_read(origin, version);
                 let changed = self.replica.apply_snapshot(origin, rows, version);
                 self.startup.has_fleet_rows |= origin == Origin::Fleet;
                 self.apply_rows(changed, None);
@@ -208,6 +216,7 @@
             Event::Hello(address) => self.members.hello(address, self.gateway.now()),
             Event::PeerRows { peer, rows, snapshots } => {
                 self.startup.has_fleet_rows = true;
+                self.record_rows(&rows);
                 let changed = self.replica.apply_copy(rows, &snapshots);
                 self.apply_rows(changed, Some(&peer));
                 self.check_startup(self.gateway.now());
@@ -246,6 +255,14 @@
         self.publish();
     }
 
+    // Records up to which version rows are known. Crash reports don't count: peers bring them late in a storm, and hear of
+    // the crashes by messages as well.
+    pub(super) fn record_rows(&mut self, rows: &[Row]) {
+        for row in rows.iter().filter(|row| !is_report(row)) {
+            self.lag.record_row(row.origin, row.version);
+        }
+    }
+
     fn record_store_response(&mut self, clock: Duration) {
         let now = self.gateway.now();
         if std::mem::take(&mut self.store.lost) || self.store.last_response.is_none() {
@@ -281,6 +298,7 @@
         let own = &self.gateway.settings.instance.id;
         self.gateway.traffic().assign_limits(now, own, self.members.ids());
         self.assign_cold(now);
+        self.report_lag(now);
         self.decide_reading(now);
         self.update_load_weights();
         self.broadcast_status(now);
--- a/crates/bluebelld/src/gateway/control/status.rs
+++ b/crates/bluebelld/src/gateway/control/status.rs
@@ -33,12 +33,15 @@
         if self.rollouts.reject(&peer, &status.rejected) {
             self.publish();
         }
-        let known = self.peer_statuses.entry(peer).or_default();
+        let known = self.peer_statuses.entry(peer.clone()).or_default();
         known.received_at = now;
         known.has_store = status.connected;
         known.reading = status.reading;
         known.tells_loads = !status.omits_loads;
         known.merge_tallies(status.tallies);
+        for (origin, version) in status.latest {
+            self.lag.record_peer(now, &peer, origin, version);
+        }
         if status.connected {
             self.publish_contact(now);
         }
@@ -67,6 +70,7 @@
             departures,
             reading: Some(self.read_status(now)),
             omits_loads: false,
+            latest: self.lag.latest().collect(),
         };
         let sessions_from = if is_rolling_out { now } else { Duration::ZERO };
         let urgent = Urgent::of(&status);
--- a/crates/bluebelld/src/gateway/metrics.rs
+++ b/crates/bluebelld/src/gateway/metrics.rs
@@ -47,6 +47,7 @@
     reads: Gauge<u64>,
     control_wait: Gauge<f64>,
     control_time: Counter<f64>,
+    lags: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -113,6 +114,7 @@
                 .with_unit("s")
                 .with_description("Time that the control thread spent, by kind of work")
                 .build(),
+            lags: counter("bluebell_lags", "Rows that a peer knew and that did not arrive in time"),
             exporter,
         })
     }
@@ -238,6 +240,11 @@
         self.control_wait.record(wait.as_secs_f64(), &[]);
     }
 
+    /// Counts rows that a peer knows and that have not arrived here in time.
+    pub fn record_lag(&self) {
+        self.lags.add(1, &[]);
+    }
+
     /// Adds to the time that the control thread has spent on a kind of work.
     pub fn record_control_time(&self, kind: &'static str, time: Duration) {
         self.control_time.add(time.as_secs_f64(), &[KeyValue::new("kind", kind)]);
