Send a stopping gateway what the others are sent until its connection closes

Cause: the deletion of its member row made each peer close its connection to it at once. The row says who shares limits and is elected; whom to send changes to was taken from it as well.

Change: such a member counts no more in limits, shares and elections, and stays connected until its connection closes. That isn't a lost connection: it has no gateway read the store.

--- a/crates/bluebelld/src/gateway/control/members.rs
+++ b/crates/bluebelld/src/gateway/control/members.rs
@@ -1,5 +1,8 @@
 //! Membership of the gateways. Each gateway writes a row with its address when it starts, and connects to every other
 //! one. Rows are not renewed: a gateway that stays unreachable for too long is removed and its row is deleted.
+//!
+//! A gateway that stops deletes its row, and serves callers on open connections until it ends. From then on it has no part
+//! in what members share, such as limits and elections, but is sent what the others are, until its connection closes.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -29,6 +32,8 @@
     // Version of its row in the store, once that was read.
     row: Option<u64>,
     connected: bool,
+    // Whether its row was deleted.
+    leaving: bool,
     // When the connection was last opened or lost, or when the gateway became known.
     since: Duration,
     outbox: Outbox,
@@ -70,11 +75,7 @@
                 log::warn!("own member row was deleted; writing it again");
                 self.start();
             }
-            None => {
-                if self.known.shift_remove(&id).is_some() {
-                    log::info!(peer = id.as_str(), row = number(row.version); "peer has left");
-                }
-            }
+            None => self.mark_leaving(&id, row.version),
             Some(_) if is_own => {}
             Some(Some(address)) => self.put(id, address, Some(row.version), now),
             Some(None) => {
@@ -97,22 +98,38 @@
         }
     }
 
+    fn mark_leaving(&mut self, id: &InstanceId, version: u64) {
+        let Some(member) = self.known.get_mut(id) else { return };
+        log::info!(peer = id.as_str(), row = number(version), connected = member.connected; "peer is leaving");
+        (member.leaving, member.row) = (true, None);
+        if !member.connected {
+            self.known.shift_remove(id);
+        }
+    }
+
     fn put(&mut self, id: InstanceId, address: SocketAddr, row: Option<u64>, now: Duration) {
         if let Some(member) = self.known.get_mut(&id).filter(|member| member.address == address) {
             member.row = row.or(member.row);
+            member.leaving = false;
             return;
         }
         log::info!(peer = id.as_str(), address = address.to_string().as_str(); "peer discovered");
         let (outbox, queue) = Outbox::new();
         links::maintain(&self.gateway, &self.events, id.clone(), address, queue);
-        self.known.insert(id, Member { address, row, connected: false, since: now, outbox });
+        self.known.insert(id, Member { address, row, connected: false, leaving: false, since: now, outbox });
     }
 
-    /// Records that the connection to a peer was opened or lost. Returns whether that changed anything.
+    /// Records that the connection to a peer was opened or lost. Returns whether that changed anything. A peer that was
+    /// leaving is gone with its connection.
     pub(super) fn set_connected(&mut self, peer: &InstanceId, connected: bool, now: Duration) -> bool {
         let Some(member) = self.known.get_mut(peer).filter(|member| member.connected != connected) else {
             return false;
         };
+        if member.leaving && !connected {
+            self.known.shift_remove(peer);
+            log::info!(peer = peer.as_str(); "peer has left");
+            return false;
+        }
         member.connected = connected;
         member.since = now;
         true
@@ -165,26 +182,26 @@
     /// Number of gateways that share common limits, including this one. Gateways that are unreachable from here count
     /// too, as they may still serve callers elsewhere.
     pub(super) fn count(&self) -> usize {
-        1 + self.known.len()
+        1 + self.ids().count()
     }
 
     /// All other gateways that [`Members::count`] counts.
     pub(super) fn ids(&self) -> impl Iterator<Item = &InstanceId> {
-        self.known.keys()
+        self.known.iter().filter(|(_, member)| !member.leaving).map(|(id, _)| id)
     }
 
     /// Whether this gateway has a lower id than all connected gateways that fulfil the condition.
     pub(super) fn has_lowest_id(&self, condition: impl Fn(&InstanceId) -> bool) -> bool {
         let own = &self.gateway.settings.instance.id;
-        !self.known.iter().any(|(id, member)| member.connected && id < own && condition(id))
+        !self.ids().any(|id| id < own && self.is_connected(id) && condition(id))
     }
 
     pub(super) fn is_known(&self, peer: &InstanceId) -> bool {
-        self.known.contains_key(peer)
+        self.known.get(peer).is_some_and(|member| !member.leaving)
     }
 
     pub(super) fn is_connected(&self, peer: &InstanceId) -> bool {
-        self.known.get(peer).is_some_and(|member| member.connected)
+        self.known.get(peer).is_some_and(|member| member.connected && !member.leaving)
     }
 
     /// Removes gateways that were unreachable for too long, unless this gateway has lost the store itself.
