Count the time for which a status waits, and send it before reports

A gateway relies on readers whose last word of the store is younger than 1,650 ms. The age was that of when the status was built, and began anew when the receiver's control thread handled it. A status goes behind crash reports in the queue of a peer, one message for each acknowledgement (up to 1,200 ms), and behind other events at the receiver. So a reader that had lost the store stayed live for as long as its words waited, and a change that no gateway had read came later by as much.

Found by reading; no play or test showed a late change by it.

Change: statuses have a lane of their own, after rows and before reports. The time in the sender's queue counts in the age that a status tells, and the time in the receiver's queue counts as well. The time on the wire does not; it is bounded by the acknowledgement.

Other tests of queues and of the crash storm: pass. Their clock is a shared one now, as the queue is given a clock.

--- a/crates/bluebelld/src/gateway/control/members.rs
+++ b/crates/bluebelld/src/gateway/control/members.rs
@@ -114,7 +114,7 @@
             return;
         }
         log::info!(peer = id.as_str(), address = address.to_string().as_str(); "peer discovered");
-        let (outbox, queue) = Outbox::new();
+        let (outbox, queue) = Outbox::new(Arc::clone(&self.gateway.clock));
         links::maintain(&self.gateway, &self.events, id.clone(), address, queue);
         self.known.insert(id, Member { address, row, connected: false, leaving: false, since: now, outbox });
     }
--- a/crates/bluebelld/src/gateway/control/status.rs
+++ b/crates/bluebelld/src/gateway/control/status.rs
@@ -21,6 +21,8 @@
 impl Control {
     pub(super) fn handle_status(&mut self, peer: InstanceId, status: GatewayStatus) {
         let now = self.gateway.now();
+        // Peers go on while a status waits for this thread, so what it tells counts as of its receipt.
+        let received_at = now.saturating_sub(self.waited);
         let weight = self.load_weight(&status);
         let mut traffic = self.gateway.traffic();
         traffic.apply_peer_loads(now, peer.clone(), weight, &status.loads);
@@ -34,7 +36,7 @@
             self.publish();
         }
         let known = self.peer_statuses.entry(peer.clone()).or_default();
-        known.received_at = now;
+        known.received_at = received_at;
         known.has_store = status.connected;
         known.reading = status.reading;
         known.tells_loads = !status.omits_loads;
--- a/crates/bluebelld/tests/crash_storm.rs
+++ b/crates/bluebelld/tests/crash_storm.rs
@@ -2,12 +2,17 @@
 //! gateways use the real queues, crash reports and targets; what they do costs processor time, and they go on as they can.
 //! Guards against reports that delay declarations, and against overload that keeps itself up.
 
+#[path = "support/test_clock.rs"]
+mod test_clock;
+
 use std::{
     collections::{BTreeMap, VecDeque},
+    sync::Arc,
     time::Duration,
 };
 
 use bluebell_core::{
+    clock::Clock,
     dissemination::forward_targets,
     ids::{InstanceId, ServiceId},
     poison::{CrashEvidence, CrashReport, Crashes, Fingerprint, RefreshSchedule},
@@ -21,6 +26,7 @@
 };
 use futures_util::FutureExt;
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
+use test_clock::TestClock;
 
 const STEP: Duration = Duration::from_millis(5);
 /// One way between two gateways.
@@ -84,14 +90,15 @@
 
 struct Fleet {
     now: Duration,
+    clock: Arc<TestClock>,
     gateways: Vec<Gateway>,
     acknowledgements: VecDeque<Acknowledgement>,
     lost: usize,
 }
 
 impl Link {
-    fn new() -> Self {
-        let (outbox, queue) = Outbox::new();
+    fn new(clock: &Arc<TestClock>) -> Self {
+        let (outbox, queue) = Outbox::new(Arc::clone(clock) as Arc<dyn Clock>);
         Self { outbox, queue, unacknowledged: None, opened: 0 }
     }
 }
@@ -100,6 +107,7 @@
     fn new(count: usize) -> Self {
         let ids: Vec<InstanceId> =
             (0..count).map(|number| format!("g{number:03}").parse().expect("the id should be valid")).collect();
+        let clock = Arc::new(TestClock::default());
         let gateway = |number: usize| {
             let others = ids.iter().filter(|id| **id != ids[number]);
             let targets = forward_targets(&ids[number], others);
@@ -109,18 +117,19 @@
                 budget: 0.0,
                 arrived: VecDeque::new(),
                 inbox: lanes(),
-                links: targets.into_iter().map(|id| (position(id), Link::new())).collect(),
+                links: targets.into_iter().map(|id| (position(id), Link::new(&clock))).collect(),
                 crashes: Crashes::default(),
                 refresh: RefreshSchedule::default(),
                 version: 0,
             }
         };
         let gateways = (0..count).map(gateway).collect();
-        Self { now: Duration::ZERO, gateways, acknowledgements: VecDeque::new(), lost: 0 }
+        Self { now: Duration::ZERO, clock, gateways, acknowledgements: VecDeque::new(), lost: 0 }
     }
 
     fn step(&mut self) {
         self.now += STEP;
+        self.clock.set(self.now);
         while self.acknowledgements.front().is_some_and(|one| one.at <= self.now) {
             let Some(one) = self.acknowledgements.pop_front() else { break };
             let link = self.gateways[one.sender].links.get_mut(&one.receiver).expect("a connection");
@@ -189,7 +198,7 @@
             gateway.links.iter().filter(|(_, link)| is_silent(link)).map(|(peer, _)| *peer).collect();
         for peer in silent {
             let opened = gateway.links[&peer].opened + 1;
-            let link = Link { opened, ..Link::new() };
+            let link = Link { opened, ..Link::new(&self.clock) };
             let all: Vec<AgedCrashReport> =
                 gateway.crashes.reports(now).map(|(report, age)| AgedCrashReport { report, age }).collect();
             let chunks = all.chunks(MAX_REPORTS).map(|chunk| ExchangeMessage::Crashes(chunk.to_vec()));
