Take a reader for live only while the operators' table is answered to it

Cause: the store's answer to any of three polls kept a reader live. When its polls of the operators' table alone hung, the others relied on it until such a poll was given up: up to 2,200 ms of poll, 1,000 ms of time limit and a status interval, more than the 3,000 ms allowed.

Shown: the new test silences that table for the readers just after they begin their longest poll.

Change: a reader polls that table for a second at a time, and only its answers count for the age that it tells. A gateway that reads rarely tells the age of any answer, as before.

Cost: half a call a second for each reader.

--- a/crates/bluebell-core/src/dissemination/mod.rs
+++ b/crates/bluebell-core/src/dissemination/mod.rs
@@ -18,7 +18,8 @@
 pub use lag::{LAG_GRACE, Lag, LagMonitor};
 pub use loads::{load_targets, load_weights, status_ticks};
 pub use readers::{
-    MIN_FLEET, MemberContact, ReadMode, ReadSchedule, SLOW_CONTACT_LIMIT, poll_time, readers, slow_read_pause,
+    MIN_FLEET, MemberContact, OPERATOR_POLL_TIME, ReadMode, ReadSchedule, SLOW_CONTACT_LIMIT, poll_time, readers,
+    slow_read_pause,
 };
 
 use crate::ids::InstanceId;
--- a/crates/bluebell-core/src/dissemination/readers.rs
+++ b/crates/bluebell-core/src/dissemination/readers.rs
@@ -3,9 +3,9 @@
 //!
 //! Each gateway decides for itself, on what the status messages of its peers say. It reads if it is elected, or if it
 //! does not hear of enough live readers; so a disagreement about who is elected only costs calls. A reader is live while
-//! the store has answered one of its reads lately. Its polls end at evenly spaced times, so that the store's silence shows
-//! before the polls time out: a reader that stays live for [`READER_CONTACT_LIMIT`] after a change has had contact with the
-//! store since, and has been told of the change.
+//! the store has answered one of its reads of the operators' table lately. Its polls of that table are short, so that the
+//! store's silence shows before they time out: a reader that stays live for [`READER_CONTACT_LIMIT`] after a change of the
+//! declarations has had an answer since, and has been told of the change.
 
 use std::time::Duration;
 
@@ -19,16 +19,18 @@
 const MIN_READERS: usize = 3;
 /// Fewest live readers that a gateway must hear of so as not to read itself.
 const MIN_LIVE_READERS: usize = 2;
-/// Time without an answer of the store after which a reader is not live. Without one of three polls, which may be paused
-/// after changes, an answer is due every 1,333 ms. Together with one status interval, it leaves 1,100 ms of the
-/// 3,000 ms in which a change must be in force.
+/// Time without an answer of the store to a read of the operators' table after which a reader is not live; one is due every
+/// [`OPERATOR_POLL_TIME`]. Together with one status interval, it leaves 1,100 ms of the 3,000 ms in which a change must be
+/// in force.
 const READER_CONTACT_LIMIT: Duration = Duration::from_millis(1650);
 /// Time without an answer of the store after which a gateway that reads rarely is not taken for one that can read: two
 /// rare reads may be this far apart.
 pub const SLOW_CONTACT_LIMIT: Duration = Duration::from_secs(24);
 /// Time for which a gateway must have heard of enough readers before it stops reading.
 const HOLD_TIME: Duration = Duration::from_secs(2);
-/// Length of a long poll.
+/// Length of a reader's long poll of the operators' table.
+pub const OPERATOR_POLL_TIME: Duration = Duration::from_millis(1000);
+/// Length of a long poll of another table.
 const POLL_TIME: Duration = Duration::from_millis(2000);
 /// Polls shorter than this are not worth a call.
 const MIN_POLL_TIME: Duration = Duration::from_millis(200);
--- a/crates/bluebell-standins/src/site/store.rs
+++ b/crates/bluebell-standins/src/site/store.rs
@@ -29,6 +29,8 @@
 const EMPTY: &str = "{}";
 /// Table in which the product keeps its records.
 const RECORDS: &str = "bluebell-records";
+/// Table that operators write.
+const OPERATORS: &str = "op";
 
 /// How the store treats the calls that arrive on one listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
@@ -45,6 +47,8 @@
     Reset,
     /// Never answers, not even polls that were begun before.
     Silent,
+    /// Never answers reads of the operators' table, not even polls that were begun before; serves the rest.
+    OperatorSilent,
     /// Executes writes but closes the connection in place of answering them; serves reads.
     Lossy,
     /// Serves each call after a delay in milliseconds.
@@ -291,6 +295,8 @@
                 }
                 StoreMode::Reset => return Ok(()),
                 StoreMode::Silent => std::future::pending().await,
+                StoreMode::OperatorSilent if concerns_operators(&request) => std::future::pending().await,
+                StoreMode::OperatorSilent => {}
                 StoreMode::Lossy if request.method == "POST" => {
                     self.transact(&request);
                     return Ok(());
@@ -303,7 +309,8 @@
                 continue;
             }
             let (status, body) = self.handle_rows(&request, &mode.subscribe()).await;
-            if *mode.borrow() == StoreMode::Silent {
+            let mode_now = *mode.borrow();
+            if mode_now == StoreMode::Silent || mode_now == StoreMode::OperatorSilent && concerns_operators(&request) {
                 return std::future::pending().await;
             }
             // A restore may have ended the wait for changes.
@@ -433,6 +440,11 @@
     request.method != "GET" || request.path().starts_with("/api/blob") || request.param("table") == RECORDS
 }
 
+// Whether `StoreMode::OperatorSilent` leaves the call unanswered.
+fn concerns_operators(request: &Request) -> bool {
+    request.param("table") == OPERATORS
+}
+
 fn row_text(row_key: &RowKey, stored: &Versioned) -> String {
     if let Some(text) = &stored.wire {
         return text.clone();
--- a/crates/bluebelld/src/gateway/control/feeds.rs
+++ b/crates/bluebelld/src/gateway/control/feeds.rs
@@ -7,7 +7,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bluebell_core::{
-    dissemination::{MAX_READ_PAUSE, ReadMode, poll_time, read_pause, slow_read_pause},
+    dissemination::{MAX_READ_PAUSE, OPERATOR_POLL_TIME, ReadMode, poll_time, read_pause, slow_read_pause},
     replica::Origin,
 };
 use bluebell_platform::store::Changes;
@@ -39,8 +39,8 @@
 pub(super) fn start(gateway: &Arc<Gateway>, events: &EventSender, reading: &mut Reading) {
     for (index, origin) in ORIGINS.into_iter().enumerate() {
         let (mode, refresh) = (reading.subscribe(), reading.refreshes(origin));
-        let turn = Turn { index: index as u32, mode, refresh, was_slow: false };
-        spawn_local(follow(Arc::clone(gateway), events.clone(), origin, turn));
+        let turn = Turn { index: index as u32, origin, mode, refresh, was_slow: false };
+        spawn_local(follow(Arc::clone(gateway), events.clone(), turn));
     }
 }
 
@@ -48,6 +48,7 @@
 struct Turn {
     // Number of the feed.
     index: u32,
+    origin: Origin,
     mode: watch::Receiver<ReadMode>,
     // Has it read at once.
     refresh: Arc<Notify>,
@@ -78,7 +79,11 @@
             // The feed may have changed since the last of the rare reads.
             return Duration::ZERO;
         }
-        if mode == ReadMode::Reader { poll_time(gateway.now(), self.index, count) } else { LONG_POLL_TIME }
+        match (mode, self.origin) {
+            (ReadMode::Reader, Origin::Operator) => OPERATOR_POLL_TIME,
+            (ReadMode::Reader, _) => poll_time(gateway.now(), self.index, count),
+            (ReadMode::All | ReadMode::Slow, _) => LONG_POLL_TIME,
+        }
     }
 
     // Pause after a read of a busy feed.
@@ -90,7 +95,8 @@
     }
 }
 
-async fn follow(gateway: Arc<Gateway>, events: EventSender, origin: Origin, mut turn: Turn) {
+async fn follow(gateway: Arc<Gateway>, events: EventSender, mut turn: Turn) {
+    let origin = turn.origin;
     let mut last_version = None;
     let mut backoff = MIN_BACKOFF;
     let mut has_failed = false;
--- a/crates/bluebelld/src/gateway/control/reading.rs
+++ b/crates/bluebelld/src/gateway/control/reading.rs
@@ -22,8 +22,8 @@
 pub(super) struct Reading {
     schedule: ReadSchedule,
     mode: watch::Sender<ReadMode>,
-    // When the store last answered a read.
-    answered_at: Option<Duration>,
+    // When the store last answered a read, by origin.
+    answered_at: IndexMap<Origin, Duration>,
     // Origins of which the latest read failed.
     failing: IndexSet<Origin>,
     era: u64,
@@ -52,7 +52,7 @@
     }
 
     pub(super) fn record_answer(&mut self, now: Duration, origin: Origin) {
-        self.answered_at = Some(now);
+        self.answered_at.insert(origin, now);
         self.failing.swap_remove(&origin);
     }
 
@@ -102,8 +102,13 @@
         self.schedule.mode() != ReadMode::Slow
     }
 
-    /// Time since the store last answered a read; none if reads fail.
+    /// Time since the store last answered a read; none if reads fail. At a reader, only answers about the operators' table
+    /// count: others rely on it for the declarations, and one table may fail alone.
     pub(super) fn answer_age(&self, now: Duration) -> Option<Duration> {
-        self.answered_at.filter(|_| self.failing.is_empty()).map(|at| now.saturating_sub(at))
+        if !self.failing.is_empty() {
+            return None;
+        }
+        let at = if self.reads() { self.answered_at.get(&Origin::Operator) } else { self.answered_at.values().max() };
+        at.map(|at| now.saturating_sub(*at))
     }
 }
--- a/crates/bluebelld/tests/gateway/readers.rs
+++ b/crates/bluebelld/tests/gateway/readers.rs
@@ -17,6 +17,13 @@
 const MODE_CHANGE: &str = "reading of the store changes";
 /// Longest time for which a poll that was begun may still bring changes.
 const LONGEST_POLL: Duration = Duration::from_millis(2300);
+/// Time after which gateways that ceased to read have made their first rare read of the operators' table, which might bring
+/// a change; the next one follows 19 s later at the earliest.
+const FIRST_RARE_READ: Duration = Duration::from_secs(10);
+/// Length of a poll.
+const POLL: Duration = Duration::from_millis(2000);
+/// Time after the end of a gateway's regular poll of the operators' table at which a poll that begins is the longest.
+const LONGEST_POLL_PHASE: Duration = Duration::from_millis(1850);
 /// Time over which calls to the store are counted.
 const CALM: Duration = Duration::from_secs(4);
 /// Calls of all gateways in that time: twice the 18 of three readers; nine readers make 54.
@@ -112,3 +119,34 @@
         }
     }
 }
+
+/// Sleeps until the gateways have run for a multiple of the length of a poll and this time.
+async fn sleep_until_phase(site: &Site, phase: Duration) {
+    let log = site.gateways[0].process.log();
+    let (_, time) = log.split_once(r#""time":""#).expect("a line should have its time");
+    let started = humantime::parse_rfc3339(&time[..time.find('"').expect("the time should end")]);
+    let ran = started.expect("the time should be valid").elapsed().expect("the gateway should have started before");
+    let since_end = ran.as_millis() as u64 % POLL.as_millis() as u64;
+    tokio::time::sleep(POLL + phase - Duration::from_millis(since_end)).await;
+}
+
+// The readers look live, as the store goes on answering their polls of other tables.
+#[tokio::test]
+async fn changes_are_in_force_in_time_when_the_operators_table_alone_is_silent_for_the_readers() {
+    let site = Site::start(FLEET).await;
+    site.wait_for_peer_connections().await;
+    let all: Vec<usize> = (0..FLEET).collect();
+    settle(&site).await;
+    tokio::time::sleep(FIRST_RARE_READ).await;
+    // Has the readers begin their longest polls of that table.
+    sleep_until_phase(&site, LONGEST_POLL_PHASE).await;
+    let elapsed = change(&site, 2, &all).await;
+    assert!(elapsed < APPLY_LIMIT, "in force after {elapsed:?} in calm");
+    let silent = readers(&site, &all);
+    for gateway in &silent {
+        site.gateways[*gateway].store_mode.send_replace(StoreMode::OperatorSilent);
+    }
+    let elapsed = change(&site, 3, &all).await;
+    println!("silent at {silent:?}: in force after {elapsed:?}");
+    assert!(elapsed < APPLY_LIMIT, "silent at {silent:?}: in force after {elapsed:?}");
+}
