Don't ask peers for rows before a starting gateway is in sync

A starting gateway knows no rows, so each status of a peer tells it of later ones. Since the comparison of versions it asked that peer after 250 ms, and the answer would come before the peer's crash reports: rows of a peer end the wait for these, and the gateway might accept requests that others hold back. Found on reading the change again, not seen.

Change: nothing is fetched until the gateway is in sync; it reads all tables and is sent all rows until then anyway.

--- a/crates/bluebelld/src/gateway/control/rows.rs
+++ b/crates/bluebelld/src/gateway/control/rows.rs
@@ -40,6 +40,10 @@
 
     /// Gets the rows that peers know and that have not arrived, from the store and from the peer that told of them.
     pub(super) fn fetch_missing(&mut self, now: Duration) {
+        // A starting gateway reads all tables, and must know the crash reports of its peers before it has their rows.
+        if !*self.gateway.synced.borrow() {
+            return;
+        }
         for lag in self.lag.take_due(now) {
             let known = self.lag.known(lag.origin);
             log::warn!(
--- a/crates/bluebelld/src/gateway/outbox.rs
+++ b/crates/bluebelld/src/gateway/outbox.rs
@@ -1,8 +1,8 @@
 //! Messages queued for one peer. Store rows go before all others: most gateways of a large fleet hear of changes from peers
 //! alone, and when many upstreams crash, the reports to a peer with little processor time queue up for seconds. Rows that
 //! hold crash reports go last, as peers hear of the crashes by messages as well. Statuses go before reports, and tell the age
-//! of the store's answer as of the time at which they are sent: a peer takes it for the contact that it relies on. Messages of one kind that are queued one
-//! behind the other are sent as one, so that a peer that is slow to acknowledge gets fewer of them.
+//! of the store's answer as of the time at which they are sent, since peers rely on it. Messages of one kind that are queued
+//! one behind the other are sent as one, so that a peer that is slow to acknowledge gets fewer of them.
 
 use std::{sync::Arc, time::Duration};
 
